--- /dev/null
+++ b/ctl/command/app.go
@@ -0,0 +1,75 @@
+// Package command holds the commands of the operators' command line.
+package command
+
+import (
+	"errors"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/godwitcross/godwitcross/ctl/client"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+)
+
+// Exit codes.
+const (
+	ExitFailed    = 1
+	ExitInput     = 2
+	ExitRefused   = 3
+	ExitUncertain = 4
+)
+
+// Connection is how commands reach the entry hosts.
+type Connection struct {
+	// Entries are the operators' addresses of entry hosts; the first is asked.
+	Entries  []string
+	Operator string
+	// Output is table or json.
+	Output string
+}
+
+// Clients returns a client for each entry host.
+func (c *Connection) Clients() []*client.Client {
+	var out []*client.Client
+	for _, a := range c.Entries {
+		out = append(out, client.New(a, inventory.OperatorID(c.Operator)))
+	}
+	return out
+}
+
+// New returns the command line.
+func New() *cli.Command {
+	c := &Connection{}
+	return &cli.Command{
+		Name:  "ctl",
+		Usage: "look at the fleet and change it",
+		Description: "Commands talk to the operators' endpoint of entry hosts.\n\n" +
+			"Exit codes: 0 done, 1 failed, 2 bad input, 3 refused and nothing changed, 4 no answer and the outcome is not known.",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "entry", Usage: "IP:port of an entry host's operators' endpoint; may be given several times", Value: []string{"127.0.0.1:8081"}, Destination: &c.Entries, Sources: cli.EnvVars("GODWITCROSS_ENTRY")},
+			&cli.StringFlag{Name: "operator", Usage: "name of the operator", Destination: &c.Operator, Sources: cli.EnvVars("GODWITCROSS_OPERATOR")},
+			&cli.StringFlag{Name: "output", Usage: "table or json", Value: "table", Destination: &c.Output, Sources: cli.EnvVars("GODWITCROSS_OUTPUT")},
+		},
+		Commands: []*cli.Command{
+			newValidate(c),
+			newPublish(c),
+			newStatus(c),
+		},
+	}
+}
+
+// exit turns an error into one with the exit code that the help names.
+func exit(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, client.ErrRefused):
+		return cli.Exit("ctl: "+err.Error(), ExitRefused)
+	case errors.Is(err, client.ErrUncertain):
+		return cli.Exit("ctl: "+err.Error(), ExitUncertain)
+	}
+	return cli.Exit("ctl: "+err.Error(), ExitFailed)
+}
+
+func badInput(err error) error {
+	return cli.Exit("ctl: "+err.Error(), ExitInput)
+}
--- /dev/null
+++ b/ctl/command/status.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+)
+
+// Status is what an entry host tells of itself.
+type Status struct {
+	Name     string
+	NotReady string `json:",omitempty"`
+	Version  configuration.Version
+	Next     journal.Offset
+	End      journal.Offset
+	Digest   uint64
+	Error    string `json:",omitempty"`
+}
+
+func newStatus(c *Connection) *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "show how each entry host is",
+		Description: "Example: ctl --entry 127.0.0.1:8081 status",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			var all []Status
+			for _, h := range c.Clients() {
+				var s Status
+				if err := h.Get("/status", &s); err != nil {
+					s = Status{Name: h.Address(), Error: err.Error()}
+				}
+				all = append(all, s)
+			}
+			return printAll(cmd.Root().Writer, c.Output, all, "NAME\tREADY\tVERSION\tAPPLIED\tDIGEST", func(s Status) string {
+				ready := "yes"
+				if s.NotReady+s.Error != "" {
+					ready = s.NotReady + s.Error
+				}
+				return fmt.Sprintf("%s\t%s\t%d\t%d\t%016x", s.Name, ready, s.Version, s.Next, s.Digest)
+			})
+		},
+	}
+}
+
+// printAll writes the items as a table with one line each, or as JSON.
+func printAll[T any](w io.Writer, output string, items []T, header string, line func(T) string) error {
+	if output == "json" {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(items)
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, header)
+	for _, i := range items {
+		fmt.Fprintln(t, line(i))
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/entry/host/host.go
@@ -0,0 +1,140 @@
+// Package host puts the tasks of an entry host together and runs them.
+package host
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/godwitcross/godwitcross/entry/backend"
+	"github.com/godwitcross/godwitcross/entry/caller"
+	"github.com/godwitcross/godwitcross/entry/follower"
+	"github.com/godwitcross/godwitcross/entry/lifecycle"
+	"github.com/godwitcross/godwitcross/entry/metric"
+	"github.com/godwitcross/godwitcross/entry/operator"
+	"github.com/godwitcross/godwitcross/entry/platform"
+	"github.com/godwitcross/godwitcross/entry/settings"
+	"github.com/godwitcross/godwitcross/entry/view"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/state"
+)
+
+// batchQueue is how many batches wait for the follower. A full queue holds the
+// reader back.
+const batchQueue = 16
+
+// Task is one task of an entry host. It owns its sockets and its state.
+type Task interface {
+	// Name returns what the task is called in logs.
+	Name() string
+	// Run works until the context ends. An error ends the whole host.
+	Run(ctx context.Context) error
+}
+
+// Config is what a host is built from.
+type Config struct {
+	Settings settings.Settings
+	Log      logrus.FieldLogger
+	// Dial opens all outgoing connections of the host.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Host is one entry host.
+type Host struct {
+	cfg       Config
+	log       logrus.FieldLogger
+	state     *view.Box[follower.State]
+	hosts     *view.Box[inventory.HostList]
+	metrics   *metric.Registry
+	readiness *lifecycle.Readiness
+	backends  *backend.Pool
+	callers   *fasthttp.Server
+	operators *fasthttp.Server
+	tasks     []Task
+}
+
+// New returns a host that listens on nothing yet.
+func New(cfg Config) *Host {
+	h := &Host{
+		cfg:       cfg,
+		log:       cfg.Log.WithFields(logrus.Fields{"Entry": cfg.Settings.Name, "DataCentre": cfg.Settings.DataCentre}),
+		state:     view.NewBox(follower.State{}),
+		hosts:     view.NewBox(inventory.HostList{}),
+		metrics:   metric.NewRegistry(),
+		readiness: lifecycle.NewReadiness("starting"),
+		backends:  backend.NewPool(cfg.Dial),
+	}
+	client := platform.NewClient(cfg.Settings.PlatformAddress, cfg.Dial)
+	batches := make(chan platform.Batch, batchQueue)
+	h.callers = caller.NewServer(caller.Config{
+		Log: h.log, Metrics: h.metrics, DataCentre: cfg.Settings.DataCentre,
+		State: h.state, Hosts: h.hosts, Pool: h.backends,
+	}).HTTP()
+	h.operators = operator.NewServer(operator.Config{
+		Log: h.log, Name: cfg.Settings.Name, Metrics: h.metrics, State: h.state,
+		Records: platform.NewAppender(client), Ready: h.readiness.Reason,
+	}).HTTP()
+	h.tasks = []Task{
+		platform.NewReader(h.log, client, journal.StreamFleet, 0, batches),
+		follower.New(h.log, state.NewFleet(), batches, h.state),
+		platform.NewHostListReader(h.log, client, h.hosts),
+		lifecycle.NewStarter(h.log, h.readiness, h.state, h.hosts),
+	}
+	return h
+}
+
+// Run serves until the context ends, then stops without cutting off a request.
+func (h *Host) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", h.cfg.Settings.CallerAddress)
+	if err != nil {
+		return eris.Wrap(err, "listening for callers")
+	}
+	operators, err := net.Listen("tcp", h.cfg.Settings.OperatorAddress)
+	if err != nil {
+		return eris.Wrap(err, "listening for operators")
+	}
+	return h.Serve(ctx, callers, operators)
+}
+
+// Serve is Run on listeners that are open already.
+func (h *Host) Serve(ctx context.Context, callers, operators net.Listener) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	for _, t := range h.tasks {
+		g.Go(func() error { return eris.Wrapf(t.Run(work), "task %s", t.Name()) })
+	}
+	g.Go(func() error { return eris.Wrap(h.callers.Serve(callers), "serving callers") })
+	g.Go(func() error { return eris.Wrap(h.operators.Serve(operators), "serving operators") })
+	h.log.WithFields(logrus.Fields{"Callers": callers.Addr().String(), "Operators": operators.Addr().String()}).Info("listening")
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+	}
+	h.stop()
+	stop()
+	return g.Wait()
+}
+
+// stop ends serving in the order that cuts off nothing.
+func (h *Host) stop() {
+	h.readiness.Set("stopping")
+	h.log.WithField("NoticeTime", h.cfg.Settings.NoticeTime.String()).Info("not ready, waiting for the balancer")
+	time.Sleep(h.cfg.Settings.NoticeTime)
+	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Settings.StopTime-h.cfg.Settings.NoticeTime)
+	defer cancel()
+	if err := h.callers.ShutdownWithContext(ctx); err != nil {
+		h.log.WithError(err).WithField("Remaining", h.callers.GetOpenConnectionsCount()).Error("requests were still in flight at the end of the stop time")
+	}
+	if err := h.operators.ShutdownWithContext(ctx); err != nil {
+		h.log.WithError(err).Warn("closing the operators' endpoint")
+	}
+	h.backends.Close()
+	h.log.Info("stopped")
+}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,63 @@
+// Command entry is the program that runs on every entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/godwitcross/godwitcross/entry/host"
+	"github.com/godwitcross/godwitcross/entry/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var s settings.Settings
+	app := &cli.Command{
+		Name:  "entry",
+		Usage: "serve callers, place jobs and keep pools as one of the entry hosts",
+		Description: "Every entry host runs the same program. Callers' requests go to backend servers; operators' " +
+			"publications go to the platform's log, and all hosts fold them into the same state.\n\n" +
+			"Example:\n  entry --name e1 --data-centre Palermo --platform-address 127.0.0.1:8090\n\n" +
+			"Exit codes: 0 stopped as planned, 1 failed, 2 bad settings.",
+		Flags: s.Flags(),
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			if err := s.Check(); err != nil {
+				return cli.Exit(err.Error(), exitSettings)
+			}
+			return run(ctx, s)
+		},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "entry:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func run(ctx context.Context, s settings.Settings) error {
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return err
+	}
+	log.SetLevel(level)
+	var d net.Dialer
+	h := host.New(host.Config{Settings: s, Log: log, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address)
+	}})
+	return h.Run(ctx)
+}
--- /dev/null
+++ b/entry/metric/registry.go
@@ -0,0 +1,139 @@
+// Package metric keeps the counters and histograms of an entry host and shows
+// them as text and as JSON.
+package metric
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// Reservoir of each histogram.
+const (
+	reservoirSize  = 1028
+	reservoirAlpha = 0.015
+)
+
+// Label is one dimension of a metric.
+type Label struct {
+	Name, Value string
+}
+
+// Registry is a set of metrics by name and labels. It is safe for concurrent use.
+type Registry struct {
+	metrics metrics.Registry
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{metrics: metrics.NewRegistry()}
+}
+
+// key returns the name with its labels as a scraper reads them.
+func key(name string, labels []Label) string {
+	if len(labels) == 0 {
+		return name
+	}
+	parts := make([]string, len(labels))
+	for i, l := range labels {
+		parts[i] = fmt.Sprintf("%s=%q", l.Name, l.Value)
+	}
+	return name + "{" + strings.Join(parts, ",") + "}"
+}
+
+// Count adds n to a counter.
+func (r *Registry) Count(name string, n int64, labels ...Label) {
+	r.metrics.GetOrRegister(key(name, labels), metrics.NewCounter).(metrics.Counter).Inc(n)
+}
+
+// Gauge sets a gauge.
+func (r *Registry) Gauge(name string, v int64, labels ...Label) {
+	r.metrics.GetOrRegister(key(name, labels), metrics.NewGauge).(metrics.Gauge).Update(v)
+}
+
+// Observe adds a duration to a histogram, which counts in microseconds.
+func (r *Registry) Observe(name string, d time.Duration, labels ...Label) {
+	h := r.metrics.GetOrRegister(key(name, labels), newHistogram).(metrics.Histogram)
+	h.Update(d.Microseconds())
+}
+
+func newHistogram() metrics.Histogram {
+	return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+}
+
+// Point is one metric at a moment.
+type Point struct {
+	Name  string
+	Value int64
+	// Quantiles are set for histograms, in microseconds.
+	Quantiles *Quantiles `json:",omitempty"`
+}
+
+// Quantiles are the shape of a histogram, in microseconds.
+type Quantiles struct {
+	P50, P99, P999, Max float64
+}
+
+// Points returns all metrics in order of their names.
+func (r *Registry) Points() []Point {
+	var points []Point
+	r.metrics.Each(func(name string, m any) {
+		points = append(points, point(name, m))
+	})
+	slices.SortFunc(points, func(a, b Point) int { return cmp.Compare(a.Name, b.Name) })
+	return points
+}
+
+func point(name string, m any) Point {
+	switch m := m.(type) {
+	case metrics.Counter:
+		return Point{Name: name, Value: m.Count()}
+	case metrics.Gauge:
+		return Point{Name: name, Value: m.Value()}
+	case metrics.Histogram:
+		s := m.Snapshot()
+		q := s.Percentiles([]float64{0.5, 0.99, 0.999})
+		return Point{Name: name, Value: s.Count(), Quantiles: &Quantiles{P50: q[0], P99: q[1], P999: q[2], Max: float64(s.Max())}}
+	}
+	return Point{Name: name}
+}
+
+// WriteText writes all metrics in the text form that scrapers read.
+func (r *Registry) WriteText(w io.Writer) error {
+	for _, p := range r.Points() {
+		if err := writePoint(w, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writePoint(w io.Writer, p Point) error {
+	if p.Quantiles == nil {
+		_, err := fmt.Fprintf(w, "%s %d\n", p.Name, p.Value)
+		return err
+	}
+	name, labels, _ := strings.Cut(strings.TrimSuffix(p.Name, "}"), "{")
+	if labels != "" {
+		labels += ","
+	}
+	for _, q := range []struct {
+		name  string
+		value float64
+	}{{"0.5", p.Quantiles.P50}, {"0.99", p.Quantiles.P99}, {"0.999", p.Quantiles.P999}, {"1", p.Quantiles.Max}} {
+		if _, err := fmt.Fprintf(w, "%s{%squantile=%q} %g\n", name, labels, q.name, q.value); err != nil {
+			return err
+		}
+	}
+	suffix := ""
+	if labels != "" {
+		suffix = "{" + strings.TrimSuffix(labels, ",") + "}"
+	}
+	_, err := fmt.Fprintf(w, "%s_count%s %d\n", name, suffix, p.Value)
+	return err
+}
--- /dev/null
+++ b/entry/platform/hostlist.go
@@ -0,0 +1,53 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/godwitcross/godwitcross/entry/view"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+)
+
+// hostListPause is the time between two reads of the host list.
+const hostListPause = 500 * time.Millisecond
+
+// HostLister is the part of the platform that a HostListReader needs.
+type HostLister interface {
+	Hosts() (inventory.HostList, error)
+}
+
+// HostListReader polls the host list.
+type HostListReader struct {
+	log    logrus.FieldLogger
+	source HostLister
+	out    *view.Box[inventory.HostList]
+}
+
+// NewHostListReader returns a task that publishes the host list into out.
+func NewHostListReader(log logrus.FieldLogger, source HostLister, out *view.Box[inventory.HostList]) *HostListReader {
+	return &HostListReader{log: log, source: source, out: out}
+}
+
+// Name returns the task's name.
+func (r *HostListReader) Name() string {
+	return "platform host list"
+}
+
+// Run polls until the context ends. A list older than the last one is passed over.
+func (r *HostListReader) Run(ctx context.Context) error {
+	failed := false
+	for ctx.Err() == nil {
+		l, err := r.source.Hosts()
+		if err != nil && !failed {
+			r.log.WithError(err).Warn("reading the host list failed")
+		}
+		failed = err != nil
+		if err == nil && l.At.After(r.out.Latest().At) {
+			r.out.Publish(l)
+		}
+		pause(ctx, hostListPause)
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/configuration/change.go
@@ -0,0 +1,133 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"maps"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/rotisserie/eris"
+)
+
+// MaxChangeBytes is the largest published change.
+const MaxChangeBytes = 8 << 20
+
+// Errors of changes.
+var (
+	ErrSyntax   = eris.New("not a readable configuration")
+	ErrTooLarge = eris.New("configuration too large")
+	ErrStale    = eris.New("stale base version")
+	ErrEmpty    = eris.New("change without objects")
+	ErrMissing  = eris.New("no such object")
+)
+
+// Change is one publication: objects to set and objects to delete, decided
+// against a base version.
+type Change struct {
+	// Base is the version that the operator looked at. The change is refused
+	// if any object that it touches was changed after Base.
+	Base Version
+	// Set holds whole objects; each replaces the one of the same name.
+	Set Objects
+	// Delete names objects that exist.
+	Delete []Key `json:",omitempty"`
+	// Comment is free text for the record.
+	Comment string `json:",omitempty"`
+}
+
+// ParseObjects reads a configuration file. An unknown field, a second document
+// or an absurd size is an error, and so is a value of the wrong type.
+func ParseObjects(b []byte) (Objects, error) {
+	var o Objects
+	err := parse(b, &o)
+	return o, err
+}
+
+// ParseChange reads a change with the strictness of ParseObjects.
+func ParseChange(b []byte) (Change, error) {
+	var c Change
+	err := parse(b, &c)
+	return c, err
+}
+
+func parse(b []byte, into any) error {
+	if len(b) > MaxChangeBytes {
+		return eris.Wrapf(ErrTooLarge, "%d bytes are more than %d", len(b), MaxChangeBytes)
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return eris.Wrapf(ErrSyntax, "at byte %d: %s", d.InputOffset(), err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return eris.Wrapf(ErrSyntax, "at byte %d: text behind the end", d.InputOffset())
+	}
+	return nil
+}
+
+// Touched returns the keys of all objects that the change sets or deletes, in
+// order.
+func (c Change) Touched() []Key {
+	keys := append(c.Set.Keys(), c.Delete...)
+	SortKeys(keys)
+	return keys
+}
+
+// Apply returns the configuration with the change made, defaults filled in and
+// everything validated, or an error that names the place and leaves cfg as it
+// was. The version is the offset of the record that carries the change.
+func (cfg Configuration) Apply(c Change, version Version) (Configuration, error) {
+	touched := c.Touched()
+	if len(touched) == 0 {
+		return cfg, ErrEmpty
+	}
+	for _, k := range touched {
+		if at := cfg.Changed[k]; at > c.Base {
+			return cfg, eris.Wrapf(ErrStale, "%s was changed by version %d, after the base version %d", k, at, c.Base)
+		}
+	}
+	next := cfg
+	next.Version = version
+	next.Changed = maps.Clone(cfg.Changed)
+	if next.Changed == nil {
+		next.Changed = make(map[Key]Version, len(touched))
+	}
+	set := c.Set.WithDefaults()
+	for _, a := range accessors {
+		a.merge(&next.Objects, set)
+	}
+	for _, k := range c.Delete {
+		if !accessors[k.Kind].has(cfg.Objects, k.Name) {
+			return cfg, eris.Wrapf(ErrMissing, "cannot delete %s", k)
+		}
+		accessors[k.Kind].remove(&next.Objects, k.Name)
+	}
+	for _, k := range touched {
+		next.Changed[k] = version
+	}
+	if err := next.Validate(); err != nil {
+		return cfg, err
+	}
+	return next, nil
+}
+
+// OwnerOf returns the owner that an object belongs to. Owners, operators and
+// data centres belong to both owners and return false.
+func (o Objects) OwnerOf(k Key) (inventory.OwnerID, bool) {
+	switch k.Kind {
+	case KindHost:
+		return o.Hosts[inventory.HostID(k.Name)].Owner, true
+	case KindPool:
+		return o.Pools[inventory.PoolID(k.Name)].Owner, true
+	case KindService:
+		return o.Services[inventory.ServiceID(k.Name)].Owner, true
+	case KindTenant:
+		return o.Tenants[inventory.TenantID(k.Name)].Owner, true
+	case KindTeam:
+		return o.Teams[inventory.TeamID(k.Name)].Owner, true
+	case KindWave:
+		return o.Waves[inventory.WaveID(k.Name)].Owner, true
+	}
+	return "", false
+}
--- /dev/null
+++ b/fleet/configuration/validate.go
@@ -0,0 +1,269 @@
+package configuration
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/label"
+	"github.com/rotisserie/eris"
+)
+
+// Errors of validation. Each is wrapped with the place that it was found at.
+var (
+	ErrName      = eris.New("bad name")
+	ErrReference = eris.New("refers to nothing")
+	ErrOwner     = eris.New("belongs to another owner")
+	ErrRange     = eris.New("out of range")
+	ErrOverlap   = eris.New("two selectors claim one host")
+	ErrNoMatch   = eris.New("selector matches no host")
+	ErrBudget    = eris.New("budget cannot hold")
+	ErrCycle     = eris.New("cycle")
+	ErrReserved  = eris.New("reserved label name")
+)
+
+// Upper limits that keep absurd sizes out.
+const (
+	MaxObjects     = 50_000
+	MaxSlots       = inventory.Slots(10_000)
+	MaxConnections = inventory.Connections(100_000)
+	MaxBody        = 64 * inventory.Mebibyte
+	MaxWeight      = 10_000
+	MaxDeadline    = Duration(time.Hour)
+	MaxInFlight    = 1_000_000
+	MaxCores       = 4096 * inventory.CoresPerUnit
+	MaxMemory      = 64 * 1024 * inventory.Gibibyte
+	MaxAccel       = inventory.Accelerators(1024)
+)
+
+// Validate returns an error for the first rule that the objects break, in a
+// fixed order, so that every host refuses a change for the same reason.
+func (o Objects) Validate() error {
+	if n := len(o.Keys()); n > MaxObjects {
+		return eris.Wrapf(ErrRange, "%d objects are more than %d", n, MaxObjects)
+	}
+	for _, k := range o.Keys() {
+		if err := (label.Set{"Name": k.Name}).Validate(); err != nil || k.Name == "" {
+			return eris.Wrapf(ErrName, "%s", k)
+		}
+	}
+	checks := []func() error{
+		o.validateOwners, o.validateOperators, o.validateHosts, o.validatePools,
+		o.validateServices, o.validateTenants, o.validateTeams, o.validateWaves,
+	}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// each calls f for every object in order of names and wraps its error with the key.
+func each[K ~string, V any](kind ObjectKind, m map[K]V, f func(K, V) error) error {
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		if err := f(k, m[k]); err != nil {
+			return eris.Wrapf(err, "%s", Key{Kind: kind, Name: string(k)})
+		}
+	}
+	return nil
+}
+
+func inRange[T cmp.Ordered](field string, v, low, high T) error {
+	if v < low || v > high {
+		return eris.Wrapf(ErrRange, "%s is %v and must be from %v to %v", field, v, low, high)
+	}
+	return nil
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o Objects) knownOwner(id inventory.OwnerID) error {
+	if _, ok := o.Owners[id]; !ok {
+		return eris.Wrapf(ErrReference, "Owner %q", id)
+	}
+	return nil
+}
+
+func (o Objects) validateOwners() error {
+	return each(KindOwner, o.Owners, func(id inventory.OwnerID, w Owner) error {
+		p, ok := o.Pools[w.SparePool]
+		if !ok {
+			return eris.Wrapf(ErrReference, "SparePool %q", w.SparePool)
+		}
+		if p.Owner != id {
+			return eris.Wrapf(ErrOwner, "SparePool %q", w.SparePool)
+		}
+		return nil
+	})
+}
+
+func (o Objects) validateOperators() error {
+	return each(KindOperator, o.Operators, func(_ inventory.OperatorID, p Operator) error {
+		return o.knownOwner(p.Owner)
+	})
+}
+
+func (o Objects) validateHosts() error {
+	return each(KindHost, o.Hosts, func(_ inventory.HostID, h Host) error {
+		if _, ok := o.DataCentres[h.DataCentre]; !ok {
+			return eris.Wrapf(ErrReference, "DataCentre %q", h.DataCentre)
+		}
+		for _, n := range []string{LabelOwner, LabelDataCentre, LabelRack, LabelHost} {
+			if _, ok := h.Labels[n]; ok {
+				return eris.Wrapf(ErrReserved, "label %q", n)
+			}
+		}
+		return firstError(o.knownOwner(h.Owner), h.Labels.Validate(), validateSize(h.Size))
+	})
+}
+
+func validateSize(s inventory.Size) error {
+	return firstError(
+		inRange("Cores", s.Cores, 0, MaxCores),
+		inRange("Memory", s.Memory, 0, MaxMemory),
+		inRange("Accelerators", s.Accelerators, 0, MaxAccel),
+	)
+}
+
+func (o Objects) validatePools() error {
+	counts, err := o.claims()
+	if err != nil {
+		return err
+	}
+	return each(KindPool, o.Pools, func(id inventory.PoolID, p Pool) error {
+		spare := o.Owners[p.Owner].SparePool == id
+		if !spare && counts[id] == 0 {
+			return eris.Wrapf(ErrNoMatch, "Hosts %q", p.Hosts)
+		}
+		return firstError(
+			o.knownOwner(p.Owner),
+			inRange("Budget.MaxUnavailable", p.Budget.MaxUnavailable, 1, inventory.Whole),
+			inRange("Budget.MaxPerDataCentre", p.Budget.MaxPerDataCentre, 0, inventory.Whole),
+			inRange("Budget.MaxPerRack", p.Budget.MaxPerRack, 0, MaxObjects),
+			o.validateReserve(id, p),
+		)
+	})
+}
+
+// claims counts the hosts that each pool's selector claims.
+func (o Objects) claims() (map[inventory.PoolID]int, error) {
+	counts := make(map[inventory.PoolID]int, len(o.Pools))
+	pools := slices.Sorted(maps.Keys(o.Pools))
+	for _, h := range slices.Sorted(maps.Keys(o.Hosts)) {
+		labels := o.Hosts[h].AllLabels(h)
+		claimed := inventory.PoolID("")
+		for _, p := range pools {
+			if !o.Pools[p].Hosts.Matches(labels) {
+				continue
+			}
+			if claimed != "" {
+				return nil, eris.Wrapf(ErrOverlap, "Host/%s is claimed by Pool/%s and Pool/%s", h, claimed, p)
+			}
+			claimed = p
+		}
+		counts[claimed]++
+	}
+	return counts, nil
+}
+
+func (o Objects) validateReserve(id inventory.PoolID, p Pool) error {
+	seen := map[inventory.PoolID]bool{id: true}
+	for r := p.Reserve; r != ""; r = o.Pools[r].Reserve {
+		next, ok := o.Pools[r]
+		if !ok {
+			return eris.Wrapf(ErrReference, "Reserve %q", r)
+		}
+		if next.Owner != p.Owner {
+			return eris.Wrapf(ErrOwner, "Reserve %q", r)
+		}
+		if seen[r] {
+			return eris.Wrapf(ErrCycle, "Reserve comes back to %q", r)
+		}
+		seen[r] = true
+	}
+	return nil
+}
+
+func (o Objects) validateServices() error {
+	return each(KindService, o.Services, func(_ inventory.ServiceID, s Service) error {
+		if _, ok := s.Classes[s.DefaultClass]; !ok {
+			return eris.Wrapf(ErrReference, "DefaultClass %q", s.DefaultClass)
+		}
+		return firstError(
+			o.knownOwner(s.Owner),
+			inRange("Slots", s.Slots, 1, MaxSlots),
+			inRange("Connections", s.Connections, 1, MaxConnections),
+			inRange("MaxBody", s.MaxBody, 1, MaxBody),
+			each("Class", s.Classes, func(_ inventory.ClassID, c Class) error {
+				return firstError(
+					inRange("Weight", c.Weight, 1, MaxWeight),
+					inRange("Deadline", c.Deadline, Duration(time.Millisecond), MaxDeadline),
+				)
+			}),
+		)
+	})
+}
+
+func (o Objects) validateTenants() error {
+	return each(KindTenant, o.Tenants, func(_ inventory.TenantID, t Tenant) error {
+		return firstError(
+			o.knownOwner(t.Owner),
+			inRange("Weight", t.Weight, 1, MaxWeight),
+			inRange("MaxInFlight", t.MaxInFlight, 1, MaxInFlight),
+			each(KindService, t.Services, func(id inventory.ServiceID, c inventory.ClassID) error {
+				s, ok := o.Services[id]
+				if !ok {
+					return eris.Wrap(ErrReference, "Services")
+				}
+				if s.Owner != t.Owner {
+					return eris.Wrap(ErrOwner, "Services")
+				}
+				if _, ok := s.Classes[c]; !ok && c != "" {
+					return eris.Wrapf(ErrReference, "class %q", c)
+				}
+				return nil
+			}),
+		)
+	})
+}
+
+func (o Objects) validateTeams() error {
+	return each(KindTeam, o.Teams, func(_ inventory.TeamID, t Team) error {
+		return firstError(
+			o.knownOwner(t.Owner),
+			inRange("Weight", t.Weight, 1, MaxWeight),
+			validateSize(t.Quota),
+		)
+	})
+}
+
+func (o Objects) validateWaves() error {
+	day := Duration(24 * time.Hour)
+	return each(KindWave, o.Waves, func(_ inventory.WaveID, w Wave) error {
+		for _, id := range w.Pools {
+			p, ok := o.Pools[id]
+			if !ok {
+				return eris.Wrapf(ErrReference, "Pools names %q", id)
+			}
+			if p.Owner != w.Owner {
+				return eris.Wrapf(ErrOwner, "Pools names %q", id)
+			}
+		}
+		return firstError(
+			o.knownOwner(w.Owner),
+			inRange("Start", w.Start, 0, day),
+			inRange("Window", w.Window, Duration(time.Minute), day),
+			inRange("RebootTime", w.RebootTime, Duration(time.Second), day),
+		)
+	})
+}
--- /dev/null
+++ b/fleet/journal/fold.go
@@ -0,0 +1,168 @@
+package journal
+
+import (
+	"encoding/binary"
+	"errors"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+)
+
+// WindowSize is how many record identities the fold remembers. At 400 appends
+// a second it spans more than two minutes, longer than any append is retried.
+const WindowSize = 65_536
+
+// RecentSize is how many verdicts the fold keeps for explanations.
+const RecentSize = 256
+
+// ErrGap is returned when an entry does not follow the last applied one.
+var ErrGap = eris.New("gap in the stream")
+
+// ErrStaleEpoch rejects a record of a holder whose duty went to another.
+var ErrStaleEpoch = eris.New("stale epoch")
+
+// Outcome is what the fold made of a record.
+type Outcome string
+
+// The outcomes of folding a record.
+const (
+	Accepted   Outcome = "Accepted"
+	Duplicate  Outcome = "Duplicate"
+	Rejected   Outcome = "Rejected"
+	Unknown    Outcome = "Unknown"
+	Unreadable Outcome = "Unreadable"
+)
+
+// Verdict is the fold's decision on one record. It depends on nothing but the
+// records up to it.
+type Verdict struct {
+	Offset  Offset
+	ID      RecordID
+	Kind    Kind
+	By      string `json:",omitempty"`
+	Outcome Outcome
+	// Reason is set for every outcome other than Accepted.
+	Reason string `json:",omitempty"`
+}
+
+// Reducer folds the records of some kinds into a part of the state.
+type Reducer interface {
+	// Kinds returns the kinds that the reducer folds; no other has them.
+	Kinds() []Kind
+	// Reduce applies one record or returns the reason to reject it and leaves
+	// the state as it was. It reads no clock and no random source.
+	Reduce(e Entry) error
+	// MarshalState returns the state in a form that is equal for equal states.
+	MarshalState() ([]byte, error)
+	// UnmarshalState replaces the state by a marshalled one.
+	UnmarshalState(b []byte) error
+}
+
+// Fold applies the records of one stream in order.
+type Fold struct {
+	// next is the offset of the first record that is not applied yet.
+	next Offset
+	// digest chains every applied record and its verdict, so that two hosts at
+	// the same offset have the same digest exactly if they folded the same.
+	digest   uint64
+	seen     *Window[RecordID]
+	reducers map[Kind]Reducer
+	counts   map[Outcome]int64
+	// recent holds the last RecentSize verdicts, oldest first.
+	recent []Verdict
+}
+
+// NewFold returns a fold at offset 0 over the reducers.
+func NewFold(reducers ...Reducer) *Fold {
+	f := &Fold{
+		seen:     NewWindow[RecordID](WindowSize),
+		reducers: make(map[Kind]Reducer),
+		counts:   make(map[Outcome]int64),
+	}
+	for _, r := range reducers {
+		for _, k := range r.Kinds() {
+			f.reducers[k] = r
+		}
+	}
+	return f
+}
+
+// Next returns the offset of the first record that is not applied yet.
+func (f *Fold) Next() Offset {
+	return f.next
+}
+
+// Digest returns the chained digest of everything applied.
+func (f *Fold) Digest() uint64 {
+	return f.digest
+}
+
+// Counts returns how many records had each outcome.
+func (f *Fold) Counts() map[Outcome]int64 {
+	c := make(map[Outcome]int64, len(f.counts))
+	for k, n := range f.counts {
+		c[k] = n
+	}
+	return c
+}
+
+// Recent returns the last verdicts, oldest first.
+func (f *Fold) Recent() []Verdict {
+	return append([]Verdict(nil), f.recent...)
+}
+
+// Apply folds the raw record at the offset. An offset other than Next is an
+// error and changes nothing; everything else has a verdict.
+func (f *Fold) Apply(offset Offset, raw []byte) (Verdict, error) {
+	if offset != f.next {
+		return Verdict{}, eris.Wrapf(ErrGap, "have applied up to %d, got %d", f.next, offset)
+	}
+	r, err := Decode(raw)
+	v := Verdict{Offset: offset, ID: r.ID, Kind: r.Kind, By: r.By}
+	v.Outcome, v.Reason = f.decide(Entry{Offset: offset, Record: r}, err)
+	f.next++
+	f.counts[v.Outcome]++
+	f.chain(v, raw)
+	f.remember(v)
+	return v, nil
+}
+
+func (f *Fold) decide(e Entry, err error) (Outcome, string) {
+	if err != nil {
+		return Unreadable, err.Error()
+	}
+	if f.seen.Contains(e.Record.ID) {
+		return Duplicate, "the same record was applied before"
+	}
+	f.seen.Add(e.Record.ID)
+	r, ok := f.reducers[e.Record.Kind]
+	if !ok {
+		return Unknown, "this release does not know the kind"
+	}
+	err = r.Reduce(e)
+	if errors.Is(err, ErrUnreadable) {
+		return Unreadable, err.Error()
+	}
+	if err != nil {
+		return Rejected, err.Error()
+	}
+	return Accepted, ""
+}
+
+func (f *Fold) chain(v Verdict, raw []byte) {
+	var head [16]byte
+	binary.BigEndian.PutUint64(head[:8], f.digest)
+	binary.BigEndian.PutUint64(head[8:], uint64(v.Offset))
+	d := xxhash.New()
+	_, _ = d.Write(head[:])
+	_, _ = d.Write(raw)
+	_, _ = d.WriteString(string(v.Outcome))
+	f.digest = d.Sum64()
+}
+
+func (f *Fold) remember(v Verdict) {
+	if len(f.recent) == RecentSize {
+		f.recent = append(f.recent[:0], f.recent[1:]...)
+	}
+	f.recent = append(f.recent, v)
+}
--- /dev/null
+++ b/standin/deployment/deployment.go
@@ -0,0 +1,189 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/godwitcross/godwitcross/entry/host"
+	"github.com/godwitcross/godwitcross/entry/settings"
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/standin/backend"
+	"github.com/godwitcross/godwitcross/standin/network"
+	"github.com/godwitcross/godwitcross/standin/platform"
+)
+
+// Times of the sample.
+const (
+	deadlineUrgent   = configuration.Duration(2 * time.Second)
+	deadlineStandard = configuration.Duration(10 * time.Second)
+	waveStart        = configuration.Duration(22 * time.Hour)
+	waveWindow       = configuration.Duration(6 * time.Hour)
+	backendWork      = 5 * time.Millisecond
+	listDelay        = 300 * time.Millisecond
+)
+
+// ZonePlatform is the network zone of the platform's services.
+const ZonePlatform network.Zone = "Platform"
+
+// Options say what is started.
+type Options struct {
+	Log logrus.FieldLogger
+	// EntryHosts is the number in each data centre; at least 1.
+	EntryHosts int
+	// NoticeTime and StopTime are passed on to the entry hosts.
+	NoticeTime time.Duration
+	StopTime   time.Duration
+}
+
+// Entry is a running entry host.
+type Entry struct {
+	Settings settings.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+// Stop stops the host as planned and returns when it has ended.
+func (e *Entry) Stop() error {
+	e.stop()
+	return <-e.done
+}
+
+// Deployment is everything running in one process.
+type Deployment struct {
+	o        Options
+	Platform *platform.Platform
+	Network  *network.Network
+	Backends []*backend.Server
+	// Addresses has the address of each backend server.
+	Addresses map[inventory.InstanceID]string
+	Entries   []*Entry
+	// PlatformAddress is where the platform's services answer.
+	PlatformAddress string
+	listeners       []net.Listener
+	g               *errgroup.Group
+}
+
+// Start starts the stand-ins and the entry hosts.
+func Start(o Options) (*Deployment, error) {
+	d := &Deployment{
+		o:         o,
+		Platform:  platform.New(platform.Options{AppendsPerSecond: 400, ListDelay: listDelay}),
+		Network:   network.New(),
+		Addresses: make(map[inventory.InstanceID]string),
+		g:         &errgroup.Group{},
+	}
+	l, err := d.listen(ZonePlatform)
+	if err != nil {
+		return nil, err
+	}
+	d.PlatformAddress = l.Addr().String()
+	d.g.Go(func() error { return d.Platform.Serve(l) })
+	for _, s := range sites {
+		if err := d.startSite(s); err != nil {
+			return nil, err
+		}
+	}
+	for id, h := range Sample().Hosts {
+		d.Platform.Fleet.Put(inventory.WorkerFacts{ID: id.Worker(), DataCentre: h.DataCentre, Rack: h.Rack, Size: h.Size})
+		d.Platform.Hosts.Put(time.Now(), inventory.ListedHost{ID: id, Role: inventory.RoleWorker, State: inventory.HostLive, DataCentre: h.DataCentre, Rack: h.Rack})
+	}
+	return d, nil
+}
+
+func (d *Deployment) startSite(s site) error {
+	for _, v := range s.services {
+		for i := range instancesPerService {
+			dc := s.dataCentres[i%len(s.dataCentres)]
+			if err := d.startBackend(v, inventory.InstanceID(fmt.Sprintf("%s-server-%02d", v, i+1)), dc); err != nil {
+				return err
+			}
+		}
+	}
+	for _, dc := range s.dataCentres {
+		for i := range d.o.EntryHosts {
+			name := inventory.EntryID(fmt.Sprintf("%s-entry-%d", dc, i+1))
+			if _, err := d.StartEntry(name, dc); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) listen(zone network.Zone) (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(err, "listening on the loopback address")
+	}
+	d.listeners = append(d.listeners, l)
+	d.Network.Place(l.Addr().String(), zone)
+	return l, nil
+}
+
+func (d *Deployment) startBackend(v inventory.ServiceID, id inventory.InstanceID, dc inventory.DataCentreID) error {
+	l, err := d.listen(network.Zone(dc))
+	if err != nil {
+		return err
+	}
+	s := backend.New(backend.Options{ID: id, Service: v, Slots: configuration.DefaultSlots, Connections: configuration.DefaultConnections, Work: backendWork})
+	d.Backends = append(d.Backends, s)
+	d.Addresses[id] = l.Addr().String()
+	d.g.Go(func() error { return s.Serve(l) })
+	d.Platform.Hosts.Put(time.Now(), inventory.ListedHost{
+		ID: inventory.HostID(id), Role: inventory.RoleBackend, State: inventory.HostLive,
+		DataCentre: dc, Service: v, Address: l.Addr().String(),
+	})
+	return nil
+}
+
+// StartEntry starts one more entry host.
+func (d *Deployment) StartEntry(name inventory.EntryID, dc inventory.DataCentreID) (*Entry, error) {
+	callers, err := d.listen(network.Zone(dc))
+	if err != nil {
+		return nil, err
+	}
+	operators, err := d.listen(network.Zone(dc))
+	if err != nil {
+		return nil, err
+	}
+	s := settings.Settings{
+		Name: name, DataCentre: dc,
+		CallerAddress: callers.Addr().String(), OperatorAddress: operators.Addr().String(),
+		PeerAddress: "127.0.0.1:0", PlatformAddress: d.PlatformAddress,
+		NoticeTime: d.o.NoticeTime, StopTime: d.o.StopTime, LogLevel: "info",
+	}
+	h := host.New(host.Config{Settings: s, Log: d.o.Log, Dial: d.Network.Dialer(network.Zone(dc))})
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Entry{Settings: s, stop: stop, done: make(chan error, 1)}
+	go func() { e.done <- h.Serve(ctx, callers, operators) }()
+	d.Entries = append(d.Entries, e)
+	return e, nil
+}
+
+// Executions returns how often each request key was executed by any backend server.
+func (d *Deployment) Executions() map[string]int {
+	total := make(map[string]int)
+	for _, s := range d.Backends {
+		for k, n := range s.Executions() {
+			total[k] += n
+		}
+	}
+	return total
+}
+
+// Stop ends everything.
+func (d *Deployment) Stop() {
+	for _, e := range d.Entries {
+		e.stop()
+	}
+	for _, l := range d.listeners {
+		_ = l.Close()
+	}
+}
