feat: duties claimed by records and fenced at the fold

A claim names the epoch that it takes over from, so the fold needs no clock to decide a race: the first claim of an epoch wins. Records that carry a duty are rejected when their epoch is not the current one.

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -12,12 +12,14 @@
 	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/lease"
 	"github.com/godwitcross/godwitcross/fleet/state"
 )
 
 // State is the folded state at an offset.
 type State struct {
 	Configuration configuration.Configuration
+	Holdings      map[lease.Duty]lease.Holding
 	// Next is the offset of the first record that is not applied.
 	Next journal.Offset
 	// End is the end of the stream as last seen; at least Next.
@@ -88,6 +90,7 @@
 	}
 	f.out.Publish(State{
 		Configuration: f.fleet.Configuration.Current(),
+		Holdings:      f.fleet.Lease.Holdings(),
 		Next:          fold.Next(),
 		End:           max(b.End, fold.Next()),
 		Digest:        fold.Digest(),
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -13,6 +13,7 @@
 
 	"github.com/godwitcross/godwitcross/entry/backend"
 	"github.com/godwitcross/godwitcross/entry/caller"
+	"github.com/godwitcross/godwitcross/entry/duty"
 	"github.com/godwitcross/godwitcross/entry/follower"
 	"github.com/godwitcross/godwitcross/entry/lifecycle"
 	"github.com/godwitcross/godwitcross/entry/metric"
@@ -71,6 +72,7 @@
 		backends:  backend.NewPool(cfg.Dial),
 	}
 	client := platform.NewClient(cfg.Settings.PlatformAddress, cfg.Dial)
+	records := platform.NewAppender(client)
 	batches := make(chan platform.Batch, batchQueue)
 	h.callers = caller.NewServer(caller.Config{
 		Log: h.log, Metrics: h.metrics, DataCentre: cfg.Settings.DataCentre,
@@ -78,17 +80,40 @@
 	}).HTTP()
 	h.operators = operator.NewServer(operator.Config{
 		Log: h.log, Name: cfg.Settings.Name, Metrics: h.metrics, State: h.state,
-		Records: platform.NewAppender(client), Ready: h.readiness.Reason,
+		Records: records, Ready: h.readiness.Reason,
 	}).HTTP()
 	h.tasks = []Task{
 		platform.NewReader(h.log, client, journal.StreamFleet, 0, batches),
 		follower.New(h.log, state.NewFleet(), batches, h.state),
 		platform.NewHostListReader(h.log, client, h.hosts),
 		lifecycle.NewStarter(h.log, h.readiness, h.state, h.hosts),
+		duty.NewRunner(duty.Config{
+			Log: h.log, Name: cfg.Settings.Name, Stream: journal.StreamFleet, Records: records,
+			Holdings: func() duty.Holdings { return h.state.Latest().Holdings },
+			Hosts:    h.entryHosts,
+			Work:     fleetWork(),
+		}),
 	}
 	return h
 }
 
+// fleetWork lists the duties of the global stream.
+func fleetWork() []duty.Work {
+	return nil
+}
+
+// entryHosts returns the live entry hosts of the host list and this one.
+func (h *Host) entryHosts() []inventory.EntryID {
+	ids := []inventory.EntryID{h.cfg.Settings.Name}
+	for _, l := range h.hosts.Latest().Hosts {
+		id := inventory.EntryID(l.ID)
+		if l.Role == inventory.RoleEntry && l.State == inventory.HostLive && id != h.cfg.Settings.Name {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Run serves until the context ends, then stops without cutting off a request.
 func (h *Host) Run(ctx context.Context) error {
 	callers, err := net.Listen("tcp", h.cfg.Settings.CallerAddress)
--- a/fleet/journal/fold.go
+++ b/fleet/journal/fold.go
@@ -58,8 +58,15 @@
 	UnmarshalState(b []byte) error
 }
 
+// Fencer rejects the records of holders whose duty went to another.
+type Fencer interface {
+	Fence(r Record) error
+}
+
 // Fold applies the records of one stream in order.
 type Fold struct {
+	fencer Fencer
+
 	// next is the offset of the first record that is not applied yet.
 	next Offset
 	// digest chains every applied record and its verdict, so that two hosts at
@@ -72,9 +79,10 @@
 	recent []Verdict
 }
 
-// NewFold returns a fold at offset 0 over the reducers.
-func NewFold(reducers ...Reducer) *Fold {
+// NewFold returns a fold at offset 0 over the reducers. The fencer may be nil.
+func NewFold(fencer Fencer, reducers ...Reducer) *Fold {
 	f := &Fold{
+		fencer:   fencer,
 		seen:     NewWindow[RecordID](WindowSize),
 		reducers: make(map[Kind]Reducer),
 		counts:   make(map[Outcome]int64),
@@ -139,6 +147,11 @@
 	if !ok {
 		return Unknown, "this release does not know the kind"
 	}
+	if f.fencer != nil {
+		if err := f.fencer.Fence(e.Record); err != nil {
+			return Rejected, err.Error()
+		}
+	}
 	err = r.Reduce(e)
 	if errors.Is(err, ErrUnreadable) {
 		return Unreadable, err.Error()
--- a/fleet/journal/fold_test.go
+++ b/fleet/journal/fold_test.go
@@ -55,7 +55,7 @@
 		{"the next good record", encoded(t, "e", "Add", 3), Accepted},
 	}
 	sum := &total{}
-	f := NewFold(sum)
+	f := NewFold(nil, sum)
 	for i, test := range tests {
 		v, err := f.Apply(Offset(i), test.raw)
 		require.NoError(t, err, test.name)
@@ -66,7 +66,7 @@
 }
 
 func TestFoldRefusesGapsAndRepeatsOfOffsets(t *testing.T) {
-	f := NewFold(&total{})
+	f := NewFold(nil, &total{})
 	_, err := f.Apply(1, encoded(t, "a", "Add", 1))
 	require.ErrorIs(t, err, ErrGap)
 	_, err = f.Apply(0, encoded(t, "a", "Add", 1))
@@ -77,7 +77,7 @@
 
 func TestDigestTellsDifferentHistoriesApart(t *testing.T) {
 	digest := func(raws ...[]byte) uint64 {
-		f := NewFold(&total{})
+		f := NewFold(nil, &total{})
 		for i, raw := range raws {
 			_, err := f.Apply(Offset(i), raw)
 			require.NoError(t, err)
--- /dev/null
+++ b/fleet/lease/reducer.go
@@ -0,0 +1,190 @@
+// Package lease decides which entry host holds a duty. The order of the log
+// decides between claims; epochs fence every holder but the last.
+package lease
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+)
+
+// Duty names work that one entry host does at a time.
+type Duty string
+
+// Kinds of the records of leases.
+const (
+	KindClaim   journal.Kind = "Lease.Claim"
+	KindRenew   journal.Kind = "Lease.Renew"
+	KindRelease journal.Kind = "Lease.Release"
+)
+
+// Terms of duties.
+const (
+	// Term is how long a holder works after it sent its claim or renewal.
+	Term = 6 * time.Second
+	// RenewEvery is the time between two renewals.
+	RenewEvery = 2 * time.Second
+	// Grace is how long others wait beyond a term that they saw begin. It covers
+	// clocks that run at different rates.
+	Grace = 2 * time.Second
+)
+
+// Errors of claims.
+var (
+	ErrLost  = eris.New("the duty was claimed by another")
+	ErrNoOne = eris.New("the duty is not held by this host")
+)
+
+// Claim takes a duty over from the holder of an epoch.
+type Claim struct {
+	Duty   Duty
+	Holder inventory.EntryID
+	// From is the epoch that the claimant saw; the claim is rejected if it is
+	// not the current one.
+	From journal.Epoch
+}
+
+// Renew prolongs all duties that a host holds.
+type Renew struct {
+	Holder inventory.EntryID
+	// Held has the epoch of each duty that the host goes on holding.
+	Held map[Duty]journal.Epoch
+}
+
+// Release gives a duty back before its term ends.
+type Release struct {
+	Duty   Duty
+	Holder inventory.EntryID
+	Epoch  journal.Epoch
+}
+
+// Holding is who holds a duty.
+type Holding struct {
+	// Holder is empty after a release.
+	Holder inventory.EntryID
+	// Epoch counts accepted claims and never falls.
+	Epoch journal.Epoch
+	// Renewed is the offset of the last accepted claim or renewal.
+	Renewed journal.Offset
+}
+
+// Reducer folds claims. It reads no clock: a claim is valid at any time if it
+// names the current epoch, and hosts decide by their own clocks when to claim.
+type Reducer struct {
+	duties map[Duty]Holding
+}
+
+// NewReducer returns a reducer in which no duty is held.
+func NewReducer() *Reducer {
+	return &Reducer{duties: make(map[Duty]Holding)}
+}
+
+// Holding returns who holds the duty.
+func (r *Reducer) Holding(d Duty) Holding {
+	return r.duties[d]
+}
+
+// Holdings returns a copy of all holdings.
+func (r *Reducer) Holdings() map[Duty]Holding {
+	c := make(map[Duty]Holding, len(r.duties))
+	for d, h := range r.duties {
+		c[d] = h
+	}
+	return c
+}
+
+// Fence returns journal.ErrStaleEpoch for a record of a holder whose duty went
+// to another. Records that no duty guards pass.
+func (r *Reducer) Fence(rec journal.Record) error {
+	if rec.Duty == "" {
+		return nil
+	}
+	if now := r.duties[Duty(rec.Duty)].Epoch; rec.Epoch != now {
+		return eris.Wrapf(journal.ErrStaleEpoch, "duty %s has epoch %d, the record has %d", rec.Duty, now, rec.Epoch)
+	}
+	return nil
+}
+
+// Kinds returns the kinds of records that the reducer folds.
+func (r *Reducer) Kinds() []journal.Kind {
+	return []journal.Kind{KindClaim, KindRenew, KindRelease}
+}
+
+// Reduce applies a claim, a renewal or a release.
+func (r *Reducer) Reduce(e journal.Entry) error {
+	switch e.Record.Kind {
+	case KindClaim:
+		return r.claim(e)
+	case KindRenew:
+		return r.renew(e)
+	}
+	return r.release(e)
+}
+
+func (r *Reducer) claim(e journal.Entry) error {
+	c, err := journal.DecodeBody[Claim](e.Record)
+	if err != nil {
+		return err
+	}
+	h := r.duties[c.Duty]
+	if c.From != h.Epoch {
+		return eris.Wrapf(ErrLost, "duty %s is at epoch %d, the claim saw %d", c.Duty, h.Epoch, c.From)
+	}
+	r.duties[c.Duty] = Holding{Holder: c.Holder, Epoch: h.Epoch + 1, Renewed: e.Offset}
+	return nil
+}
+
+func (r *Reducer) renew(e journal.Entry) error {
+	n, err := journal.DecodeBody[Renew](e.Record)
+	if err != nil {
+		return err
+	}
+	renewed := 0
+	for d, epoch := range n.Held {
+		h := r.duties[d]
+		if h.Holder != n.Holder || h.Epoch != epoch {
+			continue
+		}
+		h.Renewed = e.Offset
+		r.duties[d] = h
+		renewed++
+	}
+	if renewed == 0 {
+		return eris.Wrapf(ErrNoOne, "renewal by %s", n.Holder)
+	}
+	return nil
+}
+
+func (r *Reducer) release(e journal.Entry) error {
+	l, err := journal.DecodeBody[Release](e.Record)
+	if err != nil {
+		return err
+	}
+	h := r.duties[l.Duty]
+	if h.Holder != l.Holder || h.Epoch != l.Epoch {
+		return eris.Wrapf(ErrNoOne, "release of %s by %s", l.Duty, l.Holder)
+	}
+	h.Holder = ""
+	h.Renewed = e.Offset
+	r.duties[l.Duty] = h
+	return nil
+}
+
+// MarshalState returns the holdings.
+func (r *Reducer) MarshalState() ([]byte, error) {
+	return json.Marshal(r.duties)
+}
+
+// UnmarshalState replaces the holdings.
+func (r *Reducer) UnmarshalState(b []byte) error {
+	duties := make(map[Duty]Holding)
+	if err := json.Unmarshal(b, &duties); err != nil {
+		return err
+	}
+	r.duties = duties
+	return nil
+}
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -5,18 +5,20 @@
 import (
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/lease"
 )
 
 // Fleet is the state folded from the global stream.
 type Fleet struct {
 	Configuration *configuration.Reducer
+	Lease         *lease.Reducer
 	fold          *journal.Fold
 }
 
 // NewFleet returns the state at offset 0.
 func NewFleet() *Fleet {
-	f := &Fleet{Configuration: configuration.NewReducer()}
-	f.fold = journal.NewFold(f.Configuration)
+	f := &Fleet{Configuration: configuration.NewReducer(), Lease: lease.NewReducer()}
+	f.fold = journal.NewFold(f.Lease, f.reducers()...)
 	return f
 }
 
@@ -24,3 +26,11 @@
 func (f *Fleet) Fold() *journal.Fold {
 	return f.fold
 }
+
+// reducers lists the parts of the state.
+func (f *Fleet) reducers() []journal.Reducer {
+	return []journal.Reducer{
+		f.Configuration,
+		f.Lease,
+	}
+}
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -159,6 +159,10 @@
 		PeerAddress: "127.0.0.1:0", PlatformAddress: d.PlatformAddress,
 		NoticeTime: d.o.NoticeTime, StopTime: d.o.StopTime, LogLevel: "info",
 	}
+	d.Platform.Hosts.Put(time.Now(), inventory.ListedHost{
+		ID: inventory.HostID(name), Role: inventory.RoleEntry, State: inventory.HostLive,
+		DataCentre: dc, Address: callers.Addr().String(),
+	})
 	h := host.New(host.Config{Settings: s, Log: d.o.Log, Dial: d.Network.Dialer(network.Zone(dc))})
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Entry{Settings: s, stop: stop, done: make(chan error, 1)}
