--- a/bench/main.go
+++ b/bench/main.go
@@ -6,12 +6,11 @@
 	"fmt"
 	"os"
 
-	"github.com/urfave/cli/v3"
+	"github.com/godwitcross/godwitcross/bench/command"
 )
 
 func main() {
-	app := &cli.Command{Name: "bench", Usage: "measure decisions, load and capacity"}
-	if err := app.Run(context.Background(), os.Args); err != nil {
+	if err := command.New().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
 	}
