feat: plan shows what a change would do and publish waits until it is in force

plan applies the change to a copy of the configuration in force, with every check of publish, and names objects, budgets and hosts that would move. publish needs a base version, refuses stale ones and waits for every reachable host. Tests: go test ./fleet/configuration.

--- a/ctl/command/app.go
+++ b/ctl/command/app.go
@@ -50,8 +50,10 @@
 			&cli.StringFlag{Name: "output", Usage: "table or json", Value: "table", Destination: &c.Output, Sources: cli.EnvVars("GODWITCROSS_OUTPUT")},
 		},
 		Commands: []*cli.Command{
-			newValidate(c),
+			newValidate(),
+			newPlan(c),
 			newPublish(c),
+			newConfiguration(c),
 			newStatus(c),
 		},
 	}
--- a/ctl/command/publish.go
+++ b/ctl/command/publish.go
@@ -3,70 +3,130 @@
 import (
 	"context"
 	"fmt"
-	"os"
+	"io"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"github.com/godwitcross/godwitcross/ctl/client"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 )
 
+// Waiting for a change to be in force.
+const (
+	inForceTimeout = 15 * time.Second
+	inForcePause   = 100 * time.Millisecond
+)
+
 // Publication is the body of POST /changes.
 type Publication struct {
 	ID     journal.RecordID
 	Change configuration.Change
 }
 
-func readObjects(cmd *cli.Command) (configuration.Objects, error) {
-	if cmd.Args().Len() != 1 {
-		return configuration.Objects{}, eris.New("want one configuration file")
+// changeFlags are the flags of the commands that make a change.
+type changeFlags struct {
+	base    int64
+	remove  []string
+	comment string
+}
+
+func (f *changeFlags) flags() []cli.Flag {
+	return []cli.Flag{
+		&cli.Int64Flag{Name: "base", Usage: "version that the change was made against; plan prints it", Value: -1, Destination: &f.base},
+		&cli.StringSliceFlag{Name: "delete", Usage: "object to delete, as Kind/Name; may be given several times", Destination: &f.remove},
+		&cli.StringFlag{Name: "comment", Usage: "free text that stays with the record", Destination: &f.comment},
+	}
+}
+
+// change builds the change from the file and the flags. Without a file only the
+// deletions are made.
+func (f *changeFlags) change(cmd *cli.Command) (configuration.Change, error) {
+	c := configuration.Change{Base: configuration.Version(f.base), Comment: f.comment}
+	for _, text := range f.remove {
+		var k configuration.Key
+		if err := k.UnmarshalText([]byte(text)); err != nil {
+			return c, eris.Wrap(err, "--delete")
+		}
+		c.Delete = append(c.Delete, k)
 	}
-	b, err := os.ReadFile(cmd.Args().First())
-	if err != nil {
-		return configuration.Objects{}, eris.Wrap(err, "reading the configuration")
+	if cmd.Args().Len() == 0 && len(c.Delete) > 0 {
+		return c, nil
 	}
-	return configuration.ParseObjects(b)
+	o, err := readObjects(cmd)
+	c.Set = o
+	return c, err
 }
 
-func newValidate(_ *Connection) *cli.Command {
+func newPublish(c *Connection) *cli.Command {
+	f := &changeFlags{}
 	return &cli.Command{
-		Name: "validate", Usage: "check a configuration file by itself", ArgsUsage: "FILE",
-		Description: "Example: ctl validate fleet.json",
+		Name: "publish", Usage: "bring a change into force", ArgsUsage: "[FILE]",
+		Description: "FILE holds the objects to set; - reads standard input. The change is refused as a whole if an object\n" +
+			"that it touches was changed after the base version: run plan again and look at what the other operator did.\n" +
+			"The command ends once the change is in force on every entry host named by --entry that can be reached.\n\n" +
+			"Example: ctl --operator corchos-operator publish --base 12 --comment 'lend h7' change.json",
+		Flags: f.flags(),
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			o, err := readObjects(cmd)
-			if err != nil {
-				return badInput(err)
+			if f.base < 0 {
+				return badInput(eris.Wrap(ErrArguments, "--base is missing; plan prints the version in force"))
 			}
-			if err := o.WithDefaults().Validate(); err != nil {
+			change, err := f.change(cmd)
+			if err != nil {
 				return badInput(err)
 			}
-			fmt.Fprintf(cmd.Root().Writer, "valid: %d objects\n", len(o.Keys()))
-			return nil
+			return exit(publish(cmd.Root().Writer, c, change))
 		},
 	}
 }
 
-func newPublish(c *Connection) *cli.Command {
-	var base int64
-	return &cli.Command{
-		Name: "publish", Usage: "publish the objects of a file", ArgsUsage: "FILE",
-		Description: "The change is refused if an object that it touches was changed after the base version.\n\n" +
-			"Example: ctl --operator corchos-operator publish --base 12 fleet.json",
-		Flags: []cli.Flag{&cli.Int64Flag{Name: "base", Usage: "version that the change was made against", Required: true, Destination: &base}},
-		Action: func(_ context.Context, cmd *cli.Command) error {
-			o, err := readObjects(cmd)
-			if err != nil {
-				return badInput(err)
-			}
-			p := Publication{ID: journal.RecordID(uuid.NewString()), Change: configuration.Change{Base: configuration.Version(base), Set: o}}
-			var v journal.Verdict
-			if err := c.Clients()[0].Post("/changes", p, &v); err != nil {
-				return exit(err)
-			}
-			fmt.Fprintf(cmd.Root().Writer, "accepted as version %d\n", v.Offset+1)
+func publish(w io.Writer, c *Connection, change configuration.Change) error {
+	p := Publication{ID: journal.RecordID(uuid.NewString()), Change: change}
+	var v journal.Verdict
+	if err := c.Clients()[0].Post("/changes", p, &v); err != nil {
+		return eris.Wrapf(err, "publication %s", p.ID)
+	}
+	version := configuration.Version(v.Offset) + 1
+	fmt.Fprintf(w, "accepted as version %d\n", version)
+	return awaitInForce(w, c, version)
+}
+
+// awaitInForce waits until every host that answers has the version.
+func awaitInForce(w io.Writer, c *Connection, version configuration.Version) error {
+	began := time.Now()
+	waiting := c.Clients()
+	for {
+		waiting = stillWaiting(w, waiting, version, began)
+		if len(waiting) == 0 {
 			return nil
-		},
+		}
+		if time.Since(began) > inForceTimeout {
+			break
+		}
+		time.Sleep(inForcePause)
 	}
+	for _, h := range waiting {
+		fmt.Fprintf(w, "not in force yet on %s\n", h.Address())
+	}
+	return eris.Wrapf(ErrNotInForce, "%d of %d hosts", len(waiting), len(c.Entries))
 }
+
+func stillWaiting(w io.Writer, hosts []*client.Client, version configuration.Version, began time.Time) []*client.Client {
+	var rest []*client.Client
+	for _, h := range hosts {
+		var s Status
+		if err := h.Get("/status", &s); err != nil || s.Version < version {
+			rest = append(rest, h)
+			continue
+		}
+		fmt.Fprintf(w, "in force on %s after %s\n", s.Name, time.Since(began).Round(time.Millisecond))
+	}
+	return rest
+}
+
+// ErrNotInForce means that the change is accepted but some hosts did not say in
+// time that they follow it.
+var ErrNotInForce = eris.New("accepted, but not seen in force everywhere")
--- a/fleet/configuration/accessor.go
+++ b/fleet/configuration/accessor.go
@@ -10,6 +10,7 @@
 type accessor struct {
 	names  func(o Objects) []string
 	has    func(o Objects, name string) bool
+	get    func(o Objects, name string) any
 	merge  func(dst *Objects, src Objects)
 	remove func(dst *Objects, name string)
 }
@@ -41,6 +42,9 @@
 			_, ok := (*at(&o))[K(name)]
 			return ok
 		},
+		get: func(o Objects, name string) any {
+			return (*at(&o))[K(name)]
+		},
 		merge: func(dst *Objects, src Objects) {
 			from := *at(&src)
 			if len(from) == 0 {
