fix: a planned stop does not wait for the log reader's long poll

Cause: a planned stop closed the callers' connections after 0.5 s, but the host then waited for its tasks, and the reader of the log sat in a read of up to 10 s that did not know of the end. Idle keep-alive connections were ruled out: the log line "stopped", written after they are closed, came 1 s after the start of the stop, and 8.4 s passed behind it.

Change: the reader gives a waiting read up when its context ends. The stop has moved into entry/lifecycle: not ready for good, notice time, answers say Connection: close, requests in flight to their end, the remainder reported.

--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -63,6 +64,8 @@
 	State      *view.Box[follower.State]
 	Hosts      *view.Box[inventory.HostList]
 	Pool       *backend.Pool
+	// Stopping reports whether a planned stop has begun.
+	Stopping func() bool
 }
 
 // Server answers callers.
@@ -73,6 +76,8 @@
 	tables map[inventory.ServiceID]*routing.Table
 	// listAt is the moment of the host list that tables follow.
 	listAt time.Time
+	// inFlight counts requests that are not answered yet.
+	inFlight atomic.Int64
 }
 
 // NewServer returns a server without connections.
@@ -98,6 +103,11 @@
 	}
 }
 
+// InFlight returns how many requests are not answered yet.
+func (s *Server) InFlight() int {
+	return int(s.inFlight.Load())
+}
+
 // target is what a request asks for.
 type target struct {
 	tenant  inventory.TenantID
@@ -109,6 +119,11 @@
 
 // Handle answers one request.
 func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	if s.cfg.Stopping() {
+		defer ctx.SetConnectionClose()
+	}
 	now := time.Now()
 	t, reason, err := s.resolve(ctx)
 	if err != nil {
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -55,6 +55,7 @@
 	metrics   *metric.Registry
 	readiness *lifecycle.Readiness
 	backends  *backend.Pool
+	caller    *caller.Server
 	callers   *fasthttp.Server
 	operators *fasthttp.Server
 	tasks     []Task
@@ -74,10 +75,11 @@
 	client := platform.NewClient(cfg.Settings.PlatformAddress, cfg.Dial)
 	records := platform.NewAppender(client)
 	batches := make(chan platform.Batch, batchQueue)
-	h.callers = caller.NewServer(caller.Config{
+	h.caller = caller.NewServer(caller.Config{
 		Log: h.log, Metrics: h.metrics, DataCentre: cfg.Settings.DataCentre,
-		State: h.state, Hosts: h.hosts, Pool: h.backends,
-	}).HTTP()
+		State: h.state, Hosts: h.hosts, Pool: h.backends, Stopping: h.readiness.IsStopping,
+	})
+	h.callers = h.caller.HTTP()
 	h.operators = operator.NewServer(operator.Config{
 		Log: h.log, Name: cfg.Settings.Name, Metrics: h.metrics, State: h.state,
 		Records: records, Ready: h.readiness.Reason,
@@ -149,17 +151,12 @@
 
 // stop ends serving in the order that cuts off nothing.
 func (h *Host) stop() {
-	h.readiness.Set("stopping")
-	h.log.WithField("NoticeTime", h.cfg.Settings.NoticeTime.String()).Info("not ready, waiting for the balancer")
-	time.Sleep(h.cfg.Settings.NoticeTime)
-	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.Settings.StopTime-h.cfg.Settings.NoticeTime)
-	defer cancel()
-	if err := h.callers.ShutdownWithContext(ctx); err != nil {
-		h.log.WithError(err).WithField("Remaining", h.callers.GetOpenConnectionsCount()).Error("requests were still in flight at the end of the stop time")
-	}
-	if err := h.operators.ShutdownWithContext(ctx); err != nil {
-		h.log.WithError(err).Warn("closing the operators' endpoint")
-	}
+	lifecycle.NewStopper(lifecycle.StopConfig{
+		Log: h.log, Readiness: h.readiness,
+		NoticeTime: h.cfg.Settings.NoticeTime, StopTime: h.cfg.Settings.StopTime,
+		Callers: h.callers, Operators: h.operators,
+		InFlight: h.caller.InFlight, Wait: time.Sleep,
+	}).Stop()
 	h.backends.Close()
 	h.log.Info("stopped")
 }
--- a/entry/lifecycle/readiness.go
+++ b/entry/lifecycle/readiness.go
@@ -18,18 +18,41 @@
 	mu sync.Mutex
 	// reason is empty exactly when the host is ready.
 	reason string
+	// stopping never becomes false again.
+	stopping bool
 }
 
+// reasonStopping is the reason of a host that stops.
+const reasonStopping = "stopping"
+
 // NewReadiness returns a readiness that is not ready for the reason.
 func NewReadiness(reason string) *Readiness {
 	return &Readiness{reason: reason}
 }
 
-// Set changes the reason; an empty one means ready.
+// Set changes the reason; an empty one means ready. It has no effect on a host
+// that stops.
 func (r *Readiness) Set(reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.reason = reason
+	if !r.stopping {
+		r.reason = reason
+	}
+}
+
+// Stop makes the host not ready for good.
+func (r *Readiness) Stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+	r.reason = reasonStopping
+}
+
+// IsStopping reports whether a planned stop has begun.
+func (r *Readiness) IsStopping() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopping
 }
 
 // Reason returns why the host is not ready, or an empty text.
--- /dev/null
+++ b/entry/lifecycle/stopper_test.go
@@ -0,0 +1,69 @@
+package lifecycle
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+// journal writes down the order of the steps of a stop.
+type journal struct{ steps []string }
+
+type server struct {
+	name string
+	log  *journal
+	// open is the number of connections that never end.
+	open int32
+}
+
+func (s *server) ShutdownWithContext(ctx context.Context) error {
+	s.log.steps = append(s.log.steps, s.name)
+	if s.open == 0 {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (s *server) GetOpenConnectionsCount() int32 { return s.open }
+
+func TestStopper(t *testing.T) {
+	tests := []struct {
+		name string
+		open int32
+		want Report
+	}{
+		{"nothing in flight", 0, Report{}},
+		{"a request that never ends is reported", 2, Report{InFlight: 1, Connections: 2}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			j := &journal{}
+			r := NewReadiness("")
+			s := NewStopper(StopConfig{
+				Log: log, Readiness: r, NoticeTime: time.Millisecond, StopTime: 2 * time.Millisecond,
+				Callers: &server{"callers", j, test.open}, Operators: &server{"operators", j, 0},
+				InFlight: func() int { return 1 },
+				Wait: func(time.Duration) {
+					require.True(t, r.IsStopping())
+					j.steps = append(j.steps, "notice")
+				},
+			})
+			require.Equal(t, test.want, s.Stop())
+			require.Equal(t, []string{"notice", "callers", "operators"}, j.steps)
+		})
+	}
+}
+
+func TestReadinessNeverComesBackAfterAStop(t *testing.T) {
+	r := NewReadiness("starting")
+	r.Stop()
+	r.Set("")
+	require.Equal(t, reasonStopping, r.Reason())
+}
--- a/entry/platform/reader.go
+++ b/entry/platform/reader.go
@@ -49,7 +49,10 @@
 func (r *Reader) Run(ctx context.Context) error {
 	failures := 0
 	for ctx.Err() == nil {
-		b, err := r.source.Read(r.stream, r.next, readLimit, readWait)
+		b, err := r.read(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
 			failures++
 			if failures == 1 || errors.Is(err, ErrForgotten) {
@@ -64,6 +67,26 @@
 	return nil
 }
 
+// read waits for records or the end of the context. A read that is given up
+// ends by itself after readWait; nothing takes its result.
+func (r *Reader) read(ctx context.Context) (Batch, error) {
+	type result struct {
+		batch Batch
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		b, err := r.source.Read(r.stream, r.next, readLimit, readWait)
+		done <- result{b, err}
+	}()
+	select {
+	case x := <-done:
+		return x.batch, x.err
+	case <-ctx.Done():
+		return Batch{}, ctx.Err()
+	}
+}
+
 func (r *Reader) handOn(ctx context.Context, b Batch) {
 	if len(b.Records) == 0 {
 		return
