feat: appends in groups, with a rule for each kind through an outage

Cause: one append call for each record meets the log's several hundred calls a second early, and a lost answer was retried without looking. Change: what gathers while a call is under way goes with the next one; a lost answer is read back before the record is sent again; a record's Before ends its retries within the fold's window; kinds are kept, coalesced or refused while the log is away; pauses are drawn evenly up to 5 s.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -3,9 +3,12 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
@@ -58,6 +61,8 @@
 	callers   *fasthttp.Server
 	operators *fasthttp.Server
 	tasks     []Task
+	// last are tasks that end after all others have ended.
+	last []Task
 }
 
 // New returns a host that listens on nothing yet.
@@ -72,7 +77,11 @@
 		backends:  backend.NewPool(cfg.Dial),
 	}
 	client := platform.NewClient(cfg.Settings.PlatformAddress, cfg.Dial)
-	records := platform.NewAppender(client)
+	records := platform.NewAppender(platform.AppenderConfig{
+		Log: h.log, Metrics: h.metrics, Target: client, Rules: state.Rules(),
+		Rand: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), xxhash.Sum64String(string(cfg.Settings.Name)))),
+	})
+	h.last = []Task{records}
 	batches := make(chan platform.Batch, batchQueue)
 	h.callers = caller.NewServer(caller.Config{
 		Log: h.log, Metrics: h.metrics, DataCentre: cfg.Settings.DataCentre,
@@ -132,6 +141,12 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, work := errgroup.WithContext(work)
+	later, stopLater := context.WithCancel(context.Background())
+	defer stopLater()
+	var last errgroup.Group
+	for _, t := range h.last {
+		last.Go(func() error { return eris.Wrapf(t.Run(later), "task %s", t.Name()) })
+	}
 	for _, t := range h.tasks {
 		g.Go(func() error { return eris.Wrapf(t.Run(work), "task %s", t.Name()) })
 	}
@@ -144,7 +159,9 @@
 	}
 	h.stop()
 	stop()
-	return g.Wait()
+	err := g.Wait()
+	stopLater()
+	return errors.Join(err, last.Wait())
 }
 
 // stop ends serving in the order that cuts off nothing.
--- a/fleet/journal/fold.go
+++ b/fleet/journal/fold.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 )
 
-// WindowSize is how many record identities the fold remembers. At 400 appends
-// a second it spans more than two minutes, longer than any append is retried.
+// WindowSize is how many record identities the fold remembers. A record's
+// Before ends its retries within the window, however fast the stream grows.
 const WindowSize = 65_536
 
 // RecentSize is how many verdicts the fold keeps for explanations.
@@ -18,6 +18,9 @@
 // ErrGap is returned when an entry does not follow the last applied one.
 var ErrGap = eris.New("gap in the stream")
 
+// ErrExpired rejects a record at or beyond its Before.
+var ErrExpired = eris.New("record expired")
+
 // ErrStaleEpoch rejects a record of a holder whose duty went to another.
 var ErrStaleEpoch = eris.New("stale epoch")
 
@@ -143,6 +146,9 @@
 		return Duplicate, "the same record was applied before"
 	}
 	f.seen.Add(e.Record.ID)
+	if b := e.Record.Before; b > 0 && e.Offset >= b {
+		return Rejected, eris.Wrapf(ErrExpired, "valid before %d", b).Error()
+	}
 	r, ok := f.reducers[e.Record.Kind]
 	if !ok {
 		return Unknown, "this release does not know the kind"
--- a/fleet/journal/record.go
+++ b/fleet/journal/record.go
@@ -60,6 +60,10 @@
 	// guards.
 	Duty  string `json:",omitempty"`
 	Epoch Epoch  `json:",omitempty"`
+	// Before is the first offset at which the record has no effect any more; 0
+	// means none. The writer sets it to WindowSize beyond an end of the stream
+	// that it saw, so that the fold still knows the record when a repeat arrives.
+	Before Offset `json:",omitempty"`
 	// At is the writer's clock. It is for people and bills, never for order.
 	At time.Time
 	// By is the operator who caused the record or the entry host that wrote it.
--- a/fleet/journal/window.go
+++ b/fleet/journal/window.go
@@ -4,6 +4,8 @@
 type Window[T comparable] struct {
 	// ring holds the remembered identities in order of arrival.
 	ring []T
+	// size is the largest length of ring.
+	size int
 	// next is the place in ring that is overwritten next.
 	next int
 	seen map[T]struct{}
@@ -11,7 +13,7 @@
 
 // NewWindow returns a window that remembers n identities.
 func NewWindow[T comparable](n int) *Window[T] {
-	return &Window[T]{ring: make([]T, 0, n), seen: make(map[T]struct{}, n)}
+	return &Window[T]{size: n, seen: make(map[T]struct{})}
 }
 
 // Contains reports whether the identity is remembered.
@@ -26,7 +28,7 @@
 		return
 	}
 	w.seen[id] = struct{}{}
-	if len(w.ring) < cap(w.ring) {
+	if len(w.ring) < w.size {
 		w.ring = append(w.ring, id)
 		return
 	}
--- /dev/null
+++ b/fleet/state/rules.go
@@ -0,0 +1,21 @@
+package state
+
+import (
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/lease"
+)
+
+// Rules says what becomes of records of each kind while the log is away. A kind
+// that is not listed is kept in order until its writer gives up.
+func Rules() map[journal.Kind]journal.Rule {
+	return map[journal.Kind]journal.Rule{
+		// An operator learns at once that nothing was published.
+		configuration.KindChange: journal.Refuse,
+		// The term of a claim counts from before the append, so a claim that
+		// waits is worth nothing.
+		lease.KindClaim: journal.Refuse,
+		// A renewal says everything that the one before it said.
+		lease.KindRenew: journal.Coalesce,
+	}
+}
