--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,12 +20,25 @@
 	HeaderKey = "Idempotency-Key"
 	// HeaderWork asks for a service time in milliseconds.
 	HeaderWork = "Standin-Work"
+	// HeaderSize asks for a body of a number of bytes that is made of the key.
+	HeaderSize = "Standin-Size"
 	// HeaderInstance names the server that answered.
 	HeaderInstance = "Standin-Instance"
 	// HeaderNotRun marks a refusal that had no effect.
 	HeaderNotRun = "Not-Run"
 )
 
+// maxSize bounds a body that is asked for, in bytes.
+const maxSize = 1 << 20
+
+// Body returns the body of n bytes that a server answers a key with.
+func Body(key string, n int) string {
+	if key == "" {
+		key = "-"
+	}
+	return strings.Repeat(key+"\n", n/(len(key)+1)+1)[:n]
+}
+
 // Options say how a server behaves.
 type Options struct {
 	ID          inventory.InstanceID
@@ -107,7 +121,11 @@
 func (s *Server) reply(ctx *fasthttp.RequestCtx) {
 	ctx.Response.Header.Set(HeaderInstance, string(s.o.ID))
 	ctx.SetContentType("text/plain")
-	ctx.SetBodyString(string(ctx.Method()) + " " + string(ctx.RequestURI()) + "\n")
+	if n, err := strconv.Atoi(string(ctx.Request.Header.Peek(HeaderSize))); err == nil && n >= 0 && n <= maxSize {
+		ctx.SetBodyString(Body(string(ctx.Request.Header.Peek(HeaderKey)), n))
+	} else {
+		ctx.SetBodyString(string(ctx.Method()) + " " + string(ctx.RequestURI()) + "\n")
+	}
 	if s.isLeaving() {
 		ctx.Response.Header.SetConnectionClose()
 	}
