--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -58,7 +58,7 @@
 	executions map[string]int
 	busy       inventory.Slots
 	peak       inventory.Slots
-	late       int
+	excess     int
 	leaving    bool
 }
 
@@ -94,11 +94,10 @@
 func (s *Server) Serve(l net.Listener) error {
 	h := &fasthttp.Server{
 		Handler:               s.Handle,
-		Concurrency:           int(s.o.Connections),
 		MaxRequestBodySize:    int(64 * inventory.Mebibyte),
 		NoDefaultServerHeader: true,
 	}
-	return h.Serve(l)
+	return h.Serve(&limitListener{Listener: l, limit: s.o.Connections})
 }
 
 // Handle answers one request.
@@ -107,6 +106,10 @@
 		drop(ctx)
 		return
 	}
+	if isExcess(ctx.Conn()) {
+		s.refuseConnection(ctx)
+		return
+	}
 	if _, ok := s.Faults.Take(fault.Refuse, ""); ok || !s.enter() {
 		ctx.Response.Header.Set(HeaderNotRun, "true")
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -118,6 +121,23 @@
 	s.reply(ctx)
 }
 
+// refuseConnection refuses a request on a connection above the limit and closes it.
+func (s *Server) refuseConnection(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	s.excess++
+	s.mu.Unlock()
+	ctx.Response.Header.Set(HeaderNotRun, "true")
+	ctx.SetConnectionClose()
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
+// Excess returns how many requests came on connections above the limit.
+func (s *Server) Excess() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.excess
+}
+
 func (s *Server) reply(ctx *fasthttp.RequestCtx) {
 	ctx.Response.Header.Set(HeaderInstance, string(s.o.ID))
 	ctx.SetContentType("text/plain")
