--- /dev/null
+++ b/ctl/command/command_test.go
@@ -0,0 +1,147 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
+
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/label"
+)
+
+// answers maps "METHOD /path" to what a host answers; a status of 0 closes the
+// connection without an answer.
+type answers map[string]struct {
+	status int
+	body   any
+}
+
+// host serves answers and returns its address.
+func host(t *testing.T, a answers) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		r := a[string(ctx.Method())+" "+string(ctx.Path())]
+		if r.status == 0 {
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+			return
+		}
+		b, _ := json.Marshal(r.body)
+		ctx.SetStatusCode(r.status)
+		ctx.SetBody(b)
+	}}
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String()
+}
+
+// run runs the command line and returns its output and its exit code.
+func run(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+	code := 0
+	exiter, errs := cli.OsExiter, cli.ErrWriter
+	cli.OsExiter, cli.ErrWriter = func(c int) { code = c }, &bytes.Buffer{}
+	defer func() { cli.OsExiter, cli.ErrWriter = exiter, errs }()
+	var out bytes.Buffer
+	app := New()
+	app.Writer = &out
+	if err := app.Run(context.Background(), append([]string{"ctl"}, args...)); err != nil && code == 0 {
+		code = ExitFailed
+	}
+	return out.String(), code
+}
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "change.json")
+	require.NoError(t, os.WriteFile(name, []byte(text), 0o600))
+	return name
+}
+
+func inForce(t *testing.T) configuration.Configuration {
+	t.Helper()
+	s, err := label.Parse("Pool=A")
+	require.NoError(t, err)
+	h := func(p string) configuration.Host {
+		return configuration.Host{Owner: "Corchos", DataCentre: "Montevideo", Rack: "r1", Labels: label.Set{"Pool": p}}
+	}
+	cfg, err := configuration.Configuration{}.Apply(configuration.Change{Set: configuration.Objects{
+		Owners:      map[inventory.OwnerID]configuration.Owner{"Corchos": {SparePool: "Administration"}},
+		DataCentres: map[inventory.DataCentreID]configuration.DataCentre{"Montevideo": {Region: "Montevideo"}},
+		Hosts:       map[inventory.HostID]configuration.Host{"h1": h("A"), "h2": h("A")},
+		Pools:       map[inventory.PoolID]configuration.Pool{"Administration": {Owner: "Corchos"}, "A": {Owner: "Corchos", Hosts: s}},
+	}}, 12)
+	require.NoError(t, err)
+	return cfg
+}
+
+const moveHost = `{"Hosts":{"h2":{"Owner":"Corchos","DataCentre":"Montevideo","Rack":"r1","Size":{"Cores":0,"Memory":0,"Accelerators":0},"Labels":{"Pool":"None"}}}}`
+
+func TestPlanShowsMovesAndTheBase(t *testing.T) {
+	address := host(t, answers{"GET /configuration": {200, inForce(t)}})
+	out, code := run(t, "--entry", address, "plan", file(t, moveHost))
+	require.Equal(t, 0, code)
+	want, err := os.ReadFile("testdata/plan.golden")
+	require.NoError(t, err)
+	require.Equal(t, string(want), out)
+}
+
+func TestExitCodesTellWhatBecameOfAChange(t *testing.T) {
+	refused := struct{ Error string }{"stale base version"}
+	verdict := struct {
+		Offset  int
+		Outcome string
+	}{12, "Accepted"}
+	tests := map[string]struct {
+		answers answers
+		args    []string
+		code    int
+	}{
+		"in force":               {answers{"POST /changes": {200, verdict}, "GET /status": {200, Status{Name: "e1", Version: 13}}}, []string{"--base", "12"}, 0},
+		"refused":                {answers{"POST /changes": {409, refused}}, []string{"--base", "3"}, ExitRefused},
+		"no answer":              {answers{}, []string{"--base", "12"}, ExitUncertain},
+		"not read back":          {answers{"POST /changes": {504, refused}}, []string{"--base", "12"}, ExitUncertain},
+		"without a base":         {answers{}, nil, ExitInput},
+		"bad key to delete":      {answers{}, []string{"--base", "12", "--delete", "Pool"}, ExitInput},
+		"unknown kind to delete": {answers{}, []string{"--base", "12", "--delete", "Nothing/A"}, ExitInput},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			args := append([]string{"--entry", host(t, test.answers), "publish"}, test.args...)
+			_, code := run(t, append(args, file(t, moveHost))...)
+			require.Equal(t, test.code, code)
+		})
+	}
+}
+
+func TestBadFilesAreNeverSent(t *testing.T) {
+	for name, text := range map[string]string{
+		"unknown field": `{"Hosts":{"h1":{"Colour":"red"}}}`,
+		"torn":          `{"Hosts":{`,
+		"empty":         ``,
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, code := run(t, "--entry", "127.0.0.1:1", "publish", "--base", "1", file(t, text))
+			require.Equal(t, ExitInput, code)
+		})
+	}
+}
+
+func TestStatusGoesOnPastAHostThatIsDown(t *testing.T) {
+	up := host(t, answers{"GET /status": {200, Status{Name: "e1", Version: 3}}})
+	out, code := run(t, "--entry", "127.0.0.1:1", "--entry", up, "status")
+	require.Equal(t, 0, code)
+	require.Contains(t, out, "no entry host answers")
+	require.Contains(t, out, "e1")
+}
