feat: changes are rejected at the fold unless the owners concerned agree

Cause: any author of a change record could set any object, so one owner's operator could take over, re-label or delete what was the other's. Change: configuration.Authorize asks, for each object touched, that the owner before and after the change agrees; data centres and new owners need all owners, by a proposal record of one and a change record of the other. Selectors range over hosts of their pool's owner and those lent to it by the LentTo label. Token digests are checked. Conclusion: table tests in fleet/configuration/authority_test.go; what an operator may read is unchanged.

--- /dev/null
+++ b/fleet/configuration/authority_test.go
@@ -0,0 +1,194 @@
+package configuration
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/label"
+)
+
+// twoOwners returns a configuration that two owners share: each has an
+// operator, a spare pool, a pool and hosts.
+func twoOwners(t *testing.T) Objects {
+	t.Helper()
+	o := Objects{
+		Owners:      map[inventory.OwnerID]Owner{"Corchos": {SparePool: "Administration"}, "Campanella": {SparePool: "FrontDesk"}},
+		Operators:   map[inventory.OperatorID]Operator{"ana": {Owner: "Corchos"}, "bea": {Owner: "Campanella"}},
+		DataCentres: map[inventory.DataCentreID]DataCentre{"Montevideo": {Region: "Montevideo"}},
+		Hosts: map[inventory.HostID]Host{
+			"c1": {Owner: "Corchos", DataCentre: "Montevideo", Labels: label.Set{"Pool": "Prices"}},
+			"c2": {Owner: "Corchos", DataCentre: "Montevideo"},
+			"s1": {Owner: "Campanella", DataCentre: "Montevideo", Labels: label.Set{"Pool": "Schedules"}},
+		},
+		Pools: map[inventory.PoolID]Pool{
+			"Administration": {Owner: "Corchos"},
+			"FrontDesk":      {Owner: "Campanella"},
+			"Prices":         {Owner: "Corchos", Hosts: selector(t, "Pool=Prices")},
+			"Schedules":      {Owner: "Campanella", Hosts: selector(t, "Pool=Schedules")},
+		},
+	}
+	return o.WithDefaults()
+}
+
+// history folds records as the platform's log would bring them.
+type history struct {
+	t *testing.T
+	r *Reducer
+	n journal.Offset
+}
+
+func newHistory(t *testing.T, first Objects) *history {
+	t.Helper()
+	h := &history{t: t, r: NewReducer()}
+	require.NoError(t, h.add("root", KindChange, Change{Set: first}))
+	return h
+}
+
+func (h *history) add(by string, kind journal.Kind, c Change) error {
+	h.t.Helper()
+	c.Base = Version(h.n)
+	r, err := journal.NewRecord("r", kind, time.Unix(0, 0), by, c)
+	require.NoError(h.t, err)
+	h.n++
+	return h.r.Reduce(journal.Entry{Offset: h.n - 1, Record: r})
+}
+
+func hosts(id inventory.HostID, h Host) Objects {
+	h.DataCentre = "Montevideo"
+	return Objects{Hosts: map[inventory.HostID]Host{id: h}}
+}
+
+func TestAnOperatorChangesOnlyWhatIsItsOwners(t *testing.T) {
+	pool := func(id inventory.PoolID, w inventory.OwnerID) Objects {
+		return Objects{Pools: map[inventory.PoolID]Pool{id: {Owner: w, Hosts: selector(t, "Pool=Prices")}}}
+	}
+	operator := func(id inventory.OperatorID, w inventory.OwnerID) Objects {
+		return Objects{Operators: map[inventory.OperatorID]Operator{id: {Owner: w}}}
+	}
+	tests := map[string]struct {
+		by     string
+		change Change
+		reason string
+	}{
+		"its own host":                         {by: "ana", change: Change{Set: hosts("c2", Host{Owner: "Corchos", Labels: label.Set{"A": "1"}})}},
+		"the other's host":                     {by: "bea", change: Change{Set: hosts("c2", Host{Owner: "Corchos"})}, reason: "Host/c2 needs the agreement of Corchos"},
+		"the other's host by a new Owner":      {by: "bea", change: Change{Set: hosts("c2", Host{Owner: "Campanella"})}, reason: "Host/c2 needs the agreement of Corchos"},
+		"its own host given away":              {by: "ana", change: Change{Set: hosts("c2", Host{Owner: "Campanella"})}, reason: "Host/c2 needs the agreement of Campanella"},
+		"a host deleted that is the other's":   {by: "bea", change: Change{Delete: []Key{{KindHost, "c2"}}}, reason: "Host/c2 needs the agreement of Corchos"},
+		"a new pool in the other's name":       {by: "bea", change: Change{Set: pool("New", "Corchos")}, reason: "Pool/New needs the agreement of Corchos"},
+		"the other's pool by a new Owner":      {by: "bea", change: Change{Set: pool("Prices", "Campanella")}, reason: "Pool/Prices needs the agreement of Corchos"},
+		"nobody":                               {by: "", change: Change{Set: hosts("c2", Host{Owner: "Corchos"})}, reason: `operator "" is not known`},
+		"an unknown operator":                  {by: "eve", change: Change{Set: hosts("c2", Host{Owner: "Corchos"})}, reason: `operator "eve" is not known`},
+		"a colleague added":                    {by: "ana", change: Change{Set: operator("carla", "Corchos")}},
+		"an operator for the other owner":      {by: "ana", change: Change{Set: operator("mole", "Campanella")}, reason: "Operator/mole needs the agreement of Campanella"},
+		"the other's operator taken over":      {by: "ana", change: Change{Set: operator("bea", "Corchos")}, reason: "Operator/bea needs the agreement of Campanella"},
+		"the other's operator deleted":         {by: "ana", change: Change{Delete: []Key{{KindOperator, "bea"}}}, reason: "Operator/bea needs the agreement of Campanella"},
+		"its own last operator deleted":        {by: "ana", change: Change{Delete: []Key{{KindOperator, "ana"}}}, reason: "Owner/Corchos would be left without an operator"},
+		"a data centre changed by one":         {by: "ana", change: Change{Set: Objects{DataCentres: map[inventory.DataCentreID]DataCentre{"Montevideo": {Region: "South"}}}}, reason: "DataCentre/Montevideo needs the agreement of Campanella"},
+		"a third owner brought in by one":      {by: "ana", change: Change{Set: Objects{Owners: map[inventory.OwnerID]Owner{"Third": {SparePool: "T"}}, Pools: map[inventory.PoolID]Pool{"T": {Owner: "Third"}}}}, reason: "Owner/Third needs the agreement of Campanella"},
+		"its own spare pool":                   {by: "ana", change: Change{Set: Objects{Owners: map[inventory.OwnerID]Owner{"Corchos": {SparePool: "Prices"}}}}},
+		"the other's spare pool":               {by: "ana", change: Change{Set: Objects{Owners: map[inventory.OwnerID]Owner{"Campanella": {SparePool: "Schedules"}}}}, reason: "Owner/Campanella needs the agreement of Campanella"},
+		"its own beside one that is not":       {by: "ana", change: Change{Set: hosts("c2", Host{Owner: "Corchos"}), Delete: []Key{{KindHost, "s1"}}}, reason: "Host/s1 needs the agreement of Campanella"},
+		"a selector for the other's free host": {by: "bea", change: Change{Set: Objects{Pools: map[inventory.PoolID]Pool{"Grab": {Owner: "Campanella", Hosts: selector(t, "Host=c2")}}}}, reason: "selector matches no host"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHistory(t, twoOwners(t))
+			before := h.r.Current()
+			err := h.add(test.by, KindChange, test.change)
+			if test.reason == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorContains(t, err, test.reason)
+			require.Equal(t, before, h.r.Current(), "a rejected change leaves the configuration as it was")
+		})
+	}
+}
+
+func TestBothOwnersAgreeByASecondRecord(t *testing.T) {
+	region := func(r inventory.RegionID) Change {
+		return Change{Set: Objects{DataCentres: map[inventory.DataCentreID]DataCentre{"Montevideo": {Region: r}}}}
+	}
+	h := newHistory(t, twoOwners(t))
+	require.ErrorIs(t, h.add("eve", KindProposal, region("South")), ErrAuthor)
+	require.NoError(t, h.add("ana", KindProposal, region("South")))
+	require.ErrorIs(t, h.add("ana", KindChange, region("South")), ErrAuthor, "an owner does not agree twice")
+	require.ErrorIs(t, h.add("bea", KindChange, region("North")), ErrAuthor, "other content was not agreed to")
+	kept, err := h.r.MarshalState()
+	require.NoError(t, err)
+	h.r = NewReducer()
+	require.NoError(t, h.r.UnmarshalState(kept), "proposals outlive a snapshot")
+	require.NoError(t, h.add("bea", KindChange, region("South")))
+	require.Equal(t, inventory.RegionID("South"), h.r.Current().DataCentres["Montevideo"].Region)
+	require.Empty(t, h.r.Proposals())
+	require.ErrorIs(t, h.add("bea", KindChange, region("North")), ErrAuthor, "an agreement is used once")
+}
+
+func TestProposalsOfOneOwnerDoNotPushOutTheOthers(t *testing.T) {
+	h := newHistory(t, twoOwners(t))
+	require.NoError(t, h.add("ana", KindProposal, Change{Delete: []Key{{KindDataCentre, "A"}}}))
+	for i := range 3 * MaxProposals {
+		require.NoError(t, h.add("bea", KindProposal, Change{Delete: []Key{{KindDataCentre, strings.Repeat("b", i+1)}}}))
+	}
+	require.Len(t, h.r.Proposals(), MaxProposals+1)
+	require.Equal(t, inventory.OwnerID("Corchos"), h.r.Proposals()[0].Owner)
+}
+
+func TestALentHostCountsForTheBorrowerUntilTakenBack(t *testing.T) {
+	h := newHistory(t, twoOwners(t))
+	licences := Change{Set: Objects{Pools: map[inventory.PoolID]Pool{"Licences": {Owner: "Campanella", Hosts: selector(t, "Pool=Licences")}}}}
+	lent := Host{Owner: "Corchos", Labels: label.Set{"Pool": "Licences", LabelLentTo: "Campanella"}}
+	require.ErrorIs(t, h.add("bea", KindChange, licences), ErrNoMatch)
+	require.ErrorIs(t, h.add("ana", KindChange, Change{Set: hosts("c2", Host{Owner: "Corchos", Labels: label.Set{LabelLentTo: "Nobody"}})}), ErrReference)
+	require.ErrorIs(t, h.add("ana", KindChange, Change{Set: hosts("c2", Host{Owner: "Corchos", Labels: label.Set{LabelLentTo: "Corchos"}})}), ErrOwner)
+	require.NoError(t, h.add("ana", KindChange, Change{Set: hosts("c2", lent)}))
+	require.NoError(t, h.add("bea", KindChange, licences))
+	require.True(t, h.r.Current().Pools["Licences"].Claims("c2", h.r.Current().Hosts["c2"]))
+	require.NoError(t, h.add("ana", KindChange, Change{Set: hosts("c2", Host{Owner: "Corchos", Labels: label.Set{"Pool": "Licences"}})}))
+	require.False(t, h.r.Current().Pools["Licences"].Claims("c2", h.r.Current().Hosts["c2"]))
+}
+
+func TestTokenDigestsAreRefusedWithThePlace(t *testing.T) {
+	good := DigestToken([]byte(strings.Repeat("x", MinTokenBytes))).String()
+	for name, test := range map[string]struct {
+		digests []string
+		want    string
+	}{
+		"too short":       {[]string{"ab"}, "2 characters are not 64"},
+		"not hexadecimal": {[]string{strings.Repeat("z", 64)}, "not hexadecimal"},
+		"twice":           {[]string{good, good}, "TokenDigests 1 stands twice"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := twoOwners(t)
+			o.Operators["ana"] = Operator{Owner: "Corchos", TokenDigests: test.digests}
+			err := o.Validate()
+			require.ErrorIs(t, err, ErrDigest)
+			require.ErrorContains(t, err, "Operator/ana")
+			require.ErrorContains(t, err, test.want)
+		})
+	}
+}
+
+func TestContentDigestDependsOnContentAlone(t *testing.T) {
+	a := Change{Base: 1, Comment: "x", Delete: []Key{{KindHost, "a"}, {KindHost, "b"}}}
+	b := Change{Base: 2, Comment: "y", Delete: []Key{{KindHost, "b"}, {KindHost, "a"}}}
+	da, err := a.ContentDigest()
+	require.NoError(t, err)
+	db, err := b.ContentDigest()
+	require.NoError(t, err)
+	require.Equal(t, da, db)
+	raw, err := json.Marshal(Change{Set: twoOwners(t)})
+	require.NoError(t, err)
+	var c Change
+	require.NoError(t, json.Unmarshal(raw, &c))
+	dc, err := c.ContentDigest()
+	require.NoError(t, err)
+	require.NotEqual(t, da, dc)
+}
--- a/fleet/configuration/change.go
+++ b/fleet/configuration/change.go
@@ -106,12 +106,31 @@
 	for _, k := range touched {
 		next.Changed[k] = version
 	}
-	if err := next.Validate(); err != nil {
+	if err := next.validate(cfg.mustMatch(c)); err != nil {
 		return cfg, err
 	}
 	return next, nil
 }
 
+// mustMatch returns which pools' selectors have to match a host after the
+// change: those that it sets, and those of the owners whose hosts it touches.
+// An owner can take back a lent host although the other's pool ends up empty.
+func (cfg Configuration) mustMatch(c Change) func(inventory.PoolID, Pool) bool {
+	owners := make(map[inventory.OwnerID]bool)
+	for _, k := range c.Touched() {
+		if k.Kind != KindHost {
+			continue
+		}
+		for _, o := range []Objects{cfg.Objects, c.Set} {
+			owners[o.Hosts[inventory.HostID(k.Name)].Owner] = true
+		}
+	}
+	return func(id inventory.PoolID, p Pool) bool {
+		_, set := c.Set.Pools[id]
+		return set || owners[p.Owner]
+	}
+}
+
 // OwnerOf returns the owner that an object belongs to. Owners, operators and
 // data centres belong to both owners and return false.
 func (o Objects) OwnerOf(k Key) (inventory.OwnerID, bool) {
--- a/fleet/configuration/reducer.go
+++ b/fleet/configuration/reducer.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"slices"
 
+	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/rotisserie/eris"
 )
 
 // KindChange is the kind of records whose body is a Change.
@@ -13,6 +16,9 @@
 type Reducer struct {
 	// current is replaced as a whole by each accepted change.
 	current Configuration
+	// proposals wait for the agreement of other owners, oldest first. The slice
+	// is never changed in place.
+	proposals []Proposal
 }
 
 // NewReducer returns a reducer that holds the empty configuration.
@@ -25,37 +31,74 @@
 	return r.current
 }
 
+// Proposals returns the changes that wait for the agreement of other owners,
+// oldest first. They are never changed in place.
+func (r *Reducer) Proposals() []Proposal {
+	return r.proposals
+}
+
 // Kinds returns the kinds of records that the reducer folds.
 func (r *Reducer) Kinds() []journal.Kind {
-	return []journal.Kind{KindChange}
+	return []journal.Kind{KindChange, KindProposal}
 }
 
-// Reduce applies a change or returns the reason to reject it.
+// Reduce applies a change, keeps a proposal, or returns the reason to reject it.
 func (r *Reducer) Reduce(e journal.Entry) error {
 	c, err := journal.DecodeBody[Change](e.Record)
 	if err != nil {
 		return err
 	}
+	digest, err := c.ContentDigest()
+	if err != nil {
+		return err
+	}
+	by := inventory.OperatorID(e.Record.By)
+	if e.Record.Kind == KindProposal {
+		return r.propose(e, c, by, digest)
+	}
+	if err := r.current.Authorize(by, c, Consents(r.proposals, digest)); err != nil {
+		return err
+	}
 	// Offsets start at 0 and version 0 is the empty configuration.
 	next, err := r.current.Apply(c, Version(e.Offset)+1)
 	if err != nil {
 		return err
 	}
 	r.current = next
+	r.proposals = slices.DeleteFunc(slices.Clone(r.proposals), func(p Proposal) bool { return p.Digest == digest })
 	return nil
 }
 
-// MarshalState returns the configuration.
+// propose keeps the change as the agreement of its author's owner.
+func (r *Reducer) propose(e journal.Entry, c Change, by inventory.OperatorID, digest string) error {
+	author, ok := r.current.Operators[by]
+	if !ok {
+		return eris.Wrapf(ErrAuthor, "operator %q is not known", by)
+	}
+	if len(c.Touched()) == 0 {
+		return ErrEmpty
+	}
+	r.proposals = propose(r.proposals, Proposal{Owner: author.Owner, By: by, Offset: e.Offset, Digest: digest, Change: c})
+	return nil
+}
+
+// reducerState is the marshalled form of a Reducer.
+type reducerState struct {
+	Current   Configuration
+	Proposals []Proposal `json:",omitempty"`
+}
+
+// MarshalState returns the configuration and the proposals.
 func (r *Reducer) MarshalState() ([]byte, error) {
-	return json.Marshal(r.current)
+	return json.Marshal(reducerState{Current: r.current, Proposals: r.proposals})
 }
 
-// UnmarshalState replaces the configuration.
+// UnmarshalState replaces the configuration and the proposals.
 func (r *Reducer) UnmarshalState(b []byte) error {
-	var c Configuration
-	if err := json.Unmarshal(b, &c); err != nil {
+	var s reducerState
+	if err := json.Unmarshal(b, &s); err != nil {
 		return err
 	}
-	r.current = c
+	r.current, r.proposals = s.Current, s.Proposals
 	return nil
 }
--- /dev/null
+++ b/fleet/configuration/token.go
@@ -0,0 +1,64 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/rotisserie/eris"
+)
+
+// MinTokenBytes is the length of the shortest token that is taken. Both owners
+// read the digests, so a token must be too long to be found from its digest.
+const MinTokenBytes = 32
+
+// ErrDigest is returned for a token digest that can't be used.
+var ErrDigest = eris.New("not a usable token digest")
+
+// TokenDigest is the SHA-256 digest of a token.
+type TokenDigest [sha256.Size]byte
+
+// DigestToken returns the digest of a token.
+func DigestToken(token []byte) TokenDigest {
+	return sha256.Sum256(token)
+}
+
+// ParseTokenDigest reads a digest in hexadecimal.
+func ParseTokenDigest(text string) (TokenDigest, error) {
+	var d TokenDigest
+	if len(text) != hex.EncodedLen(len(d)) {
+		return d, eris.Wrapf(ErrDigest, "%d characters are not %d", len(text), hex.EncodedLen(len(d)))
+	}
+	if _, err := hex.Decode(d[:], []byte(text)); err != nil {
+		return d, eris.Wrap(ErrDigest, "not hexadecimal")
+	}
+	return d, nil
+}
+
+// String returns the digest in hexadecimal.
+func (d TokenDigest) String() string {
+	return hex.EncodeToString(d[:])
+}
+
+// validateTokens checks all digests; one that stands twice would not tell who
+// asks.
+func (o Objects) validateTokens() error {
+	seen := make(map[TokenDigest]bool)
+	check := func(digests []string) error {
+		for i, text := range digests {
+			d, err := ParseTokenDigest(text)
+			if err != nil {
+				return eris.Wrapf(err, "TokenDigests %d", i)
+			}
+			if seen[d] {
+				return eris.Wrapf(ErrDigest, "TokenDigests %d stands twice", i)
+			}
+			seen[d] = true
+		}
+		return nil
+	}
+	return firstError(
+		each(KindOperator, o.Operators, func(_ inventory.OperatorID, p Operator) error { return check(p.TokenDigests) }),
+		each(KindTenant, o.Tenants, func(_ inventory.TenantID, t Tenant) error { return check(t.TokenDigests) }),
+	)
+}
--- a/fleet/configuration/validate.go
+++ b/fleet/configuration/validate.go
@@ -41,6 +41,12 @@
 // Validate returns an error for the first rule that the objects break, in a
 // fixed order, so that every host refuses a change for the same reason.
 func (o Objects) Validate() error {
+	return o.validate(func(inventory.PoolID, Pool) bool { return true })
+}
+
+// validate is Validate, but asks only of the pools that mustMatch names that
+// their selectors match a host.
+func (o Objects) validate(mustMatch func(inventory.PoolID, Pool) bool) error {
 	if n := len(o.Keys()); n > MaxObjects {
 		return eris.Wrapf(ErrRange, "%d objects are more than %d", n, MaxObjects)
 	}
@@ -50,8 +56,9 @@
 		}
 	}
 	checks := []func() error{
-		o.validateOwners, o.validateOperators, o.validateHosts, o.validatePools,
-		o.validateServices, o.validateTenants, o.validateTeams, o.validateWaves,
+		o.validateOwners, o.validateOperators, o.validateHosts,
+		func() error { return o.validatePools(mustMatch) },
+		o.validateServices, o.validateTenants, o.validateTeams, o.validateWaves, o.validateTokens,
 	}
 	for _, check := range checks {
 		if err := check(); err != nil {
@@ -123,7 +130,7 @@
 				return eris.Wrapf(ErrReserved, "label %q", n)
 			}
 		}
-		return firstError(o.knownOwner(h.Owner), h.Labels.Validate(), validateSize(h.Size))
+		return firstError(o.knownOwner(h.Owner), h.Labels.Validate(), o.validateLending(h), validateSize(h.Size))
 	})
 }
 
@@ -135,14 +142,14 @@
 	)
 }
 
-func (o Objects) validatePools() error {
+func (o Objects) validatePools(mustMatch func(inventory.PoolID, Pool) bool) error {
 	counts, err := o.claims()
 	if err != nil {
 		return err
 	}
 	return each(KindPool, o.Pools, func(id inventory.PoolID, p Pool) error {
 		spare := o.Owners[p.Owner].SparePool == id
-		if !spare && counts[id] == 0 {
+		if !spare && counts[id] == 0 && mustMatch(id, p) {
 			return eris.Wrapf(ErrNoMatch, "Hosts %q", p.Hosts)
 		}
 		return firstError(
@@ -160,10 +167,9 @@
 	counts := make(map[inventory.PoolID]int, len(o.Pools))
 	pools := slices.Sorted(maps.Keys(o.Pools))
 	for _, h := range slices.Sorted(maps.Keys(o.Hosts)) {
-		labels := o.Hosts[h].AllLabels(h)
 		claimed := inventory.PoolID("")
 		for _, p := range pools {
-			if !o.Pools[p].Hosts.Matches(labels) {
+			if !o.Pools[p].Claims(h, o.Hosts[h]) {
 				continue
 			}
 			if claimed != "" {
--- a/fleet/state/rules.go
+++ b/fleet/state/rules.go
@@ -11,7 +11,8 @@
 func Rules() map[journal.Kind]journal.Rule {
 	return map[journal.Kind]journal.Rule{
 		// An operator learns at once that nothing was published.
-		configuration.KindChange: journal.Refuse,
+		configuration.KindChange:   journal.Refuse,
+		configuration.KindProposal: journal.Refuse,
 		// The term of a claim counts from before the append, so a claim that
 		// waits is worth nothing.
 		lease.KindClaim: journal.Refuse,
