feat: operators and tenants proved by token or certificate, TLS and limits on listeners

Cause: names in headers were believed and every listener spoke plain text with one deadline for a whole request. Change: entry/identity proves operators and tenants and overwrites the names that they send; entry/certificate loads and replaces certificates; entry/listener bounds headers, bodies, times and connections; plain text and names in headers only where the settings say so in words. ctl gets the flags for it, and the commands propose, proposals and token.

--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -2,8 +2,10 @@
 package client
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,27 +27,47 @@
 // callTimeout bounds one call.
 const callTimeout = 15 * time.Second
 
-// HeaderOperator names the operator who asks.
+// HeaderOperator names the operator who asks, where the host believes names.
 const HeaderOperator = "Operator"
 
+// Config is what a client is built from.
+type Config struct {
+	Address string
+	// Operator is sent as a name; only hosts set up for development believe it.
+	Operator inventory.OperatorID
+	// Token proves who asks; empty where a certificate does.
+	Token string
+	// TLS is nil for plain text.
+	TLS *tls.Config
+}
+
 // Client calls one entry host as one operator.
 type Client struct {
-	address  string
-	operator inventory.OperatorID
-	http     *fasthttp.Client
+	cfg    Config
+	scheme string
+	http   *fasthttp.Client
 }
 
-// New returns a client of the host at the address.
+// New returns a client that speaks plain text to a host set up for development.
 func New(address string, operator inventory.OperatorID) *Client {
-	return &Client{
-		address: address, operator: operator,
-		http: &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true, MaxResponseBodySize: 64 << 20},
+	return NewClient(Config{Address: address, Operator: operator})
+}
+
+// NewClient returns a client of one host.
+func NewClient(cfg Config) *Client {
+	c := &Client{
+		cfg: cfg, scheme: "http://",
+		http: &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true, MaxResponseBodySize: 64 << 20, TLSConfig: cfg.TLS},
 	}
+	if cfg.TLS != nil {
+		c.scheme = "https://"
+	}
+	return c
 }
 
 // Address returns the address of the host.
 func (c *Client) Address() string {
-	return c.address
+	return c.cfg.Address
 }
 
 // Get reads a path into a value.
@@ -73,19 +95,30 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + c.address + path)
-	req.Header.Set(HeaderOperator, string(c.operator))
+	req.SetRequestURI(c.scheme + c.cfg.Address + path)
+	req.Header.Set(HeaderOperator, string(c.cfg.Operator))
+	if c.cfg.Token != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.cfg.Token)
+	}
 	req.SetBodyRaw(body)
 	err := c.http.DoTimeout(req, resp, callTimeout)
-	if err != nil && (method == fasthttp.MethodGet || errors.Is(err, fasthttp.ErrDialTimeout)) {
-		return eris.Wrapf(ErrUnreachable, "%s: %s", c.address, err)
+	if err != nil && (method == fasthttp.MethodGet || nothingSent(err)) {
+		return eris.Wrapf(ErrUnreachable, "%s: %s", c.cfg.Address, err)
 	}
 	if err != nil {
-		return eris.Wrapf(ErrUncertain, "%s: %s", c.address, err)
+		return eris.Wrapf(ErrUncertain, "%s: %s", c.cfg.Address, err)
 	}
 	return decode(resp, into)
 }
 
+// nothingSent reports whether the error came before a byte of the request went
+// out: no connection, or a host that could not prove who it is.
+func nothingSent(err error) bool {
+	var dial *net.OpError
+	var certificate *tls.CertificateVerificationError
+	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &certificate) || errors.As(err, &dial) && dial.Op == "dial"
+}
+
 func decode(resp *fasthttp.Response, into any) error {
 	if resp.StatusCode() == fasthttp.StatusOK {
 		return eris.Wrap(json.Unmarshal(resp.Body(), into), "reading the answer")
--- a/ctl/command/app.go
+++ b/ctl/command/app.go
@@ -2,6 +2,7 @@
 package command
 
 import (
+	"context"
 	"errors"
 
 	"github.com/urfave/cli/v3"
@@ -25,13 +26,17 @@
 	Operator string
 	// Output is table or json.
 	Output string
+	// Security is how hosts and operator prove who they are.
+	Security Security
 }
 
 // Clients returns a client for each entry host.
 func (c *Connection) Clients() []*client.Client {
 	var out []*client.Client
 	for _, a := range c.Entries {
-		out = append(out, client.New(a, inventory.OperatorID(c.Operator)))
+		out = append(out, client.NewClient(client.Config{
+			Address: a, Operator: inventory.OperatorID(c.Operator), Token: c.Security.token, TLS: c.Security.tls,
+		}))
 	}
 	return out
 }
@@ -44,15 +49,24 @@
 		Usage: "look at the fleet and change it",
 		Description: "Commands talk to the operators' endpoint of entry hosts.\n\n" +
 			"Exit codes: 0 done, 1 failed, 2 bad input, 3 refused and nothing changed, 4 no answer and the outcome is not known.",
-		Flags: []cli.Flag{
+		Before: func(ctx context.Context, _ *cli.Command) (context.Context, error) {
+			if err := c.Security.load(); err != nil {
+				return ctx, badInput(err)
+			}
+			return ctx, nil
+		},
+		Flags: append([]cli.Flag{
 			&cli.StringSliceFlag{Name: "entry", Usage: "IP:port of an entry host's operators' endpoint; may be given several times", Value: []string{"127.0.0.1:8081"}, Destination: &c.Entries, Sources: cli.EnvVars("GODWITCROSS_ENTRY")},
 			&cli.StringFlag{Name: "operator", Usage: "name of the operator", Destination: &c.Operator, Sources: cli.EnvVars("GODWITCROSS_OPERATOR")},
 			&cli.StringFlag{Name: "output", Usage: "table or json", Value: "table", Destination: &c.Output, Sources: cli.EnvVars("GODWITCROSS_OUTPUT")},
-		},
+		}, c.Security.flags()...),
 		Commands: []*cli.Command{
 			newValidate(),
 			newPlan(c),
 			newPublish(c),
+			newPropose(c),
+			newProposals(c),
+			newToken(),
 			newConfiguration(c),
 			newStatus(c),
 		},
--- /dev/null
+++ b/ctl/command/propose.go
@@ -0,0 +1,80 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+)
+
+// tokenBytes is the number of random bytes in a new token.
+const tokenBytes = 32
+
+func newPropose(c *Connection) *cli.Command {
+	f := &changeFlags{}
+	return &cli.Command{
+		Name: "propose", Usage: "agree to a change that another owner then publishes", ArgsUsage: "[FILE]",
+		Description: "Data centres, new owners and hosts that go to the other owner need the agreement of both. One owner\n" +
+			"proposes the change; an operator of the other publishes the same objects.\n\n" +
+			"Example: ctl propose data-centre.json",
+		Flags: f.flags(),
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			change, err := f.change(cmd)
+			if err != nil {
+				return badInput(err)
+			}
+			p := Publication{ID: journal.RecordID(uuid.NewString()), Change: change}
+			var v journal.Verdict
+			if err := c.Clients()[0].Post("/proposals", p, &v); err != nil {
+				return exit(eris.Wrapf(err, "proposal %s", p.ID))
+			}
+			fmt.Fprintf(cmd.Root().Writer, "proposed; it waits for the other owners\n")
+			return nil
+		},
+	}
+}
+
+func newProposals(c *Connection) *cli.Command {
+	return &cli.Command{
+		Name: "proposals", Usage: "show changes that wait for the agreement of another owner",
+		Description: "Example: ctl proposals\nWith --output json the whole change is shown, ready to be published by the other owner.",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			var all []configuration.Proposal
+			if err := c.Clients()[0].Get("/proposals", &all); err != nil {
+				return exit(err)
+			}
+			return printAll(cmd.Root().Writer, c.Output, all, "OWNER\tOPERATOR\tCONTENT\tOBJECTS\tCOMMENT", func(p configuration.Proposal) string {
+				var keys []string
+				for _, k := range p.Change.Touched() {
+					keys = append(keys, k.String())
+				}
+				return fmt.Sprintf("%s\t%s\t%.12s\t%s\t%s", p.Owner, p.By, p.Digest, strings.Join(keys, " "), p.Change.Comment)
+			})
+		},
+	}
+}
+
+func newToken() *cli.Command {
+	return &cli.Command{
+		Name: "token", Usage: "make a token for an operator or a tenant",
+		Description: "Prints a random token, which is handed to its bearer and kept nowhere, and its digest for TokenDigests.\n\n" +
+			"Example: ctl token",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			b := make([]byte, tokenBytes)
+			if _, err := rand.Read(b); err != nil {
+				return exit(eris.Wrap(err, "making a token"))
+			}
+			token := base64.RawURLEncoding.EncodeToString(b)
+			fmt.Fprintf(cmd.Root().Writer, "token   %s\ndigest  %s\n", token, configuration.DigestToken([]byte(token)))
+			return nil
+		},
+	}
+}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -19,7 +19,9 @@
 // State is the folded state at an offset.
 type State struct {
 	Configuration configuration.Configuration
-	Holdings      map[lease.Duty]lease.Holding
+	// Proposals wait for the agreement of other owners, oldest first.
+	Proposals []configuration.Proposal
+	Holdings  map[lease.Duty]lease.Holding
 	// Next is the offset of the first record that is not applied.
 	Next journal.Offset
 	// End is the end of the stream as last seen; at least Next.
@@ -90,6 +92,7 @@
 	}
 	f.out.Publish(State{
 		Configuration: f.fleet.Configuration.Current(),
+		Proposals:     f.fleet.Configuration.Proposals(),
 		Holdings:      f.fleet.Lease.Holdings(),
 		Next:          fold.Next(),
 		End:           max(b.End, fold.Next()),
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -68,6 +68,7 @@
 
 // New returns a host that listens on nothing yet.
 func New(cfg Config) *Host {
+	cfg.Settings = cfg.Settings.WithDefaults()
 	h := &Host{
 		cfg:       cfg,
 		log:       cfg.Log.WithFields(logrus.Fields{"Entry": cfg.Settings.Name, "DataCentre": cfg.Settings.DataCentre}),
@@ -93,6 +94,7 @@
 		Log: h.log, Name: cfg.Settings.Name, Metrics: h.metrics, State: h.state,
 		Records: records, Ready: h.readiness.Reason,
 	}).HTTP()
+	h.checkClients()
 	h.tasks = []Task{
 		platform.NewReader(h.log, client, journal.StreamFleet, 0, batches),
 		follower.New(h.log, state.NewFleet(), batches, h.state),
@@ -140,6 +142,10 @@
 
 // Serve is Run on listeners that are open already.
 func (h *Host) Serve(ctx context.Context, callers, operators net.Listener) error {
+	callers, operators, err := h.encrypt(callers, operators, time.Now())
+	if err != nil {
+		return err
+	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, work := errgroup.WithContext(work)
@@ -161,7 +167,7 @@
 	}
 	h.stop()
 	stop()
-	err := g.Wait()
+	err = g.Wait()
 	stopLater()
 	return errors.Join(err, last.Wait())
 }
--- /dev/null
+++ b/entry/identity/identity_test.go
@@ -0,0 +1,198 @@
+package identity
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/godwitcross/godwitcross/entry/follower"
+	"github.com/godwitcross/godwitcross/entry/settings"
+	"github.com/godwitcross/godwitcross/entry/view"
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+)
+
+// token returns a token of the least length that differs by its name.
+func token(name string) string {
+	return name + strings.Repeat("-", configuration.MinTokenBytes-len(name))
+}
+
+func digests(names ...string) []string {
+	var out []string
+	for _, n := range names {
+		out = append(out, configuration.DigestToken([]byte(n)).String())
+	}
+	return out
+}
+
+func stateOf(cfg configuration.Configuration) *view.Box[follower.State] {
+	return view.NewBox(follower.State{Configuration: cfg})
+}
+
+func known() configuration.Configuration {
+	return configuration.Configuration{Version: 1, Objects: configuration.Objects{
+		Operators: map[inventory.OperatorID]configuration.Operator{
+			"ana": {Owner: "Corchos", TokenDigests: digests(token("ana-1"), token("ana-2"))},
+			"bea": {Owner: "Campanella", TokenDigests: digests(token("bea"), "short")},
+		},
+		Tenants: map[inventory.TenantID]configuration.Tenant{
+			"OrderDesk": {Owner: "Corchos", TokenDigests: digests(token("desk"))},
+			"Plant":     {Owner: "Corchos"},
+		},
+	}}
+}
+
+// certified is a connection over which a client proved a name.
+type certified struct {
+	net.Conn
+	name string
+}
+
+func (c certified) Handshake() error { return nil }
+
+func (c certified) ConnectionState() tls.ConnectionState {
+	if c.name == "" {
+		return tls.ConnectionState{}
+	}
+	leaf := &x509.Certificate{Subject: pkix.Name{CommonName: c.name}}
+	return tls.ConnectionState{VerifiedChains: [][]*x509.Certificate{{leaf}}}
+}
+
+// ask sends a request through a check and returns what the handler behind it saw.
+func ask(t *testing.T, check fasthttp.RequestHandler, path, certificate string, headers map[string]string) int {
+	t.Helper()
+	ctx := &fasthttp.RequestCtx{}
+	ctx.Init2(certified{name: certificate}, nil, false)
+	ctx.Request.SetRequestURI(path)
+	for k, v := range headers {
+		ctx.Request.Header.Set(k, v)
+	}
+	check(ctx)
+	return ctx.Response.StatusCode()
+}
+
+func TestOperatorsAreKnownByTokenOrCertificate(t *testing.T) {
+	bearer := func(tok string) map[string]string {
+		return map[string]string{"Authorization": "Bearer " + tok, "Operator": "bea"}
+	}
+	root := token("root")
+	empty := configuration.Configuration{}
+	tests := map[string]struct {
+		cfg         configuration.Configuration
+		names       settings.NameRule
+		path        string
+		certificate string
+		headers     map[string]string
+		want        string
+		refused     bool
+	}{
+		"a token":                                  {cfg: known(), headers: bearer(token("ana-1")), want: "ana"},
+		"the second token during a change":         {cfg: known(), headers: bearer(token("ana-2")), want: "ana"},
+		"a wrong token beside a name":              {cfg: known(), headers: bearer(token("eve")), refused: true},
+		"a wrong token where names are allowed":    {cfg: known(), names: settings.NamesAllowed, headers: bearer(token("eve")), refused: true},
+		"a token too short to be safe":             {cfg: known(), headers: bearer("short"), refused: true},
+		"a digest sent as a token":                 {cfg: known(), headers: bearer(digests(token("bea"))[0]), refused: true},
+		"another scheme":                           {cfg: known(), headers: map[string]string{"Authorization": "Basic " + token("bea")}, refused: true},
+		"a name alone":                             {cfg: known(), headers: map[string]string{"Operator": "bea"}, refused: true},
+		"a name alone where names are allowed":     {cfg: known(), names: settings.NamesAllowed, headers: map[string]string{"Operator": "bea"}, want: "bea"},
+		"nothing":                                  {cfg: known(), refused: true},
+		"nothing on the balancer's path":           {cfg: known(), path: "/ready"},
+		"a false name on the balancer's path":      {cfg: known(), path: "/ready", headers: map[string]string{"Operator": "bea"}},
+		"a certificate":                            {cfg: known(), certificate: "bea", want: "bea"},
+		"a certificate of nobody":                  {cfg: known(), certificate: "eve", refused: true},
+		"a certificate of nobody with a token":     {cfg: known(), certificate: "gateway", headers: bearer(token("ana-1")), want: "ana"},
+		"a certificate against a token":            {cfg: known(), certificate: "bea", headers: bearer(token("ana-1")), refused: true},
+		"a certificate with a wrong token":         {cfg: known(), certificate: "bea", headers: bearer(token("eve")), refused: true},
+		"a certificate against a name":             {cfg: known(), names: settings.NamesAllowed, certificate: "ana", headers: map[string]string{"Operator": "bea"}, want: "ana"},
+		"the first token before all operators":     {cfg: empty, headers: bearer(root), want: string(Bootstrap)},
+		"a wrong first token":                      {cfg: empty, headers: bearer(token("eve")), refused: true},
+		"the first token once there are operators": {cfg: known(), headers: bearer(root), refused: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			seen, reached := "", false
+			o := NewOperators(stateOf(test.cfg), test.names, digests(root)[0])
+			status := ask(t, o.Handler(func(ctx *fasthttp.RequestCtx) {
+				reached = true
+				seen = string(ctx.Request.Header.Peek(HeaderOperator))
+				require.Empty(t, ctx.Request.Header.Peek("Authorization"), "the token goes no further")
+			}), "http://h"+test.path, test.certificate, test.headers)
+			require.Equal(t, test.refused, !reached)
+			require.Equal(t, test.want, seen)
+			if test.refused {
+				require.Equal(t, fasthttp.StatusUnauthorized, status)
+			}
+		})
+	}
+}
+
+func TestNoFirstTokenWithoutItsSetting(t *testing.T) {
+	o := NewOperators(stateOf(configuration.Configuration{}), settings.NamesRefused, "")
+	status := ask(t, o.Handler(func(*fasthttp.RequestCtx) { t.Fatal("reached") }), "http://h/changes", "", map[string]string{"Authorization": "Bearer " + token("root")})
+	require.Equal(t, fasthttp.StatusUnauthorized, status)
+}
+
+func TestTenantsAreKnownByTheirToken(t *testing.T) {
+	tests := map[string]struct {
+		names   settings.NameRule
+		headers map[string]string
+		want    string
+	}{
+		"a token":                                {headers: map[string]string{HeaderTenantToken: token("desk")}, want: "OrderDesk"},
+		"a token against another name":           {headers: map[string]string{HeaderTenantToken: token("desk"), HeaderTenant: "Plant"}, want: "OrderDesk"},
+		"a name alone":                           {headers: map[string]string{HeaderTenant: "Plant"}},
+		"a wrong token beside a name":            {headers: map[string]string{HeaderTenantToken: token("eve"), HeaderTenant: "Plant"}},
+		"a wrong token where names are allowed":  {names: settings.NamesAllowed, headers: map[string]string{HeaderTenantToken: token("eve"), HeaderTenant: "Plant"}},
+		"a name where names are allowed":         {names: settings.NamesAllowed, headers: map[string]string{HeaderTenant: "Plant"}, want: "Plant"},
+		"an operator's token is not a tenant's":  {headers: map[string]string{HeaderTenantToken: token("ana-1")}},
+		"the token in the header of the service": {headers: map[string]string{"Authorization": "Bearer " + token("desk")}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := NewCallers(stateOf(known()), test.names)
+			ask(t, c.Handler(func(ctx *fasthttp.RequestCtx) {
+				require.Equal(t, test.want, string(ctx.Request.Header.Peek(HeaderTenant)))
+				require.Empty(t, ctx.Request.Header.Peek(HeaderTenantToken), "the token goes no further")
+				require.Equal(t, test.headers["Authorization"], string(ctx.Request.Header.Peek("Authorization")), "Authorization is the service's")
+			}), "http://h/services/Prices/", "", test.headers)
+		})
+	}
+}
+
+func TestATokenEndsWithTheVersionThatDropsIt(t *testing.T) {
+	f := NewTokens(tenantDigests)
+	cfg := known()
+	_, ok := f.Find(cfg, []byte(token("desk")))
+	require.True(t, ok)
+	cfg.Version = 2
+	cfg.Tenants = map[inventory.TenantID]configuration.Tenant{"OrderDesk": {TokenDigests: digests(token("new"))}}
+	_, ok = f.Find(cfg, []byte(token("desk")))
+	require.False(t, ok)
+	id, ok := f.Find(cfg, []byte(token("new")))
+	require.True(t, ok)
+	require.Equal(t, inventory.TenantID("OrderDesk"), id)
+}
+
+func BenchmarkFindAmongTenants(b *testing.B) {
+	cfg := configuration.Configuration{Version: 1}
+	cfg.Tenants = make(map[inventory.TenantID]configuration.Tenant)
+	for i := range 800 {
+		id := fmt.Sprintf("tenant-%d", i)
+		cfg.Tenants[inventory.TenantID(id)] = configuration.Tenant{TokenDigests: digests(token(id))}
+	}
+	f := NewTokens(tenantDigests)
+	sent := []byte(token("tenant-700"))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := f.Find(cfg, sent); !ok {
+			b.Fatal("not found")
+		}
+	}
+}
--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/godwitcross/godwitcross/entry/follower"
+	"github.com/godwitcross/godwitcross/entry/identity"
 	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/platform"
 	"github.com/godwitcross/godwitcross/entry/view"
@@ -20,8 +21,8 @@
 	"github.com/godwitcross/godwitcross/fleet/journal"
 )
 
-// HeaderOperator names the operator who asks.
-const HeaderOperator = "Operator"
+// HeaderOperator names the operator who asks, as package identity proved it.
+const HeaderOperator = identity.HeaderOperator
 
 // publishTimeout bounds how long a publication waits for its verdict.
 const publishTimeout = 10 * time.Second
@@ -68,6 +69,8 @@
 		{fasthttp.MethodGet, "/status", s.status},
 		{fasthttp.MethodGet, "/configuration", s.configuration},
 		{fasthttp.MethodPost, "/changes", s.publish},
+		{fasthttp.MethodGet, "/proposals", s.proposals},
+		{fasthttp.MethodPost, "/proposals", s.propose},
 	}
 	for _, r := range append(own, cfg.Routes...) {
 		s.routes[r.Method+" "+r.Path] = r.Handle
@@ -148,39 +151,6 @@
 	Answer(ctx, fasthttp.StatusOK, s.cfg.State.Latest().Configuration)
 }
 
-// Publication is the body of POST /changes.
-type Publication struct {
-	// ID is unique to the publication; a repeat under the same ID has no effect.
-	ID     journal.RecordID
-	Change configuration.Change
-}
-
-func (s *Server) publish(ctx *fasthttp.RequestCtx) {
-	var p Publication
-	if err := json.Unmarshal(ctx.PostBody(), &p); err != nil || p.ID == "" {
-		Refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Change\":{...}}")
-		return
-	}
-	by := string(ctx.Request.Header.Peek(HeaderOperator))
-	cfg := s.cfg.State.Latest().Configuration
-	if _, err := cfg.Apply(p.Change, cfg.Version+1); err != nil {
-		Refuse(ctx, fasthttp.StatusConflict, err.Error())
-		return
-	}
-	r, err := journal.NewRecord(p.ID, configuration.KindChange, time.Now(), by, p.Change)
-	if err != nil {
-		Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
-		return
-	}
-	c, cancel := context.WithTimeout(context.Background(), publishTimeout)
-	defer cancel()
-	if err := s.cfg.Records.Append(c, journal.StreamFleet, r); err != nil {
-		refuseAppend(ctx, err)
-		return
-	}
-	s.answerVerdict(c, ctx, p.ID)
-}
-
 func refuseAppend(ctx *fasthttp.RequestCtx, err error) {
 	if errors.Is(err, platform.ErrUncertain) {
 		Refuse(ctx, fasthttp.StatusGatewayTimeout, err.Error())
--- /dev/null
+++ b/entry/settings/limits.go
@@ -0,0 +1,110 @@
+package settings
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+)
+
+// Limits bound what one client, and all of them together, can take from a
+// listener. A zero field stands for its default.
+type Limits struct {
+	// HeaderBytes bounds a request's line and headers. Each connection holds a
+	// buffer of this size.
+	HeaderBytes int
+	// HeaderTime bounds the time from the opening of a connection, or from the
+	// first byte after an idle time, to the end of the headers. The first byte
+	// and, before it, the handshake of TLS fall under it.
+	HeaderTime time.Duration
+	// BodyTime bounds the time from the end of the headers to that of the body.
+	BodyTime time.Duration
+	// AnswerTime bounds how long the client takes to read an answer.
+	AnswerTime time.Duration
+	// IdleTime bounds how long a connection waits for its next request.
+	IdleTime time.Duration
+	// Connections bounds the open connections of the listener.
+	Connections int
+	// ConnectionsPerAddress bounds those that come from one IP number.
+	ConnectionsPerAddress int
+}
+
+// The defaults of each listener. Callers come through the platform's balancer,
+// whose few addresses stand for all of them.
+var (
+	CallerLimits = Limits{
+		HeaderBytes: 8 << 10, HeaderTime: 5 * time.Second, BodyTime: 30 * time.Second, AnswerTime: 30 * time.Second,
+		IdleTime: time.Minute, Connections: 8192, ConnectionsPerAddress: 4096,
+	}
+	OperatorLimits = Limits{
+		HeaderBytes: 8 << 10, HeaderTime: 5 * time.Second, BodyTime: 30 * time.Second, AnswerTime: 30 * time.Second,
+		IdleTime: time.Minute, Connections: 256, ConnectionsPerAddress: 64,
+	}
+	PeerLimits = Limits{
+		HeaderBytes: 8 << 10, HeaderTime: 5 * time.Second, BodyTime: 10 * time.Second, AnswerTime: 10 * time.Second,
+		IdleTime: time.Minute, Connections: 2048, ConnectionsPerAddress: 64,
+	}
+)
+
+// Ranges of the limits.
+const (
+	minHeaderBytes = 1 << 10
+	maxHeaderBytes = 64 << 10
+	minLimitTime   = 100 * time.Millisecond
+	maxLimitTime   = 10 * time.Minute
+	maxConnections = 100_000
+)
+
+// WithDefaults returns the limits with every zero field taken from d.
+func (l Limits) WithDefaults(d Limits) Limits {
+	return Limits{
+		HeaderBytes:           cmp.Or(l.HeaderBytes, d.HeaderBytes),
+		HeaderTime:            cmp.Or(l.HeaderTime, d.HeaderTime),
+		BodyTime:              cmp.Or(l.BodyTime, d.BodyTime),
+		AnswerTime:            cmp.Or(l.AnswerTime, d.AnswerTime),
+		IdleTime:              cmp.Or(l.IdleTime, d.IdleTime),
+		Connections:           cmp.Or(l.Connections, d.Connections),
+		ConnectionsPerAddress: cmp.Or(l.ConnectionsPerAddress, d.ConnectionsPerAddress),
+	}
+}
+
+func (l *Limits) flags(prefix, env string, d Limits) []cli.Flag {
+	return []cli.Flag{
+		&cli.IntFlag{Name: prefix + "-header-bytes", Usage: "largest request line with headers, in bytes", Value: d.HeaderBytes, Destination: &l.HeaderBytes, Sources: environment(env + "HEADER_BYTES")},
+		&cli.DurationFlag{Name: prefix + "-header-time", Usage: "time to the end of a request's headers", Value: d.HeaderTime, Destination: &l.HeaderTime, Sources: environment(env + "HEADER_TIME")},
+		&cli.DurationFlag{Name: prefix + "-body-time", Usage: "time from the headers to the end of the body", Value: d.BodyTime, Destination: &l.BodyTime, Sources: environment(env + "BODY_TIME")},
+		&cli.DurationFlag{Name: prefix + "-answer-time", Usage: "time a client may take to read an answer", Value: d.AnswerTime, Destination: &l.AnswerTime, Sources: environment(env + "ANSWER_TIME")},
+		&cli.DurationFlag{Name: prefix + "-idle-time", Usage: "time a connection may wait for its next request", Value: d.IdleTime, Destination: &l.IdleTime, Sources: environment(env + "IDLE_TIME")},
+		&cli.IntFlag{Name: prefix + "-connections", Usage: "open connections at once", Value: d.Connections, Destination: &l.Connections, Sources: environment(env + "CONNECTIONS")},
+		&cli.IntFlag{Name: prefix + "-connections-per-address", Usage: "open connections from one IP number", Value: d.ConnectionsPerAddress, Destination: &l.ConnectionsPerAddress, Sources: environment(env + "CONNECTIONS_PER_ADDRESS")},
+	}
+}
+
+// check returns an error that names the first flag out of range. Zero fields
+// stand for their defaults and pass.
+func (l *Limits) check(prefix string) error {
+	times := []struct {
+		flag  string
+		value time.Duration
+	}{{"header-time", l.HeaderTime}, {"body-time", l.BodyTime}, {"answer-time", l.AnswerTime}, {"idle-time", l.IdleTime}}
+	for _, t := range times {
+		if t.value != 0 && (t.value < minLimitTime || t.value > maxLimitTime) {
+			return eris.Wrapf(ErrSetting, "--%s-%s %s must be from %s to %s", prefix, t.flag, t.value, minLimitTime, maxLimitTime)
+		}
+	}
+	counts := []struct {
+		flag             string
+		value, low, high int
+	}{
+		{"header-bytes", l.HeaderBytes, minHeaderBytes, maxHeaderBytes},
+		{"connections", l.Connections, 1, maxConnections},
+		{"connections-per-address", l.ConnectionsPerAddress, 1, maxConnections},
+	}
+	for _, c := range counts {
+		if c.value != 0 && (c.value < c.low || c.value > c.high) {
+			return eris.Wrapf(ErrSetting, "--%s-%s %d must be from %d to %d", prefix, c.flag, c.value, c.low, c.high)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/settings/security.go
@@ -0,0 +1,164 @@
+package settings
+
+import (
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+)
+
+// NameRule says whether a name in a header is believed without a token or a
+// certificate.
+type NameRule string
+
+// The rules for names. The zero value refuses.
+const (
+	NamesRefused NameRule = "refuse"
+	NamesAllowed NameRule = "allow-for-development"
+)
+
+// Transport is how a listener is spoken to.
+type Transport string
+
+// The transports. The zero value is TLS.
+const (
+	TransportTLS       Transport = "tls"
+	TransportPlainText Transport = "plain-text"
+)
+
+// Source says where a certificate or a key is read from: "file:PATH" or
+// "environment:NAME". It is never the secret itself, so that neither the list
+// of processes nor a log line shows one.
+type Source string
+
+// The forms of a source.
+const (
+	sourceFile        = "file:"
+	sourceEnvironment = "environment:"
+)
+
+// File returns the path of a source that is a file.
+func (s Source) File() (string, bool) {
+	return strings.CutPrefix(string(s), sourceFile)
+}
+
+// Environment returns the name of a source that is an environment variable.
+func (s Source) Environment() (string, bool) {
+	return strings.CutPrefix(string(s), sourceEnvironment)
+}
+
+// check returns an error that does not repeat the value: it may be a key that
+// was given by mistake.
+func (s Source) check(flag string) error {
+	if path, ok := s.File(); ok && path != "" {
+		return nil
+	}
+	if name, ok := s.Environment(); ok && name != "" {
+		return nil
+	}
+	return eris.Wrapf(ErrSetting, "%s must be file:PATH or environment:NAME", flag)
+}
+
+// Listener is how one kind of client is served.
+type Listener struct {
+	Transport Transport
+	// Certificate and Key are the PEM texts of this host's certificate chain and
+	// its private key; needed with TLS.
+	Certificate Source
+	Key         Source
+	// Authority is the PEM text of the authorities that sign the clients'
+	// certificates. Where it is empty, clients are asked for none.
+	Authority Source
+	// ClientCertificates says whether a client may come without a certificate.
+	ClientCertificates CertificateRule
+	Limits             Limits
+}
+
+// CertificateRule says whether a client may come without a certificate.
+type CertificateRule string
+
+// The rules for clients' certificates. The zero value requires one.
+const (
+	CertificatesRequired CertificateRule = "required"
+	CertificatesIfGiven  CertificateRule = "if-given"
+)
+
+// flags returns the listener's flags; the prefix is one of caller, operator
+// and peer.
+func (l *Listener) flags(prefix string, defaults Limits) []cli.Flag {
+	env := strings.ToUpper(prefix) + "_"
+	return append([]cli.Flag{
+		&cli.StringFlag{Name: prefix + "-transport", Usage: "tls or plain-text", Value: string(TransportTLS), Destination: (*string)(&l.Transport), Sources: environment(env + "TRANSPORT")},
+		&cli.StringFlag{Name: prefix + "-certificate", Usage: "certificate chain in PEM, as file:PATH or environment:NAME", Destination: (*string)(&l.Certificate), Sources: environment(env + "CERTIFICATE")},
+		&cli.StringFlag{Name: prefix + "-key", Usage: "private key in PEM, as file:PATH or environment:NAME", Destination: (*string)(&l.Key), Sources: environment(env + "KEY")},
+		&cli.StringFlag{Name: prefix + "-authority", Usage: "authorities of the clients' certificates in PEM, as file:PATH or environment:NAME", Destination: (*string)(&l.Authority), Sources: environment(env + "AUTHORITY")},
+		&cli.StringFlag{Name: prefix + "-client-certificates", Usage: "required, or if-given: check a client's certificate where it sends one", Value: string(CertificatesRequired), Destination: (*string)(&l.ClientCertificates), Sources: environment(env + "CLIENT_CERTIFICATES")},
+	}, l.Limits.flags(prefix, env, defaults)...)
+}
+
+// check returns an error that names the first bad flag of the listener. Mutual
+// listeners need authorities for their clients' certificates.
+func (l *Listener) check(prefix string, mutual bool) error {
+	flag := "--" + prefix
+	switch l.Transport {
+	case TransportPlainText:
+		return l.Limits.check(prefix)
+	case TransportTLS, "":
+	default:
+		return eris.Wrapf(ErrSetting, "%s-transport %q is not tls or plain-text", flag, l.Transport)
+	}
+	if err := l.Certificate.check(flag + "-certificate"); err != nil {
+		return err
+	}
+	if err := l.Key.check(flag + "-key"); err != nil {
+		return err
+	}
+	switch l.ClientCertificates {
+	case CertificatesRequired, CertificatesIfGiven, "":
+	default:
+		return eris.Wrapf(ErrSetting, "%s-client-certificates %q is not required or if-given", flag, l.ClientCertificates)
+	}
+	if mutual || l.Authority != "" {
+		if err := l.Authority.check(flag + "-authority"); err != nil {
+			return err
+		}
+	}
+	return l.Limits.check(prefix)
+}
+
+// securityFlags returns the flags of identities, transports and limits.
+func (s *Settings) securityFlags() []cli.Flag {
+	flags := []cli.Flag{
+		&cli.StringFlag{Name: "names-in-headers", Usage: "refuse, or allow-for-development: believe the Operator and Tenant headers", Value: string(NamesRefused), Destination: (*string)(&s.Names), Sources: environment("NAMES_IN_HEADERS")},
+		&cli.StringFlag{Name: "bootstrap-token-digest", Usage: "SHA-256 of the token that publishes the first configuration, in hexadecimal", Destination: &s.BootstrapTokenDigest, Sources: environment("BOOTSTRAP_TOKEN_DIGEST")},
+		&cli.StringFlag{Name: "peer-name", Usage: "name that the certificates of all entry hosts bear", Value: DefaultPeerName, Destination: &s.PeerName, Sources: environment("PEER_NAME")},
+	}
+	flags = append(flags, s.CallerListener.flags("caller", CallerLimits)...)
+	flags = append(flags, s.OperatorListener.flags("operator", OperatorLimits)...)
+	return append(flags, s.PeerListener.flags("peer", PeerLimits)...)
+}
+
+func (s *Settings) checkSecurity() error {
+	switch s.Names {
+	case NamesRefused, NamesAllowed, "":
+	default:
+		return eris.Wrapf(ErrSetting, "--names-in-headers %q is not refuse or allow-for-development", s.Names)
+	}
+	if s.BootstrapTokenDigest != "" {
+		if _, err := configuration.ParseTokenDigest(s.BootstrapTokenDigest); err != nil {
+			return eris.Wrapf(ErrSetting, "--bootstrap-token-digest: %s", err)
+		}
+	}
+	for _, l := range []struct {
+		prefix   string
+		listener *Listener
+		mutual   bool
+	}{{"caller", &s.CallerListener, false}, {"operator", &s.OperatorListener, true}, {"peer", &s.PeerListener, true}} {
+		if err := l.listener.check(l.prefix, l.mutual); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -36,6 +36,33 @@
 	StopTime time.Duration
 	// LogLevel is one of logrus's levels.
 	LogLevel string
+	// CallerListener, OperatorListener and PeerListener say how each kind of
+	// client is served.
+	CallerListener   Listener
+	OperatorListener Listener
+	PeerListener     Listener
+	// PeerName is the name that the certificates of all entry hosts bear.
+	PeerName string
+	// Names says whether names in headers are believed.
+	Names NameRule
+	// BootstrapTokenDigest is the digest of the token that publishes the first
+	// configuration, in hexadecimal; empty where nobody may.
+	BootstrapTokenDigest string
+}
+
+// DefaultPeerName is the name that the certificates of entry hosts bear.
+const DefaultPeerName = "entry.godwitcross"
+
+// WithDefaults returns the settings with every omitted field of the listeners
+// filled in.
+func (s Settings) WithDefaults() Settings {
+	s.CallerListener.Limits = s.CallerListener.Limits.WithDefaults(CallerLimits)
+	s.OperatorListener.Limits = s.OperatorListener.Limits.WithDefaults(OperatorLimits)
+	s.PeerListener.Limits = s.PeerListener.Limits.WithDefaults(PeerLimits)
+	if s.PeerName == "" {
+		s.PeerName = DefaultPeerName
+	}
+	return s
 }
 
 // environment returns the source of a setting's environment variable.
@@ -45,7 +72,7 @@
 
 // Flags returns the flags that fill the settings.
 func (s *Settings) Flags() []cli.Flag {
-	return []cli.Flag{
+	return append([]cli.Flag{
 		&cli.StringFlag{Name: "name", Usage: "unique name of this entry host", Destination: (*string)(&s.Name), Sources: environment("NAME")},
 		&cli.StringFlag{Name: "data-centre", Usage: "data centre that this host stands in", Destination: (*string)(&s.DataCentre), Sources: environment("DATA_CENTRE")},
 		&cli.StringFlag{Name: "caller-address", Usage: "IP:port for callers", Value: "127.0.0.1:8080", Destination: &s.CallerAddress, Sources: environment("CALLER_ADDRESS")},
@@ -56,7 +83,7 @@
 		&cli.DurationFlag{Name: "notice-time", Usage: "time the balancer needs to see that this host is not ready", Value: 2 * time.Second, Destination: &s.NoticeTime, Sources: environment("NOTICE_TIME")},
 		&cli.DurationFlag{Name: "stop-time", Usage: "bound on a planned stop as a whole", Value: 30 * time.Second, Destination: &s.StopTime, Sources: environment("STOP_TIME")},
 		&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info", Destination: &s.LogLevel, Sources: environment("LOG_LEVEL")},
-	}
+	}, s.securityFlags()...)
 }
 
 // Check returns an error that names the first bad flag and its value.
@@ -89,7 +116,7 @@
 	}
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
-		return nil
+		return s.checkSecurity()
 	}
 	return eris.Wrapf(ErrSetting, "--log-level %q is not debug, info, warn or error", s.LogLevel)
 }
--- a/entry/settings/settings_test.go
+++ b/entry/settings/settings_test.go
@@ -45,7 +45,7 @@
 	t.Setenv("GODWITCROSS_STOP_TIME", "45s")
 	t.Setenv("GODWITCROSS_PEERS", "127.0.0.1:1,127.0.0.1:2")
 	t.Setenv("GODWITCROSS_NOTICE_TIME", "7s")
-	s, err := parse(t, "--notice-time", "3s")
+	s, err := parse(t, append(plainText, "--notice-time", "3s")...)
 	require.NoError(t, err)
 	require.Equal(t, 45*time.Second, s.StopTime)
 	require.Equal(t, 3*time.Second, s.NoticeTime, "a flag goes before the environment")
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -43,6 +43,8 @@
 	// NoticeTime and StopTime are passed on to the entry hosts.
 	NoticeTime time.Duration
 	StopTime   time.Duration
+	// Security says how the entry hosts know their clients.
+	Security Security
 }
 
 // Entry is a running entry host.
@@ -172,6 +174,7 @@
 		PeerAddress: "127.0.0.1:0", PlatformAddress: d.PlatformAddress,
 		NoticeTime: d.o.NoticeTime, StopTime: d.o.StopTime, LogLevel: "info",
 	}
+	d.o.Security.apply(&s)
 	d.Platform.Hosts.Put(time.Now(), inventory.ListedHost{
 		ID: inventory.HostID(name), Role: inventory.RoleEntry, State: inventory.HostLive,
 		DataCentre: dc, Address: callers.Addr().String(),
--- a/standin/main.go
+++ b/standin/main.go
@@ -88,7 +88,7 @@
 	fmt.Fprintf(w, "\nTry in another shell:\n"+
 		"  curl -i -H 'Tenant: OrderDesk' http://%s/services/Prices/tiles/42\n"+
 		"  curl -i -X POST -H 'Tenant: Plant' -H 'Idempotency-Key: plan-1' http://%s/services/BatchPlans/plans\n"+
-		"  go run ./ctl --entry %s status\n"+
+		"  go run ./ctl --transport plain-text --entry %s status\n"+
 		"  curl http://%s/metrics\n"+
 		"Stop with Ctrl-C.\n", e.CallerAddress, e.CallerAddress, e.OperatorAddress, e.OperatorAddress)
 }
