test: ctl says plain text in words, and an owner can't go by itself

Cause: ctl speaks TLS unless told otherwise, so the tests against a plain stand-in host have to say so; the rule that all owners agree to the end of one was not tested. Change: the test's command line names the transport; one more row in the table. A host that answers in plain text has received nothing of the request, so the outcome is not called uncertain.

--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -116,7 +116,9 @@
 func nothingSent(err error) bool {
 	var dial *net.OpError
 	var certificate *tls.CertificateVerificationError
-	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &certificate) || errors.As(err, &dial) && dial.Op == "dial"
+	var plain tls.RecordHeaderError
+	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &certificate) || errors.As(err, &plain) ||
+		errors.As(err, &dial) && dial.Op == "dial"
 }
 
 func decode(resp *fasthttp.Response, into any) error {
--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -56,7 +56,7 @@
 	var out bytes.Buffer
 	app := New()
 	app.Writer = &out
-	if err := app.Run(context.Background(), append([]string{"ctl"}, args...)); err != nil && code == 0 {
+	if err := app.Run(context.Background(), append([]string{"ctl", "--transport", "plain-text"}, args...)); err != nil && code == 0 {
 		code = ExitFailed
 	}
 	return out.String(), code
--- a/fleet/configuration/authority_test.go
+++ b/fleet/configuration/authority_test.go
@@ -92,6 +92,7 @@
 		"its own last operator deleted":        {by: "ana", change: Change{Delete: []Key{{KindOperator, "ana"}}}, reason: "Owner/Corchos would be left without an operator"},
 		"a data centre changed by one":         {by: "ana", change: Change{Set: Objects{DataCentres: map[inventory.DataCentreID]DataCentre{"Montevideo": {Region: "South"}}}}, reason: "DataCentre/Montevideo needs the agreement of Campanella"},
 		"a third owner brought in by one":      {by: "ana", change: Change{Set: Objects{Owners: map[inventory.OwnerID]Owner{"Third": {SparePool: "T"}}, Pools: map[inventory.PoolID]Pool{"T": {Owner: "Third"}}}}, reason: "Owner/Third needs the agreement of Campanella"},
+		"an owner that goes by itself":         {by: "ana", change: Change{Delete: []Key{{KindOwner, "Corchos"}}}, reason: "Owner/Corchos needs the agreement of Campanella"},
 		"its own spare pool":                   {by: "ana", change: Change{Set: Objects{Owners: map[inventory.OwnerID]Owner{"Corchos": {SparePool: "Prices"}}}}},
 		"the other's spare pool":               {by: "ana", change: Change{Set: Objects{Owners: map[inventory.OwnerID]Owner{"Campanella": {SparePool: "Schedules"}}}}, reason: "Owner/Campanella needs the agreement of Campanella"},
 		"its own beside one that is not":       {by: "ana", change: Change{Set: hosts("c2", Host{Owner: "Corchos"}), Delete: []Key{{KindHost, "s1"}}}, reason: "Host/s1 needs the agreement of Campanella"},
