perf: validate a change by what it touches

Change: the configuration keeps which pool claims which host and brings it up to date by the touched hosts and the pools whose selectors changed; hosts are checked whole only when an owner or a data centre is touched. On an overlap everything is matched again, so the error stays the same. Waves get Period and Overrun, which the planner needs.

--- a/fleet/configuration/change.go
+++ b/fleet/configuration/change.go
@@ -106,7 +106,7 @@
 	for _, k := range touched {
 		next.Changed[k] = version
 	}
-	if err := next.Validate(); err != nil {
+	if err := next.validateChange(cfg.Objects, touched); err != nil {
 		return cfg, err
 	}
 	return next, nil
--- /dev/null
+++ b/fleet/configuration/claims_test.go
@@ -0,0 +1,65 @@
+package configuration
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/label"
+)
+
+// randomChange touches one or two objects of a small world, often badly.
+func randomChange(t *testing.T, r *rand.Rand) Change {
+	host := inventory.HostID(fmt.Sprintf("h%d", r.IntN(4)))
+	pool := inventory.PoolID([]string{"Administration", "A", "B", "C"}[r.IntN(4)])
+	labels := label.Set{"Pool": []string{"A", "B", "C"}[r.IntN(3)]}
+	switch r.IntN(6) {
+	case 0:
+		return Change{Delete: []Key{{KindHost, string(host)}}}
+	case 1:
+		return Change{Delete: []Key{{KindPool, string(pool)}}}
+	case 2:
+		texts := []string{"Pool=A", "Pool=B", "Pool in (B,C)", "Pool", "Host=h1", ""}
+		return Change{Set: Objects{Pools: map[inventory.PoolID]Pool{pool: {Owner: "Corchos", Hosts: selector(t, texts[r.IntN(len(texts))])}}}}
+	case 3:
+		return Change{Delete: []Key{{KindDataCentre, "Montevideo"}, {KindHost, string(host)}}}
+	}
+	dc := inventory.DataCentreID([]string{"Montevideo", "Montevideo", "Nowhere"}[r.IntN(3)])
+	return Change{Set: Objects{Hosts: map[inventory.HostID]Host{host: {Owner: "Corchos", DataCentre: dc, Labels: labels}}}}
+}
+
+func TestAChangeIsJudgedAsTheWholeWouldBe(t *testing.T) {
+	accepted, refused := 0, 0
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		cfg, err := Configuration{}.Apply(Change{Set: twoPools(t)}, 1)
+		require.NoError(t, err)
+		for v := Version(2); v < 60; v++ {
+			c := randomChange(t, r)
+			c.Base = v
+			next, err := cfg.Apply(c, v)
+			whole := cfg
+			whole.claims = claims{}
+			_, wholeErr := whole.Apply(c, v)
+			require.Equal(t, fmt.Sprint(wholeErr), fmt.Sprint(err), "seed %d version %d", seed, v)
+			if err != nil {
+				refused++
+				continue
+			}
+			accepted++
+			require.NoError(t, next.Objects.Validate())
+			want, err := newClaims(next.Objects)
+			require.NoError(t, err)
+			require.Equal(t, want.pools, next.claims.pools, "seed %d version %d", seed, v)
+			for p := range next.Pools {
+				require.Equal(t, want.counts[p], next.claims.counts[p])
+			}
+			cfg = next
+		}
+	}
+	require.Greater(t, accepted, 100)
+	require.Greater(t, refused, 100)
+}
--- a/fleet/configuration/configuration.go
+++ b/fleet/configuration/configuration.go
@@ -33,6 +33,8 @@
 	// Changed holds for each object the version that last touched it. Every
 	// value is at most Version.
 	Changed map[Key]Version `json:",omitempty"`
+	// claims belongs to Objects.
+	claims claims
 }
 
 // Owner is one of the parties that share the fleet.
@@ -87,6 +89,24 @@
 	return s
 }
 
+// lookup returns the given labels and the derived ones by name.
+func (h Host) lookup(id inventory.HostID) func(name string) (string, bool) {
+	return func(name string) (string, bool) {
+		switch name {
+		case LabelOwner:
+			return string(h.Owner), true
+		case LabelDataCentre:
+			return string(h.DataCentre), true
+		case LabelRack:
+			return string(h.Rack), true
+		case LabelHost:
+			return string(id), true
+		}
+		v, ok := h.Labels[name]
+		return v, ok
+	}
+}
+
 // Pool is a set of hosts, chosen by a selector, and the jobs that belong to it.
 type Pool struct {
 	Owner inventory.OwnerID
@@ -171,7 +191,8 @@
 // Wave is one pass of maintenance over pools.
 type Wave struct {
 	Owner inventory.OwnerID
-	// Pools are maintained in this order; each belongs to Owner.
+	// Pools are maintained side by side, each within its own budget; each
+	// belongs to Owner.
 	Pools []inventory.PoolID
 	// Start and Window bound the wave in each day: it reboots hosts from Start,
 	// counted from midnight UTC, for the length of Window.
@@ -179,6 +200,10 @@
 	Window Duration
 	// RebootTime is how long one host is expected to be away.
 	RebootTime Duration
+	// Period is the time from the start of one pass to the start of the next.
+	Period Duration
+	// Overrun starts a pass although its forecast goes beyond Period.
+	Overrun bool `json:",omitempty"`
 	// Paused stops new reboots; running ones end.
 	Paused bool `json:",omitempty"`
 	// Aborted ends the wave for good.
--- a/fleet/configuration/defaults.go
+++ b/fleet/configuration/defaults.go
@@ -19,6 +19,7 @@
 	DefaultMaxUnavailable = inventory.PartsPerMillion(100_000)
 	DefaultRebootTime     = Duration(5 * time.Minute)
 	DefaultWindow         = Duration(4 * time.Hour)
+	DefaultPeriod         = Duration(28 * 24 * time.Hour)
 )
 
 // WithDefaults returns the objects with every omitted field filled in.
@@ -89,5 +90,6 @@
 func (w Wave) withDefaults() Wave {
 	w.RebootTime = orDefault(w.RebootTime, DefaultRebootTime)
 	w.Window = orDefault(w.Window, DefaultWindow)
+	w.Period = orDefault(w.Period, DefaultPeriod)
 	return w
 }
--- a/fleet/configuration/reducer.go
+++ b/fleet/configuration/reducer.go
@@ -56,6 +56,11 @@
 	if err := json.Unmarshal(b, &c); err != nil {
 		return err
 	}
+	claims, err := newClaims(c.Objects)
+	if err != nil {
+		return err
+	}
+	c.claims = claims
 	r.current = c
 	return nil
 }
--- a/fleet/configuration/validate.go
+++ b/fleet/configuration/validate.go
@@ -41,17 +41,39 @@
 // Validate returns an error for the first rule that the objects break, in a
 // fixed order, so that every host refuses a change for the same reason.
 func (o Objects) Validate() error {
-	if n := len(o.Keys()); n > MaxObjects {
+	cfg := Configuration{Objects: o}
+	return cfg.validateChange(Objects{}, o.Keys())
+}
+
+// validateChange is Validate for objects that were valid before the touched ones
+// changed. It looks at the touched hosts only, unless something that all hosts
+// refer to was touched, and brings the claims up to date.
+func (cfg *Configuration) validateChange(before Objects, touched []Key) error {
+	if n := cfg.size(); n > MaxObjects {
 		return eris.Wrapf(ErrRange, "%d objects are more than %d", n, MaxObjects)
 	}
-	for _, k := range o.Keys() {
+	hosts, all := make(map[inventory.HostID]Host), false
+	for _, k := range touched {
 		if err := (label.Set{"Name": k.Name}).Validate(); err != nil || k.Name == "" {
 			return eris.Wrapf(ErrName, "%s", k)
 		}
+		if h, ok := cfg.Hosts[inventory.HostID(k.Name)]; ok && k.Kind == KindHost {
+			hosts[inventory.HostID(k.Name)] = h
+		}
+		all = all || k.Kind == KindOwner || k.Kind == KindDataCentre
+	}
+	if all {
+		hosts = cfg.Hosts
 	}
 	checks := []func() error{
-		o.validateOwners, o.validateOperators, o.validateHosts, o.validatePools,
-		o.validateServices, o.validateTenants, o.validateTeams, o.validateWaves,
+		cfg.validateOwners, cfg.validateOperators,
+		func() error { return cfg.validateHosts(hosts) },
+		func() error {
+			var err error
+			cfg.claims, err = cfg.claims.after(before, cfg.Objects, touched)
+			return err
+		},
+		cfg.validatePools, cfg.validateServices, cfg.validateTenants, cfg.validateTeams, cfg.validateWaves,
 	}
 	for _, check := range checks {
 		if err := check(); err != nil {
@@ -61,6 +83,12 @@
 	return nil
 }
 
+// size returns the number of objects.
+func (o Objects) size() int {
+	return len(o.Owners) + len(o.Operators) + len(o.DataCentres) + len(o.Hosts) + len(o.Pools) +
+		len(o.Services) + len(o.Tenants) + len(o.Teams) + len(o.Waves)
+}
+
 // each calls f for every object in order of names and wraps its error with the key.
 func each[K ~string, V any](kind ObjectKind, m map[K]V, f func(K, V) error) error {
 	for _, k := range slices.Sorted(maps.Keys(m)) {
@@ -113,8 +141,8 @@
 	})
 }
 
-func (o Objects) validateHosts() error {
-	return each(KindHost, o.Hosts, func(_ inventory.HostID, h Host) error {
+func (o Objects) validateHosts(hosts map[inventory.HostID]Host) error {
+	return each(KindHost, hosts, func(_ inventory.HostID, h Host) error {
 		if _, ok := o.DataCentres[h.DataCentre]; !ok {
 			return eris.Wrapf(ErrReference, "DataCentre %q", h.DataCentre)
 		}
@@ -135,14 +163,11 @@
 	)
 }
 
-func (o Objects) validatePools() error {
-	counts, err := o.claims()
-	if err != nil {
-		return err
-	}
+func (cfg *Configuration) validatePools() error {
+	o := cfg.Objects
 	return each(KindPool, o.Pools, func(id inventory.PoolID, p Pool) error {
 		spare := o.Owners[p.Owner].SparePool == id
-		if !spare && counts[id] == 0 {
+		if !spare && cfg.claims.counts[id] == 0 {
 			return eris.Wrapf(ErrNoMatch, "Hosts %q", p.Hosts)
 		}
 		return firstError(
@@ -155,27 +180,6 @@
 	})
 }
 
-// claims counts the hosts that each pool's selector claims.
-func (o Objects) claims() (map[inventory.PoolID]int, error) {
-	counts := make(map[inventory.PoolID]int, len(o.Pools))
-	pools := slices.Sorted(maps.Keys(o.Pools))
-	for _, h := range slices.Sorted(maps.Keys(o.Hosts)) {
-		labels := o.Hosts[h].AllLabels(h)
-		claimed := inventory.PoolID("")
-		for _, p := range pools {
-			if !o.Pools[p].Hosts.Matches(labels) {
-				continue
-			}
-			if claimed != "" {
-				return nil, eris.Wrapf(ErrOverlap, "Host/%s is claimed by Pool/%s and Pool/%s", h, claimed, p)
-			}
-			claimed = p
-		}
-		counts[claimed]++
-	}
-	return counts, nil
-}
-
 func (o Objects) validateReserve(id inventory.PoolID, p Pool) error {
 	seen := map[inventory.PoolID]bool{id: true}
 	for r := p.Reserve; r != ""; r = o.Pools[r].Reserve {
@@ -264,6 +268,7 @@
 			inRange("Start", w.Start, 0, day),
 			inRange("Window", w.Window, Duration(time.Minute), day),
 			inRange("RebootTime", w.RebootTime, Duration(time.Second), day),
+			inRange("Period", w.Period, day, 366*day),
 		)
 	})
 }
--- a/fleet/label/selector.go
+++ b/fleet/label/selector.go
@@ -62,11 +62,19 @@
 
 // Matches reports whether all terms hold for the labels.
 func (s Selector) Matches(labels Set) bool {
+	return s.MatchesLookup(func(name string) (string, bool) {
+		v, ok := labels[name]
+		return v, ok
+	})
+}
+
+// MatchesLookup is Matches for labels that are read by a function.
+func (s Selector) MatchesLookup(lookup func(name string) (string, bool)) bool {
 	if len(s.terms) == 0 {
 		return false
 	}
 	for _, t := range s.terms {
-		if !t.holds(labels) {
+		if !t.holds(lookup) {
 			return false
 		}
 	}
@@ -98,8 +106,8 @@
 	return nil
 }
 
-func (t term) holds(labels Set) bool {
-	v, ok := labels[t.name]
+func (t term) holds(lookup func(name string) (string, bool)) bool {
+	v, ok := lookup(t.name)
 	switch t.op {
 	case opIn:
 		return ok && slices.Contains(t.values, v)
