--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -13,6 +13,7 @@
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/lease"
+	"github.com/godwitcross/godwitcross/fleet/pool"
 	"github.com/godwitcross/godwitcross/fleet/state"
 )
 
@@ -20,6 +21,8 @@
 type State struct {
 	Configuration configuration.Configuration
 	Holdings      map[lease.Duty]lease.Holding
+	// Pools is nil before the first record.
+	Pools *pool.View
 	// Next is the offset of the first record that is not applied.
 	Next journal.Offset
 	// End is the end of the stream as last seen; at least Next.
@@ -91,6 +94,7 @@
 	f.out.Publish(State{
 		Configuration: f.fleet.Configuration.Current(),
 		Holdings:      f.fleet.Lease.Holdings(),
+		Pools:         f.fleet.Pools.View(),
 		Next:          fold.Next(),
 		End:           max(b.End, fold.Next()),
 		Digest:        fold.Digest(),
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,7 @@
 	"github.com/godwitcross/godwitcross/entry/caller"
 	"github.com/godwitcross/godwitcross/entry/duty"
 	"github.com/godwitcross/godwitcross/entry/follower"
+	"github.com/godwitcross/godwitcross/entry/keeper"
 	"github.com/godwitcross/godwitcross/entry/lifecycle"
 	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/operator"
@@ -92,6 +94,7 @@
 	h.operators = operator.NewServer(operator.Config{
 		Log: h.log, Name: cfg.Settings.Name, Metrics: h.metrics, State: h.state,
 		Records: records, Ready: h.readiness.Reason,
+		Routes: slices.Concat(keeper.Routes(h.state)),
 	}).HTTP()
 	h.tasks = []Task{
 		platform.NewReader(h.log, client, journal.StreamFleet, 0, batches),
@@ -102,15 +105,20 @@
 			Log: h.log, Name: cfg.Settings.Name, Stream: journal.StreamFleet, Records: records,
 			Holdings: func() duty.Holdings { return h.state.Latest().Holdings },
 			Hosts:    h.entryHosts,
-			Work:     fleetWork(),
+			Work:     h.fleetWork(client, records),
 		}),
 	}
 	return h
 }
 
 // fleetWork lists the duties of the global stream.
-func fleetWork() []duty.Work {
-	return nil
+func (h *Host) fleetWork(client *platform.Client, records *platform.Appender) []duty.Work {
+	return []duty.Work{
+		keeper.New(keeper.Config{
+			Log: h.log, Name: h.cfg.Settings.Name, State: h.state.Latest, List: h.hosts.Latest,
+			Records: records, Pools: client,
+		}),
+	}
 }
 
 // entryHosts returns the live entry hosts of the host list and this one.
--- /dev/null
+++ b/entry/keeper/routes.go
@@ -0,0 +1,103 @@
+package keeper
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/godwitcross/godwitcross/entry/follower"
+	"github.com/godwitcross/godwitcross/entry/operator"
+	"github.com/godwitcross/godwitcross/entry/view"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/pool"
+)
+
+// routes answers operators from the folded state, on every entry host alike.
+type routes struct {
+	state *view.Box[follower.State]
+}
+
+// Routes returns the operators' paths of hosts, pools and waves.
+func Routes(state *view.Box[follower.State]) []operator.Route {
+	r := routes{state: state}
+	return []operator.Route{
+		{Method: fasthttp.MethodGet, Path: "/hosts", Handle: r.hosts},
+		{Method: fasthttp.MethodGet, Path: "/pools", Handle: r.pools},
+		{Method: fasthttp.MethodGet, Path: "/waves", Handle: r.waves},
+		{Method: fasthttp.MethodGet, Path: "/explain/host", Handle: r.explainHost},
+	}
+}
+
+// latest returns the state, or refuses while no record was folded.
+func (r routes) latest(ctx *fasthttp.RequestCtx) (follower.State, bool) {
+	st := r.state.Latest()
+	if st.Pools == nil {
+		operator.Refuse(ctx, fasthttp.StatusServiceUnavailable, "no record was read from the log yet")
+		return st, false
+	}
+	return st, true
+}
+
+// HostStatus is one line of GET /hosts.
+type HostStatus struct {
+	ID inventory.HostID
+	pool.Host
+}
+
+// hosts lists all hosts in order, or those of the pool named by the query Pool.
+func (r routes) hosts(ctx *fasthttp.RequestCtx) {
+	st, ok := r.latest(ctx)
+	if !ok {
+		return
+	}
+	only := inventory.PoolID(ctx.QueryArgs().Peek("Pool"))
+	out := []HostStatus{}
+	for _, id := range slices.Sorted(maps.Keys(st.Pools.Hosts)) {
+		h := st.Pools.Hosts[id]
+		if only == "" || h.Pool == only || h.Desired == only {
+			out = append(out, HostStatus{ID: id, Host: h})
+		}
+	}
+	operator.Answer(ctx, fasthttp.StatusOK, out)
+}
+
+func (r routes) pools(ctx *fasthttp.RequestCtx) {
+	st, ok := r.latest(ctx)
+	if !ok {
+		return
+	}
+	out := []pool.Status{}
+	for _, id := range slices.Sorted(maps.Keys(st.Pools.Pools)) {
+		out = append(out, pool.NewStatus(st.Pools, id))
+	}
+	operator.Answer(ctx, fasthttp.StatusOK, out)
+}
+
+func (r routes) waves(ctx *fasthttp.RequestCtx) {
+	st, ok := r.latest(ctx)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	out := []pool.WaveStatus{}
+	for _, id := range slices.Sorted(maps.Keys(st.Configuration.Waves)) {
+		out = append(out, pool.NewWaveStatus(now, st.Configuration, st.Pools, id))
+	}
+	operator.Answer(ctx, fasthttp.StatusOK, out)
+}
+
+// explainHost says why the host named by the query Host is in its pool.
+func (r routes) explainHost(ctx *fasthttp.RequestCtx) {
+	st, ok := r.latest(ctx)
+	if !ok {
+		return
+	}
+	x, err := pool.Explain(st.Configuration, st.Pools, inventory.HostID(ctx.QueryArgs().Peek("Host")))
+	if err != nil {
+		operator.Refuse(ctx, fasthttp.StatusNotFound, err.Error())
+		return
+	}
+	operator.Answer(ctx, fasthttp.StatusOK, x)
+}
--- /dev/null
+++ b/entry/platform/pools.go
@@ -0,0 +1,33 @@
+package platform
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/pool"
+	"github.com/godwitcross/godwitcross/fleet/wave"
+)
+
+// hostCommand is the body of a command to a host.
+type hostCommand struct {
+	Epoch  journal.Epoch
+	Reboot wave.RebootID `json:",omitempty"`
+}
+
+// PoolHosts returns the hosts that the platform has not admitted.
+func (c *Client) PoolHosts() ([]pool.PlatformHost, error) {
+	var hosts []pool.PlatformHost
+	err := c.call(fasthttp.MethodGet, "/pools/hosts", nil, &hosts, CallTimeout)
+	return hosts, err
+}
+
+// Command sends a command to a host and returns the host as the platform tells of
+// it afterwards. After ErrUncertain the command may have taken effect; it is
+// idempotent. ErrRefused means an older epoch, or a host that the platform does
+// not know.
+func (c *Client) Command(cmd pool.Command, epoch journal.Epoch) (pool.PlatformHost, error) {
+	var h pool.PlatformHost
+	path := "/pools/hosts/" + string(cmd.Host) + "/" + string(cmd.Verb)
+	err := c.call(fasthttp.MethodPost, path, hostCommand{Epoch: epoch, Reboot: cmd.Reboot}, &h, CallTimeout)
+	return h, err
+}
--- /dev/null
+++ b/fleet/pool/apply.go
@@ -0,0 +1,240 @@
+package pool
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/wave"
+)
+
+func (r *Reducer) grant(e journal.Entry, g Grant) error {
+	return forEach(g.Requests, func(q Request) error {
+		h, err := r.host(q.Host)
+		if err != nil {
+			return err
+		}
+		if err := r.mayDisturb(q, h); err != nil {
+			return eris.Wrapf(err, "host %s", q.Host)
+		}
+		h.Phase, h.Wave, h.Granted, h.GrantedAt, h.Why = Draining, q.Wave, e.Offset, e.Record.At, ""
+		r.put(q.Host, h)
+		return nil
+	})
+}
+
+func (r *Reducer) mayDisturb(q Request, h Host) error {
+	if h.Failed {
+		return ErrFailed
+	}
+	if h.Phase != InService {
+		return eris.Wrapf(ErrPhase, "%s", h.Phase)
+	}
+	if q.Wave == "" && h.Desired == h.Pool {
+		return eris.Wrapf(ErrTarget, "pool %s is the desired one", h.Pool)
+	}
+	if q.Wave != "" {
+		if err := r.wants(q, h); err != nil {
+			return err
+		}
+	}
+	return r.ledger.Room(h.Place())
+}
+
+// wants returns nil if the current pass of a running wave includes the host.
+func (r *Reducer) wants(q Request, h Host) error {
+	w, ok := r.configured[q.Wave]
+	p := r.waves[q.Wave]
+	_, rebooted := p.Rebooted[q.Host]
+	switch {
+	case !ok:
+		return eris.Wrapf(ErrWave, "wave %s is not configured", q.Wave)
+	case w.Paused || w.Aborted:
+		return eris.Wrapf(ErrWave, "wave %s is paused or aborted", q.Wave)
+	case q.Pass == 0 || q.Pass != p.Pass:
+		return eris.Wrapf(ErrWave, "wave %s is in pass %d, not %d", q.Wave, p.Pass, q.Pass)
+	case rebooted:
+		return eris.Wrapf(ErrWave, "rebooted in pass %d of wave %s already", p.Pass, q.Wave)
+	case !slices.Contains(w.Pools, h.Pool):
+		return eris.Wrapf(ErrWave, "pool %s is not in wave %s", h.Pool, q.Wave)
+	}
+	return nil
+}
+
+func (r *Reducer) reboot(_ journal.Entry, b Reboot) error {
+	return forEach(b.Hosts, func(id inventory.HostID) error {
+		h, err := r.host(id)
+		if err != nil {
+			return err
+		}
+		if h.Phase != Draining || h.Wave == "" {
+			return eris.Wrapf(ErrPhase, "host %s: %q", id, h.Phase)
+		}
+		p := r.waves[h.Wave]
+		h.Phase, h.Reboot = Rebooting, wave.NewRebootID(h.Wave, p.Pass, id)
+		p.Rebooted[id] = struct{}{}
+		r.put(id, h)
+		return nil
+	})
+}
+
+func (r *Reducer) handOver(e journal.Entry, b HandOver) error {
+	return forEach(b.Moves, func(m Move) error {
+		h, err := r.host(m.Host)
+		if err != nil {
+			return err
+		}
+		if !h.IsMove() && h.Phase != Joining {
+			return eris.Wrapf(ErrPhase, "host %s: %q", m.Host, h.Phase)
+		}
+		if h.Pool != m.From || h.Desired != m.To || m.From == m.To {
+			return eris.Wrapf(ErrTarget, "host %s is in pool %s and wanted in %s", m.Host, h.Pool, h.Desired)
+		}
+		h.Phase = Joining
+		r.transfer(e, m.Host, h, m.To)
+		r.forgetEmpty()
+		return nil
+	})
+}
+
+// transfer puts a host into a pool and tells the observers.
+func (r *Reducer) transfer(e journal.Entry, id inventory.HostID, h Host, to inventory.PoolID) {
+	t := Transfer{
+		Host: id, From: h.Pool, FromOwner: r.pools[h.Pool].Owner, To: to, ToOwner: r.pools[to].Owner,
+		At: later(e.Record.At, h.Owned), Offset: e.Offset,
+	}
+	h.Pool, h.Owned, h.OwnedBy = to, t.At, e.Offset
+	r.put(id, h)
+	r.tell(t)
+}
+
+func (r *Reducer) tell(t Transfer) {
+	for _, o := range r.observers {
+		o.Transferred(t)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func (r *Reducer) admit(e journal.Entry, b Admit) error {
+	return forEach(b.Hosts, func(id inventory.HostID) error {
+		h, err := r.host(id)
+		if err != nil {
+			return err
+		}
+		if h.Phase == InService || h.Phase == Draining {
+			return eris.Wrapf(ErrPhase, "host %s: %q", id, h.Phase)
+		}
+		if h.Phase == Rebooting {
+			p := r.waves[h.Wave]
+			p.Admitted++
+			p.Away += max(e.Record.At.Sub(h.GrantedAt), 0)
+			r.waves[h.Wave] = p
+		}
+		r.put(id, h.serve())
+		return nil
+	})
+}
+
+func (r *Reducer) giveBack(_ journal.Entry, b GiveBack) error {
+	return forEach(b.Hosts, func(id inventory.HostID) error {
+		h, err := r.host(id)
+		if err != nil {
+			return err
+		}
+		if h.Phase != Draining {
+			return eris.Wrapf(ErrPhase, "host %s: %q", id, h.Phase)
+		}
+		r.put(id, h.giveBack(b.Why))
+		return nil
+	})
+}
+
+func (r *Reducer) health(_ journal.Entry, b Health) error {
+	changed := 0
+	for _, id := range b.Returned {
+		if h, ok := r.hosts[id]; ok && h.Failed {
+			h.Failed = false
+			r.put(id, h)
+			changed++
+		}
+	}
+	for _, id := range b.Failed {
+		if h, ok := r.hosts[id]; ok && !h.Failed {
+			h = h.serve()
+			h.Failed = true
+			r.put(id, h)
+			changed++
+		}
+	}
+	if changed == 0 {
+		return ErrNothing
+	}
+	r.giveBackOver("failures used the budget up")
+	return nil
+}
+
+// giveBackOver gives draining hosts back, the latest granted first, until no
+// domain is over its limit for them.
+func (r *Reducer) giveBackOver(why string) {
+	var draining []inventory.HostID
+	for id := range r.active {
+		if r.hosts[id].Phase == Draining {
+			draining = append(draining, id)
+		}
+	}
+	slices.SortFunc(draining, func(a, b inventory.HostID) int {
+		return cmp.Or(cmp.Compare(r.hosts[b].Granted, r.hosts[a].Granted), cmp.Compare(b, a))
+	})
+	for _, id := range draining {
+		h := r.hosts[id]
+		if r.ledger.MustGiveBack(h.Place()) {
+			r.put(id, h.giveBack(why))
+		}
+	}
+}
+
+func (r *Reducer) startPass(e journal.Entry, b Pass) error {
+	w, ok := r.configured[b.Wave]
+	if !ok || w.Paused || w.Aborted {
+		return eris.Wrapf(ErrWave, "wave %s is not configured, paused or aborted", b.Wave)
+	}
+	p, err := r.waves[b.Wave].Start(b.Pass, e.Record.At, b.Forecast)
+	if err != nil {
+		return err
+	}
+	r.giveBackWave(b.Wave, "the next pass of the wave began")
+	r.waves[b.Wave] = p
+	r.view = nil
+	return nil
+}
+
+func (r *Reducer) finishPass(e journal.Entry, b Finish) error {
+	p := r.waves[b.Wave]
+	if b.Pass == 0 || p.Pass != b.Pass || !p.Finished.IsZero() {
+		return eris.Wrapf(ErrWave, "wave %s is in pass %d, finished %v", b.Wave, p.Pass, !p.Finished.IsZero())
+	}
+	p.Finished = e.Record.At
+	r.waves[b.Wave] = p
+	r.view = nil
+	return nil
+}
+
+// giveBackWave gives back the hosts that drain for a wave.
+func (r *Reducer) giveBackWave(w inventory.WaveID, why string) {
+	for _, id := range slices.Sorted(maps.Keys(r.active)) {
+		if h := r.hosts[id]; h.Phase == Draining && h.Wave == w {
+			r.put(id, h.giveBack(why))
+		}
+	}
+}
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -6,18 +6,20 @@
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/lease"
+	"github.com/godwitcross/godwitcross/fleet/pool"
 )
 
 // Fleet is the state folded from the global stream.
 type Fleet struct {
 	Configuration *configuration.Reducer
 	Lease         *lease.Reducer
+	Pools         *pool.Reducer
 	fold          *journal.Fold
 }
 
 // NewFleet returns the state at offset 0.
 func NewFleet() *Fleet {
-	f := &Fleet{Configuration: configuration.NewReducer(), Lease: lease.NewReducer()}
+	f := &Fleet{Configuration: configuration.NewReducer(), Lease: lease.NewReducer(), Pools: pool.NewReducer()}
 	f.fold = journal.NewFold(f.Lease, f.reducers()...)
 	return f
 }
@@ -30,7 +32,8 @@
 // reducers lists the parts of the state.
 func (f *Fleet) reducers() []journal.Reducer {
 	return []journal.Reducer{
-		f.Configuration,
+		configured{f.Configuration, f.Pools},
 		f.Lease,
+		f.Pools,
 	}
 }
--- a/standin/platform/fleet.go
+++ b/standin/platform/fleet.go
@@ -72,8 +72,12 @@
 type Worker struct {
 	Facts inventory.WorkerFacts
 	State DrainState
-	// Epoch is the highest epoch seen in any command.
+	// Epoch is the highest epoch seen in any command to a task.
 	Epoch int64
+	// HostEpoch is the highest epoch seen in any command to the host.
+	HostEpoch int64
+	// Reboot is the identity of the last reboot that began.
+	Reboot string
 	// Reboots counts completed reboots.
 	Reboots int
 	// Back is when a running reboot ends.
@@ -165,6 +169,8 @@
 type command struct {
 	Epoch int64
 	Term  time.Duration `json:",omitempty"`
+	// Reboot is the identity of a reboot. One that was begun is not begun again.
+	Reboot string `json:",omitempty"`
 }
 
 func (p *Platform) handleWorkers(ctx *fasthttp.RequestCtx, rest []string) {
@@ -265,40 +271,3 @@
 	}
 	answer(ctx, fasthttp.StatusOK, t)
 }
-
-func (p *Platform) handlePools(ctx *fasthttp.RequestCtx, rest []string) {
-	if len(rest) != 3 || rest[0] != "hosts" {
-		refuse(ctx, fasthttp.StatusNotFound, "want /pools/hosts/{Host}/{drain|reboot|admit}")
-		return
-	}
-	var c command
-	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
-		refuse(ctx, fasthttp.StatusBadRequest, "not a command")
-		return
-	}
-	p.Fleet.mu.Lock()
-	defer p.Fleet.mu.Unlock()
-	w, ok := p.Fleet.workers[inventory.WorkerID(rest[1])]
-	if !ok {
-		refuse(ctx, fasthttp.StatusNotFound, "no such host")
-		return
-	}
-	now := p.now()
-	w.advance(now, false)
-	if c.Epoch < w.Epoch {
-		refuse(ctx, fasthttp.StatusConflict, "older epoch")
-		return
-	}
-	w.Epoch = c.Epoch
-	switch {
-	case rest[2] == "drain" && w.State == Admitted:
-		w.State = Draining
-		w.advance(now, false)
-	case rest[2] == "reboot" && w.State == Drained:
-		w.State = Rebooting
-		w.Back = now.Add(p.Fleet.RebootTime)
-	case rest[2] == "admit" && w.State != Rebooting:
-		w.State = Admitted
-	}
-	answer(ctx, fasthttp.StatusOK, w)
-}
