--- a/fleet/state/rules.go
+++ b/fleet/state/rules.go
@@ -4,6 +4,7 @@
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/lease"
+	"github.com/godwitcross/godwitcross/fleet/pool"
 )
 
 // Rules says what becomes of records of each kind while the log is away. A kind
@@ -17,5 +18,15 @@
 		lease.KindClaim: journal.Refuse,
 		// A renewal says everything that the one before it said.
 		lease.KindRenew: journal.Coalesce,
+		// The keeper decides afresh once the log is back; what it decided before
+		// may no longer be right.
+		pool.KindGrant:    journal.Refuse,
+		pool.KindReboot:   journal.Refuse,
+		pool.KindHandOver: journal.Refuse,
+		pool.KindAdmit:    journal.Refuse,
+		pool.KindGiveBack: journal.Refuse,
+		pool.KindHealth:   journal.Refuse,
+		pool.KindPass:     journal.Refuse,
+		pool.KindFinish:   journal.Refuse,
 	}
 }
--- a/standin/check/check.go
+++ b/standin/check/check.go
@@ -37,6 +37,8 @@
 	{"publish the sample configuration", publishSample},
 	{"all entry hosts are ready", allReady},
 	{"a request of each service is answered", requestEach},
+	{"a changed label moves a host", moveHost},
+	{"a wave reboots each host once", runWave},
 	{"a stopped entry host cuts off no request", stopWithRequests},
 	{"no request was executed twice", noDoubles},
 }
@@ -84,8 +86,12 @@
 
 // await repeats a question until the answer is right or the step's time is over.
 func await(ask func() error) error {
+	return awaitFor(stepTimeout, ask)
+}
+
+func awaitFor(limit time.Duration, ask func() error) error {
 	var err error
-	for end := time.Now().Add(stepTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if err = ask(); err == nil {
 			return nil
 		}
