--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -13,6 +13,7 @@
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/lease"
+	"github.com/godwitcross/godwitcross/fleet/pool"
 	"github.com/godwitcross/godwitcross/fleet/state"
 )
 
@@ -22,6 +23,8 @@
 	// Proposals wait for the agreement of other owners, oldest first.
 	Proposals []configuration.Proposal
 	Holdings  map[lease.Duty]lease.Holding
+	// Pools is nil before the first record.
+	Pools *pool.View
 	// Next is the offset of the first record that is not applied.
 	Next journal.Offset
 	// End is the end of the stream as last seen; at least Next.
@@ -94,6 +97,7 @@
 		Configuration: f.fleet.Configuration.Current(),
 		Proposals:     f.fleet.Configuration.Proposals(),
 		Holdings:      f.fleet.Lease.Holdings(),
+		Pools:         f.fleet.Pools.View(),
 		Next:          fold.Next(),
 		End:           max(b.End, fold.Next()),
 		Digest:        fold.Digest(),
--- a/fleet/configuration/difference.go
+++ b/fleet/configuration/difference.go
@@ -16,9 +16,8 @@
 	if !ok {
 		return ""
 	}
-	labels := h.AllLabels(id)
 	for p, pool := range o.Pools {
-		if pool.Hosts.Matches(labels) {
+		if pool.Claims(id, h) {
 			return p
 		}
 	}
--- a/fleet/configuration/reducer.go
+++ b/fleet/configuration/reducer.go
@@ -99,6 +99,11 @@
 	if err := json.Unmarshal(b, &s); err != nil {
 		return err
 	}
+	claims, err := newClaims(s.Current.Objects)
+	if err != nil {
+		return err
+	}
+	s.Current.claims = claims
 	r.current, r.proposals = s.Current, s.Proposals
 	return nil
 }
