--- a/fleet/journal/buffer_test.go
+++ b/fleet/journal/buffer_test.go
@@ -94,7 +94,7 @@
 func TestARepeatBeyondTheWindowIsRejected(t *testing.T) {
 	sum := &total{}
 	f := NewFold(nil, sum)
-	f.seen = NewWindow[RecordID](2)
+	f.seen = NewWindow[recordKey](2)
 	r, err := NewRecord("a", "Add", time.Unix(0, 0), "e1", 1)
 	require.NoError(t, err)
 	r.Before = 2
--- a/fleet/journal/fold.go
+++ b/fleet/journal/fold.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"errors"
+	"maps"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -74,8 +76,12 @@
 	next Offset
 	// digest chains every applied record and its verdict, so that two hosts at
 	// the same offset have the same digest exactly if they folded the same.
-	digest   uint64
-	seen     *Window[RecordID]
+	digest uint64
+	// history chains the records alone, so that hosts of two releases agree.
+	history trail
+	seen    *Window[recordKey]
+	// parts are the reducers in the order in which they were given.
+	parts    []Reducer
 	reducers map[Kind]Reducer
 	counts   map[Outcome]int64
 	// recent holds the last RecentSize verdicts, oldest first.
@@ -86,7 +92,8 @@
 func NewFold(fencer Fencer, reducers ...Reducer) *Fold {
 	f := &Fold{
 		fencer:   fencer,
-		seen:     NewWindow[RecordID](WindowSize),
+		seen:     NewWindow[recordKey](WindowSize),
+		parts:    reducers,
 		reducers: make(map[Kind]Reducer),
 		counts:   make(map[Outcome]int64),
 	}
@@ -108,6 +115,30 @@
 	return f.digest
 }
 
+// History returns the digest of the records alone up to the offset. It is known
+// for the last TrailSize offsets up to Next.
+func (f *Fold) History(o Offset) (digest uint64, known bool) {
+	return f.history.at(o)
+}
+
+// Matches reports whether the record is the one that was applied at the offset,
+// as far as the fold still knows.
+func (f *Fold) Matches(o Offset, raw []byte) bool {
+	before, known := f.history.at(o)
+	after, applied := f.history.at(o + 1)
+	return !known || !applied || chained(before, o, raw, "") == after
+}
+
+// KnownKinds returns a digest of the kinds that this release folds. Digest is
+// comparable between hosts for which it is equal.
+func (f *Fold) KnownKinds() uint32 {
+	d := xxhash.New()
+	for _, k := range slices.Sorted(maps.Keys(f.reducers)) {
+		_, _ = d.WriteString(string(k) + "\x00")
+	}
+	return uint32(d.Sum64())
+}
+
 // Counts returns how many records had each outcome.
 func (f *Fold) Counts() map[Outcome]int64 {
 	c := make(map[Outcome]int64, len(f.counts))
@@ -142,10 +173,10 @@
 	if err != nil {
 		return Unreadable, err.Error()
 	}
-	if f.seen.Contains(e.Record.ID) {
+	if f.seen.Contains(e.Record.ID.key()) {
 		return Duplicate, "the same record was applied before"
 	}
-	f.seen.Add(e.Record.ID)
+	f.seen.Add(e.Record.ID.key())
 	if b := e.Record.Before; b > 0 && e.Offset >= b {
 		return Rejected, eris.Wrapf(ErrExpired, "valid before %d", b).Error()
 	}
@@ -169,14 +200,20 @@
 }
 
 func (f *Fold) chain(v Verdict, raw []byte) {
+	f.digest = chained(f.digest, v.Offset, raw, v.Outcome)
+	f.history.add(v.Offset, raw)
+}
+
+// chained returns the digest of what was digested before and one more record.
+func chained(before uint64, o Offset, raw []byte, outcome Outcome) uint64 {
 	var head [16]byte
-	binary.BigEndian.PutUint64(head[:8], f.digest)
-	binary.BigEndian.PutUint64(head[8:], uint64(v.Offset))
+	binary.BigEndian.PutUint64(head[:8], before)
+	binary.BigEndian.PutUint64(head[8:], uint64(o))
 	d := xxhash.New()
 	_, _ = d.Write(head[:])
 	_, _ = d.Write(raw)
-	_, _ = d.WriteString(string(v.Outcome))
-	f.digest = d.Sum64()
+	_, _ = d.WriteString(string(outcome))
+	return d.Sum64()
 }
 
 func (f *Fold) remember(v Verdict) {
--- a/fleet/journal/record.go
+++ b/fleet/journal/record.go
@@ -4,6 +4,7 @@
 package journal
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"time"
 
@@ -44,6 +45,15 @@
 // uncertain append keeps its ID.
 type RecordID string
 
+// recordKey is a digest of an identity, so that remembering many of them costs
+// the same however long they are.
+type recordKey [16]byte
+
+func (id RecordID) key() recordKey {
+	sum := sha256.Sum256([]byte(id))
+	return recordKey(sum[:16])
+}
+
 // Kind names what a record's body is.
 type Kind string
 
--- /dev/null
+++ b/fleet/journal/snapshot.go
@@ -0,0 +1,153 @@
+package journal
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+
+	"github.com/rotisserie/eris"
+)
+
+// Sizes of snapshots.
+const (
+	// MaxSnapshotBytes bounds an unpacked snapshot.
+	MaxSnapshotBytes = 64 << 20
+	// SnapshotFormat is the version of a snapshot's form.
+	SnapshotFormat = 1
+)
+
+// ErrSnapshot refuses a snapshot that is torn, mixed or wrong.
+var ErrSnapshot = eris.New("snapshot refused")
+
+// Snapshot is the whole state of a fold at an offset. Hosts of one release have
+// equal snapshots at equal offsets.
+type Snapshot struct {
+	Format int
+	Stream StreamID
+	// Next is the offset of the first record that is not in the state.
+	Next    Offset
+	Digest  uint64
+	History uint64
+	Counts  map[Outcome]int64
+	// Seen has the remembered identities, 16 bytes each, oldest first.
+	Seen   []byte
+	Recent []Verdict
+	// Parts has the state of each reducer under the first of its kinds.
+	Parts map[Kind]json.RawMessage
+}
+
+// Snapshot returns the state of the fold.
+func (f *Fold) Snapshot(stream StreamID) (Snapshot, error) {
+	history, _ := f.history.at(f.next)
+	s := Snapshot{
+		Format: SnapshotFormat, Stream: stream, Next: f.next, Digest: f.digest, History: history,
+		Counts: f.Counts(), Recent: f.Recent(), Parts: make(map[Kind]json.RawMessage, len(f.parts)),
+	}
+	for _, k := range f.seen.Items() {
+		s.Seen = append(s.Seen, k[:]...)
+	}
+	for _, r := range f.parts {
+		b, err := r.MarshalState()
+		if err != nil {
+			return Snapshot{}, eris.Wrapf(err, "marshalling the state of %s", r.Kinds()[0])
+		}
+		s.Parts[r.Kinds()[0]] = b
+	}
+	return s, nil
+}
+
+// Restore puts a snapshot into a fold that has applied nothing. After an error
+// the fold must not be used any more.
+func (f *Fold) Restore(s Snapshot) error {
+	if err := f.check(s); err != nil {
+		return err
+	}
+	for _, r := range f.parts {
+		b, ok := s.Parts[r.Kinds()[0]]
+		if !ok {
+			continue
+		}
+		if err := r.UnmarshalState(b); err != nil {
+			return eris.Wrapf(ErrSnapshot, "state of %s: %s", r.Kinds()[0], err)
+		}
+	}
+	for i := 0; i < len(s.Seen); i += len(recordKey{}) {
+		f.seen.Add(recordKey(s.Seen[i : i+len(recordKey{})]))
+	}
+	for k, n := range s.Counts {
+		f.counts[k] = n
+	}
+	f.recent = append([]Verdict(nil), s.Recent...)
+	f.next, f.digest, f.history = s.Next, s.Digest, newTrail(s.Next, s.History)
+	return nil
+}
+
+// check refuses snapshots that this release can't hold whole.
+func (f *Fold) check(s Snapshot) error {
+	var total int64
+	for _, n := range s.Counts {
+		total += n
+	}
+	switch {
+	case f.next != 0:
+		return eris.Wrapf(ErrSnapshot, "the fold has applied %d records", f.next)
+	case s.Format != SnapshotFormat:
+		return eris.Wrapf(ErrSnapshot, "format %d", s.Format)
+	case s.Next < 0 || total != int64(s.Next):
+		return eris.Wrapf(ErrSnapshot, "%d verdicts up to offset %d", total, s.Next)
+	case len(s.Seen)%len(recordKey{}) != 0 || len(s.Seen) > WindowSize*len(recordKey{}):
+		return eris.Wrapf(ErrSnapshot, "%d bytes of identities", len(s.Seen))
+	case len(s.Recent) > RecentSize:
+		return eris.Wrapf(ErrSnapshot, "%d verdicts", len(s.Recent))
+	}
+	known := make(map[Kind]bool, len(f.parts))
+	for _, r := range f.parts {
+		known[r.Kinds()[0]] = true
+		if _, ok := s.Parts[r.Kinds()[0]]; !ok && s.Counts[Unknown] > 0 {
+			return eris.Wrapf(ErrSnapshot, "written by a release that did not know %s", r.Kinds()[0])
+		}
+	}
+	for k := range s.Parts {
+		if !known[k] {
+			return eris.Wrapf(ErrSnapshot, "this release does not know %s", k)
+		}
+	}
+	return nil
+}
+
+// Pack returns the snapshot in the compressed form that is kept.
+func (s Snapshot) Pack() ([]byte, error) {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, eris.Wrap(err, "packing a snapshot")
+	}
+	if err := json.NewEncoder(w).Encode(s); err != nil {
+		return nil, eris.Wrap(err, "packing a snapshot")
+	}
+	if err := w.Close(); err != nil {
+		return nil, eris.Wrap(err, "packing a snapshot")
+	}
+	return b.Bytes(), nil
+}
+
+// Unpack reads a packed snapshot.
+func Unpack(b []byte) (Snapshot, error) {
+	var s Snapshot
+	r, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return s, eris.Wrapf(ErrSnapshot, "%s", err)
+	}
+	plain, err := io.ReadAll(io.LimitReader(r, MaxSnapshotBytes+1))
+	if err != nil {
+		return s, eris.Wrapf(ErrSnapshot, "%s", err)
+	}
+	if len(plain) > MaxSnapshotBytes {
+		return s, eris.Wrapf(ErrSnapshot, "more than %d bytes", MaxSnapshotBytes)
+	}
+	if err := json.Unmarshal(plain, &s); err != nil {
+		return Snapshot{}, eris.Wrapf(ErrSnapshot, "%s", err)
+	}
+	return s, nil
+}
--- a/fleet/state/rules.go
+++ b/fleet/state/rules.go
@@ -17,5 +17,8 @@
 		lease.KindClaim: journal.Refuse,
 		// A renewal says everything that the one before it said.
 		lease.KindRenew: journal.Coalesce,
+		// A snapshot that breaks off is written anew from a newer state.
+		journal.KindSnapshotChunk: journal.Refuse,
+		journal.KindCheckpoint:    journal.Refuse,
 	}
 }
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -12,12 +12,13 @@
 type Fleet struct {
 	Configuration *configuration.Reducer
 	Lease         *lease.Reducer
+	Checkpoints   *journal.Checkpoints
 	fold          *journal.Fold
 }
 
 // NewFleet returns the state at offset 0.
 func NewFleet() *Fleet {
-	f := &Fleet{Configuration: configuration.NewReducer(), Lease: lease.NewReducer()}
+	f := &Fleet{Configuration: configuration.NewReducer(), Lease: lease.NewReducer(), Checkpoints: &journal.Checkpoints{}}
 	f.fold = journal.NewFold(f.Lease, f.reducers()...)
 	return f
 }
@@ -32,5 +33,6 @@
 	return []journal.Reducer{
 		f.Configuration,
 		f.Lease,
+		f.Checkpoints,
 	}
 }
