--- /dev/null
+++ b/fleet/membership/table_test.go
@@ -0,0 +1,112 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+)
+
+var start = time.Unix(1000, 0)
+
+func beat(name string, dc inventory.DataCentreID, inc Incarnation, seq int64) Heartbeat {
+	return Heartbeat{Name: inventory.EntryID(name), DataCentre: dc, Address: name + ":1", Incarnation: inc, Sequence: seq}
+}
+
+func newTable() *Table {
+	return NewTable(Config{Name: "me", DataCentre: "A", Rand: rand.New(rand.NewPCG(1, 1))})
+}
+
+func TestHearTakesOnlyNews(t *testing.T) {
+	tests := []struct {
+		name string
+		beat Heartbeat
+		news int
+	}{
+		{"first", beat("e1", "A", 5, 3), 1},
+		{"repeat", beat("e1", "A", 5, 3), 0},
+		{"late one", beat("e1", "A", 5, 2), 0},
+		{"late one of an earlier start", beat("e1", "A", 4, 9), 0},
+		{"a later start begins to count anew", beat("e1", "A", 6, 1), 1},
+		{"of itself", beat("me", "A", 9, 9), 0},
+		{"without an address", Heartbeat{Name: "e2", DataCentre: "A"}, 0},
+	}
+	table := newTable()
+	for _, test := range tests {
+		require.Equal(t, test.news, table.Hear(start, []Heartbeat{test.beat}), test.name)
+	}
+}
+
+func TestSilenceMakesAPeerSuspectThenGone(t *testing.T) {
+	table := newTable()
+	table.Hear(start, []Heartbeat{beat("e1", "A", 1, 1)})
+	for _, test := range []struct {
+		silence time.Duration
+		want    State
+	}{{0, Alive}, {SuspectAfter - 1, Alive}, {SuspectAfter, Suspect}, {GoneAfter, Gone}} {
+		require.Equal(t, test.want, table.Peers(start.Add(test.silence))[0].State, test.silence)
+	}
+	require.Len(t, table.Tell(start.Add(GoneAfter), beat("me", "A", 1, 1)), 1, "nobody is told of a gone peer")
+	table.Hear(start.Add(GoneAfter), []Heartbeat{beat("e1", "A", 1, 2)})
+	require.Equal(t, Alive, table.Peers(start.Add(GoneAfter))[0].State)
+	table.Forget(start.Add(GoneAfter + ForgetAfter))
+	require.Empty(t, table.Peers(start))
+}
+
+func TestALeavingHostIsGoneAtOnceAndDoesNotComeBackByHearsay(t *testing.T) {
+	table := newTable()
+	table.Hear(start, []Heartbeat{beat("e1", "A", 1, 1)})
+	last := beat("e1", "A", 1, 3)
+	last.Leaving = true
+	table.Hear(start, []Heartbeat{last})
+	require.Equal(t, Gone, table.Peers(start)[0].State)
+	table.Hear(start, []Heartbeat{beat("e1", "A", 1, 2)})
+	require.Equal(t, Gone, table.Peers(start)[0].State)
+}
+
+func TestWhatATableKeepsAndTellsIsBounded(t *testing.T) {
+	table := newTable()
+	for i := range 2 * MaxLocal {
+		table.Hear(start, []Heartbeat{beat(fmt.Sprint("a", i), "A", 1, 1), beat(fmt.Sprint("b", i), "B", 1, 1)})
+	}
+	for i := range 2 * MaxDataCentres {
+		table.Hear(start, []Heartbeat{beat(fmt.Sprint("c", i), inventory.DataCentreID(fmt.Sprint("C", i)), 1, 1)})
+	}
+	counts := make(map[inventory.DataCentreID]int)
+	for _, p := range table.Peers(start) {
+		counts[p.DataCentre]++
+	}
+	require.Equal(t, MaxLocal, counts["A"])
+	require.Equal(t, MaxContacts, counts["B"])
+	require.Len(t, counts, MaxDataCentres)
+	require.Len(t, table.Tell(start, beat("me", "A", 1, 1)), 1+TellLocal+TellContacts)
+}
+
+func TestCompareSeesLagAndDivergence(t *testing.T) {
+	own := Heartbeat{Applied: 10, Digest: 100, History: 1000, KnownKinds: 7}
+	history := func(o journal.Offset) (uint64, bool) { return uint64(o) * 100, o >= 5 }
+	tests := []struct {
+		name string
+		peer Heartbeat
+		want Relation
+	}{
+		{"the same", Heartbeat{Applied: 10, Digest: 100, History: 1000, KnownKinds: 7}, Same},
+		{"folded otherwise", Heartbeat{Applied: 10, Digest: 101, History: 1000, KnownKinds: 7}, Diverged},
+		{"of another release", Heartbeat{Applied: 10, Digest: 101, History: 1000, KnownKinds: 8}, Same},
+		{"other records", Heartbeat{Applied: 10, Digest: 101, History: 999, KnownKinds: 7}, OtherLog},
+		{"ahead", Heartbeat{Applied: 11}, Ahead},
+		{"behind", Heartbeat{Applied: 6, History: 600}, Behind},
+		{"behind with other records", Heartbeat{Applied: 6, History: 601}, OtherLog},
+		{"too far behind to tell", Heartbeat{Applied: 4, History: 1}, Behind},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.Equal(t, test.want, Compare(own, Peer{Heartbeat: test.peer}, history))
+		})
+	}
+}
