--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/godwitcross/godwitcross/entry/platform"
@@ -16,6 +17,9 @@
 	"github.com/godwitcross/godwitcross/fleet/state"
 )
 
+// ErrChanged means that the log has another record at an applied offset.
+var ErrChanged = eris.New("a record changed under the same offset")
+
 // State is the folded state at an offset.
 type State struct {
 	Configuration configuration.Configuration
@@ -23,8 +27,20 @@
 	// Next is the offset of the first record that is not applied.
 	Next journal.Offset
 	// End is the end of the stream as last seen; at least Next.
-	End    journal.Offset
+	End journal.Offset
+	// Oldest is the offset of the oldest record that the log keeps.
+	Oldest journal.Offset
 	Digest uint64
+	// History is the digest of the records alone.
+	History    uint64
+	KnownKinds uint32
+	// Checkpoint names the newest snapshot that is whole in the log.
+	Checkpoint journal.Checkpoint
+	// Fault is set for good once the log contradicted itself; from then on
+	// nothing is applied.
+	Fault string
+	// ReadAt is when the log last answered this host, on this host's clock.
+	ReadAt time.Time
 	// AppliedAt is when the last batch was applied, on this host's clock.
 	AppliedAt time.Time
 	Counts    map[journal.Outcome]int64
@@ -48,11 +64,23 @@
 	fleet *state.Fleet
 	in    <-chan platform.Batch
 	out   *view.Box[State]
+	// calls are what other tasks ask; Run answers one at a time.
+	calls chan call
+	// ended is closed when Run returns.
+	ended  chan struct{}
+	tail   tail
+	end    journal.Offset
+	oldest journal.Offset
+	fault  string
+	readAt time.Time
 }
 
 // New returns a task that folds the batches of in and publishes into out.
 func New(log logrus.FieldLogger, fleet *state.Fleet, in <-chan platform.Batch, out *view.Box[State]) *Follower {
-	return &Follower{log: log, fleet: fleet, in: in, out: out}
+	return &Follower{
+		log: log, fleet: fleet, in: in, out: out,
+		calls: make(chan call), ended: make(chan struct{}), tail: tail{first: fleet.Fold().Next()},
+	}
 }
 
 // Name returns the task's name.
@@ -62,10 +90,14 @@
 
 // Run folds until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
+	defer close(f.ended)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case c := <-f.calls:
+			c.do()
+			close(c.done)
 		case b := <-f.in:
 			f.apply(b, time.Now())
 		}
@@ -73,27 +105,66 @@
 }
 
 func (f *Follower) apply(b platform.Batch, now time.Time) {
-	fold := f.fleet.Fold()
+	f.end, f.oldest = max(f.end, b.End), max(f.oldest, b.Oldest)
+	if !b.Relayed {
+		f.readAt = now
+	}
+	if b.Fault != nil {
+		f.fail(b.Fault)
+	}
 	for i, raw := range b.Records {
-		o := b.First + journal.Offset(i)
-		if o < fold.Next() {
-			continue
+		if f.fault != "" || !f.applyOne(b.First+journal.Offset(i), raw) {
+			break
 		}
-		v, err := fold.Apply(o, raw)
-		if err != nil {
-			f.log.WithError(err).Error("the stream has a gap")
-			return
-		}
-		if v.Outcome != journal.Accepted {
-			f.log.WithField("Verdict", v).Warn("record not accepted")
+	}
+	f.publish(now)
+}
+
+// applyOne folds one record and reports whether the next one may follow.
+func (f *Follower) applyOne(o journal.Offset, raw []byte) bool {
+	fold := f.fleet.Fold()
+	if o < fold.Next() {
+		if !fold.Matches(o, raw) {
+			f.fail(eris.Wrapf(ErrChanged, "at offset %d", o))
 		}
+		return true
+	}
+	v, err := fold.Apply(o, raw)
+	if err != nil {
+		f.log.WithError(err).Warn("records beyond the next one are passed over")
+		return false
+	}
+	f.tail.add(raw)
+	if v.Outcome != journal.Accepted {
+		f.log.WithField("Verdict", v).Warn("record not accepted")
 	}
+	return true
+}
+
+// fail stops following for good: a log that contradicts itself can't be
+// followed without a step back.
+func (f *Follower) fail(err error) {
+	if f.fault == "" {
+		f.log.WithError(err).Error("the log contradicts itself, nothing more is applied")
+		f.fault = err.Error()
+	}
+}
+
+func (f *Follower) publish(now time.Time) {
+	fold := f.fleet.Fold()
+	history, _ := fold.History(fold.Next())
 	f.out.Publish(State{
 		Configuration: f.fleet.Configuration.Current(),
 		Holdings:      f.fleet.Lease.Holdings(),
 		Next:          fold.Next(),
-		End:           max(b.End, fold.Next()),
+		End:           max(f.end, fold.Next()),
+		Oldest:        f.oldest,
 		Digest:        fold.Digest(),
+		History:       history,
+		KnownKinds:    fold.KnownKinds(),
+		Checkpoint:    f.fleet.Checkpoints.Last(),
+		Fault:         f.fault,
+		ReadAt:        f.readAt,
 		AppliedAt:     now,
 		Counts:        fold.Counts(),
 		Recent:        fold.Recent(),
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -21,8 +21,10 @@
 	"github.com/godwitcross/godwitcross/entry/lifecycle"
 	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/operator"
+	"github.com/godwitcross/godwitcross/entry/peer"
 	"github.com/godwitcross/godwitcross/entry/platform"
 	"github.com/godwitcross/godwitcross/entry/settings"
+	"github.com/godwitcross/godwitcross/entry/snapshot"
 	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
@@ -61,6 +63,13 @@
 	caller    *caller.Server
 	callers   *fasthttp.Server
 	operators *fasthttp.Server
+	follower  *follower.Follower
+	loader    *snapshot.Loader
+	peers     *view.Box[peer.View]
+	exchanger *peer.Exchanger
+	relay     *peer.Relay
+	peering   *peer.Server
+	client    *peer.Client
 	tasks     []Task
 	// last are tasks that end after all others have ended.
 	last []Task
@@ -89,20 +98,24 @@
 		State: h.state, Hosts: h.hosts, Pool: h.backends, Stopping: h.readiness.IsStopping,
 	})
 	h.callers = h.caller.HTTP()
+	h.join(client, batches)
 	h.operators = operator.NewServer(operator.Config{
 		Log: h.log, Name: cfg.Settings.Name, Metrics: h.metrics, State: h.state,
 		Records: records, Ready: h.readiness.Reason,
 	}).HTTP()
 	h.tasks = []Task{
-		platform.NewReader(h.log, client, journal.StreamFleet, 0, batches),
-		follower.New(h.log, state.NewFleet(), batches, h.state),
+		platform.NewReader(h.log, client, journal.StreamFleet, 0, batches).RestoreWith(h.loader.Restore),
+		h.follower,
+		h.exchanger,
+		h.relay,
+		snapshot.NewAlarm(h.log, h.metrics, h.state),
 		platform.NewHostListReader(h.log, client, h.hosts),
-		lifecycle.NewStarter(h.log, h.readiness, h.state, h.hosts),
+		lifecycle.NewStarter(h.log, h.readiness, h.state, h.hosts, h.behindPeer),
 		duty.NewRunner(duty.Config{
 			Log: h.log, Name: cfg.Settings.Name, Stream: journal.StreamFleet, Records: records,
 			Holdings: func() duty.Holdings { return h.state.Latest().Holdings },
 			Hosts:    h.entryHosts,
-			Work:     fleetWork(),
+			Work:     append([]duty.Work{h.snapshotWriter(records)}, fleetWork()...),
 		}),
 	}
 	return h
@@ -135,11 +148,22 @@
 	if err != nil {
 		return eris.Wrap(err, "listening for operators")
 	}
-	return h.Serve(ctx, callers, operators)
+	peers, err := net.Listen("tcp", h.cfg.Settings.PeerAddress)
+	if err != nil {
+		return eris.Wrap(err, "listening for peers")
+	}
+	return h.Serve(ctx, Listeners{Callers: callers, Operators: operators, Peers: peers})
+}
+
+// Listeners are open sockets that a host serves on.
+type Listeners struct {
+	Callers   net.Listener
+	Operators net.Listener
+	Peers     net.Listener
 }
 
 // Serve is Run on listeners that are open already.
-func (h *Host) Serve(ctx context.Context, callers, operators net.Listener) error {
+func (h *Host) Serve(ctx context.Context, l Listeners) error {
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, work := errgroup.WithContext(work)
@@ -152,16 +176,19 @@
 	for _, t := range h.tasks {
 		g.Go(func() error { return eris.Wrapf(t.Run(work), "task %s", t.Name()) })
 	}
-	g.Go(func() error { return eris.Wrap(h.callers.Serve(callers), "serving callers") })
-	g.Go(func() error { return eris.Wrap(h.operators.Serve(operators), "serving operators") })
-	h.log.WithFields(logrus.Fields{"Callers": callers.Addr().String(), "Operators": operators.Addr().String()}).Info("listening")
+	g.Go(func() error { return eris.Wrap(h.callers.Serve(l.Callers), "serving callers") })
+	g.Go(func() error { return eris.Wrap(h.operators.Serve(l.Operators), "serving operators") })
+	g.Go(func() error { return h.peering.Serve(l.Peers) })
+	h.log.WithFields(logrus.Fields{"Callers": l.Callers.Addr().String(), "Operators": l.Operators.Addr().String(), "Peers": l.Peers.Addr().String()}).Info("listening")
 	select {
 	case <-ctx.Done():
 	case <-work.Done():
 	}
 	h.stop()
 	stop()
+	h.peering.Close()
 	err := g.Wait()
+	h.client.Close()
 	stopLater()
 	return errors.Join(err, last.Wait())
 }
--- a/entry/lifecycle/readiness.go
+++ b/entry/lifecycle/readiness.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -68,11 +69,19 @@
 	readiness *Readiness
 	state     *view.Box[follower.State]
 	hosts     *view.Box[inventory.HostList]
+	checks    []Check
 }
 
-// NewStarter returns a task that ends once the host is ready.
-func NewStarter(log logrus.FieldLogger, r *Readiness, state *view.Box[follower.State], hosts *view.Box[inventory.HostList]) *Starter {
-	return &Starter{log: log, readiness: r, state: state, hosts: hosts}
+// Check returns why a host with the state is not ready yet, or an empty text.
+type Check func(st follower.State) string
+
+// checkEvery is the time after which checks are made again at the latest.
+const checkEvery = 200 * time.Millisecond
+
+// NewStarter returns a task that ends once the host is ready and passes the
+// checks.
+func NewStarter(log logrus.FieldLogger, r *Readiness, state *view.Box[follower.State], hosts *view.Box[inventory.HostList], checks ...Check) *Starter {
+	return &Starter{log: log, readiness: r, state: state, hosts: hosts, checks: checks}
 }
 
 // Name returns the task's name.
@@ -85,7 +94,7 @@
 	for {
 		st, stateChanged := s.state.Watch()
 		l, listChanged := s.hosts.Watch()
-		why := missing(st, l)
+		why := s.missing(st, l)
 		if why == "" {
 			s.readiness.Set("")
 			s.log.WithField("Version", st.Configuration.Version).Info("ready")
@@ -95,13 +104,14 @@
 		select {
 		case <-stateChanged:
 		case <-listChanged:
+		case <-time.After(checkEvery):
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-func missing(st follower.State, l inventory.HostList) string {
+func (s *Starter) missing(st follower.State, l inventory.HostList) string {
 	switch {
 	case st.Next == 0:
 		return "no configuration was read from the log yet"
@@ -110,5 +120,10 @@
 	case l.At.IsZero():
 		return "no host list was read yet"
 	}
+	for _, check := range s.checks {
+		if why := check(st); why != "" {
+			return why
+		}
+	}
 	return ""
 }
--- a/entry/platform/client.go
+++ b/entry/platform/client.go
@@ -24,6 +24,8 @@
 	ErrUncertain = eris.New("platform gave no answer")
 	// ErrForgotten means that the log no longer keeps the records asked for.
 	ErrForgotten = eris.New("records are no longer kept")
+	// ErrMovedBack means that a stream ends before records that were read.
+	ErrMovedBack = eris.New("the log's end moved back")
 	// ErrRefused means that the service refused the request itself.
 	ErrRefused = eris.New("platform refused")
 )
@@ -73,6 +75,10 @@
 	Oldest journal.Offset
 	// Records are encoded; the first has the offset First.
 	Records []json.RawMessage
+	// Relayed is set for records that came from a peer.
+	Relayed bool `json:"-"`
+	// Fault is set if the log contradicts what it said before.
+	Fault error `json:"-"`
 }
 
 // appendRequest is the body of an append.
--- /dev/null
+++ b/entry/snapshot/writer.go
@@ -0,0 +1,108 @@
+// Package snapshot writes snapshots of the folded state into the log, restores
+// them, and warns while there is time to.
+package snapshot
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/godwitcross/godwitcross/entry/follower"
+	"github.com/godwitcross/godwitcross/entry/view"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/lease"
+)
+
+// Duty is the duty of writing snapshots of the global stream.
+const Duty lease.Duty = "Snapshots"
+
+// Source gives snapshots of the folded state.
+type Source interface {
+	Snapshot(ctx context.Context) (journal.Snapshot, error)
+}
+
+// RecordAppender adds a record to a stream of the log.
+type RecordAppender interface {
+	Append(ctx context.Context, stream journal.StreamID, r journal.Record) error
+}
+
+// WriterConfig is what a writer is built from.
+type WriterConfig struct {
+	Log     logrus.FieldLogger
+	Name    inventory.EntryID
+	State   *view.Box[follower.State]
+	Source  Source
+	Records RecordAppender
+	// Doubt returns why this host's state must not be kept, or an empty text.
+	Doubt func() string
+}
+
+// Writer writes a snapshot whenever one is due. Two writers at once do no harm:
+// their chunks have different names, and the checkpoint carries the epoch.
+type Writer struct {
+	cfg WriterConfig
+}
+
+// NewWriter returns the work of the duty.
+func NewWriter(cfg WriterConfig) *Writer {
+	return &Writer{cfg: cfg}
+}
+
+// Duty returns the duty that guards the work.
+func (w *Writer) Duty() lease.Duty {
+	return Duty
+}
+
+// Tick writes a snapshot if one is due.
+func (w *Writer) Tick(ctx context.Context, now time.Time, epoch journal.Epoch) error {
+	st := w.cfg.State.Latest()
+	if !st.Checkpoint.Due(journal.MarginOf(st.Oldest, st.End, st.Checkpoint.Next), st.Next, now) {
+		return nil
+	}
+	if why := w.cfg.Doubt(); why != "" {
+		return eris.Wrap(journal.ErrSnapshot, why)
+	}
+	s, err := w.cfg.Source.Snapshot(ctx)
+	if err != nil {
+		return err
+	}
+	return w.write(ctx, s, now, epoch)
+}
+
+// write appends all chunks, then the checkpoint that names them.
+func (w *Writer) write(ctx context.Context, s journal.Snapshot, now time.Time, epoch journal.Epoch) error {
+	id := journal.SnapshotID(uuid.NewString())
+	chunks, err := journal.Split(s, id)
+	if err != nil {
+		return err
+	}
+	for _, c := range chunks {
+		name := journal.RecordID(fmt.Sprintf("%s-%d", id, c.Index))
+		if err := w.append(ctx, journal.StreamSnapshots(s.Stream), name, journal.KindSnapshotChunk, c, now, 0); err != nil {
+			return err
+		}
+	}
+	c := journal.Checkpoint{Snapshot: id, Next: s.Next, Digest: s.Digest, At: now.UTC()}
+	if err := w.append(ctx, s.Stream, journal.RecordID(id), journal.KindCheckpoint, c, now, epoch); err != nil {
+		return err
+	}
+	w.cfg.Log.WithFields(logrus.Fields{"Next": s.Next, "Chunks": len(chunks)}).Info("snapshot written")
+	return nil
+}
+
+// append adds one record, fenced by the duty if an epoch is given.
+func (w *Writer) append(ctx context.Context, stream journal.StreamID, id journal.RecordID, kind journal.Kind, body any, now time.Time, epoch journal.Epoch) error {
+	r, err := journal.NewRecord(id, kind, now, string(w.cfg.Name), body)
+	if err != nil {
+		return err
+	}
+	if epoch > 0 {
+		r.Duty, r.Epoch = string(Duty), epoch
+	}
+	return w.cfg.Records.Append(ctx, stream, r)
+}
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -166,10 +166,14 @@
 	if err != nil {
 		return nil, err
 	}
+	peers, err := d.listen(network.Zone(dc))
+	if err != nil {
+		return nil, err
+	}
 	s := settings.Settings{
-		Name: name, DataCentre: dc,
+		Name: name, DataCentre: dc, Peers: d.peerAddresses(),
 		CallerAddress: callers.Addr().String(), OperatorAddress: operators.Addr().String(),
-		PeerAddress: "127.0.0.1:0", PlatformAddress: d.PlatformAddress,
+		PeerAddress: peers.Addr().String(), PlatformAddress: d.PlatformAddress,
 		NoticeTime: d.o.NoticeTime, StopTime: d.o.StopTime, LogLevel: "info",
 	}
 	d.Platform.Hosts.Put(time.Now(), inventory.ListedHost{
@@ -180,11 +184,22 @@
 	h := host.New(host.Config{Settings: s, Log: d.o.Log, Dial: p.dialer(d.Network.Dialer(network.Zone(dc)))})
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Entry{Settings: s, stop: stop, done: make(chan error, 1), power: p}
-	go func() { e.done <- h.Serve(ctx, p.listener(callers), p.listener(operators)) }()
+	go func() {
+		e.done <- h.Serve(ctx, host.Listeners{Callers: p.listener(callers), Operators: p.listener(operators), Peers: p.listener(peers)})
+	}()
 	d.Entries = append(d.Entries, e)
 	return e, nil
 }
 
+// peerAddresses returns the peer addresses of the entry hosts started so far.
+func (d *Deployment) peerAddresses() []string {
+	var addresses []string
+	for _, e := range d.Entries {
+		addresses = append(addresses, e.Settings.PeerAddress)
+	}
+	return addresses
+}
+
 // Executions returns how often each request key was executed by any backend server.
 func (d *Deployment) Executions() map[string]int {
 	total := make(map[string]int)
