--- a/fleet/state/rules.go
+++ b/fleet/state/rules.go
@@ -29,5 +29,8 @@
 		pool.KindHealth:   journal.Refuse,
 		pool.KindPass:     journal.Refuse,
 		pool.KindFinish:   journal.Refuse,
+		// A snapshot that breaks off is written anew from a newer state.
+		journal.KindSnapshotChunk: journal.Refuse,
+		journal.KindCheckpoint:    journal.Refuse,
 	}
 }
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -14,12 +14,18 @@
 	Configuration *configuration.Reducer
 	Lease         *lease.Reducer
 	Pools         *pool.Reducer
+	Checkpoints   *journal.Checkpoints
 	fold          *journal.Fold
 }
 
 // NewFleet returns the state at offset 0.
 func NewFleet() *Fleet {
-	f := &Fleet{Configuration: configuration.NewReducer(), Lease: lease.NewReducer(), Pools: pool.NewReducer()}
+	f := &Fleet{
+		Configuration: configuration.NewReducer(),
+		Lease:         lease.NewReducer(),
+		Pools:         pool.NewReducer(),
+		Checkpoints:   &journal.Checkpoints{},
+	}
 	f.fold = journal.NewFold(f.Lease, f.reducers()...)
 	return f
 }
@@ -35,5 +41,6 @@
 		configured{f.Configuration, f.Pools},
 		f.Lease,
 		f.Pools,
+		f.Checkpoints,
 	}
 }
