feat: one pure dispatcher decides on every request of an entry host

Cause: choice of server, tries and outcomes were decided in the handlers under a lock, without queues, classes, deadlines, shares between entry hosts, health of servers, or claims of keys.

Change: fleet/dispatch takes events and returns actions, with the time as an argument, over fleet/admission (urgent classes first, weights for classes and tenants, earliest deadline first, early refusal), fleet/routing (slots dealt to the entry hosts, borrowing, ejection, slow return, signs of leaving) and fleet/retry (truth of outcomes, budget). A task in entry/caller owns it. Keys of requests that are not idempotent are claimed through the log in groups (fleet/claim, entry/claimer).

--- a/bench/policy/list.go
+++ b/bench/policy/list.go
@@ -5,4 +5,6 @@
 import "github.com/godwitcross/godwitcross/bench/measure"
 
 // Measurements are all measurements of policies, in order.
-var Measurements []measure.Measurement
+var Measurements = []measure.Measurement{
+	requests,
+}
--- /dev/null
+++ b/bench/policy/requests_server.go
@@ -0,0 +1,154 @@
+package policy
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/dispatch"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/retry"
+	"github.com/godwitcross/godwitcross/fleet/routing"
+)
+
+// fakeServer is a backend server with slots.
+type fakeServer struct {
+	id         inventory.InstanceID
+	service    inventory.ServiceID
+	dataCentre inventory.DataCentreID
+	busy       int
+	dead       bool
+	leaving    bool
+	// leavingSeen is when an entry host first saw a sign of leaving.
+	leavingSeen time.Time
+	// slow multiplies the work of each request.
+	slow time.Duration
+	// lost counts down answers that are lost after the work was done.
+	lost int
+	// life grows with each death; work of an earlier life gets no answer.
+	life int
+}
+
+func (w *world) addServer(v inventory.ServiceID, i int) {
+	s := &fakeServer{id: inventory.InstanceID(fmt.Sprintf("%s-%02d", v, i)), service: v, dataCentre: dataCentre(i), slow: 1}
+	w.servers[s.id] = s
+	w.list = append(w.list, inventory.ListedHost{
+		ID: inventory.HostID(s.id), Role: inventory.RoleBackend, State: inventory.HostLive,
+		DataCentre: s.dataCentre, Service: v, Address: string(s.id),
+	})
+}
+
+// setState changes what the platform's list says of a server.
+func (w *world) setState(id inventory.InstanceID, state inventory.HostState) {
+	for i := range w.list {
+		if w.list[i].ID == inventory.HostID(id) {
+			w.list[i].State = state
+		}
+	}
+	w.publish()
+}
+
+func latency(a, b inventory.DataCentreID) time.Duration {
+	if a == b {
+		return localLatency
+	}
+	return remoteLatency
+}
+
+// send carries a request to its server and the result back.
+func (w *world) send(h *fakeHost, c *fakeCall, a dispatch.Action) {
+	s := w.servers[a.Instance.ID]
+	w.tally.sendings++
+	if c.sendings == 0 {
+		w.tally.firstSendings++
+		c.firstSent = w.now
+	}
+	c.sendings++
+	if !s.leavingSeen.IsZero() && w.now.Sub(s.leavingSeen) >= leavingGrace {
+		w.tally.sentToLeaving++
+	}
+	way := latency(h.dataCentre, s.dataCentre)
+	back := func(r dispatch.Result) {
+		w.after(way, func() {
+			if r.Sign != routing.NoSign && s.leavingSeen.IsZero() {
+				s.leavingSeen = w.now
+			}
+			h.Ended(c.ID, r, w.now)
+			w.act(h)
+		})
+	}
+	w.after(way, func() { w.serve(s, c, back) })
+}
+
+func (w *world) serve(s *fakeServer, c *fakeCall, back func(dispatch.Result)) {
+	switch {
+	case s.dead:
+		back(dispatch.Result{Result: retry.ResultNotSent})
+		return
+	case s.leaving:
+		back(dispatch.Result{Result: retry.ResultRefused, Sign: routing.SignRefusal})
+		return
+	case s.busy >= slotsEach:
+		back(dispatch.Result{Result: retry.ResultRefused})
+		return
+	}
+	s.busy++
+	life := s.life
+	c.executed++
+	if c.executed > 1 && !c.Idempotent {
+		w.tally.doubles++
+	}
+	began := w.now
+	w.after(c.work*s.slow, func() {
+		if s.life != life {
+			back(dispatch.Result{Result: retry.ResultNoAnswer})
+			return
+		}
+		s.busy--
+		w.tally.work(w, s.service, c, began, w.now)
+		if s.lost > 0 {
+			s.lost--
+			back(dispatch.Result{Result: retry.ResultNoAnswer})
+			return
+		}
+		sign := routing.NoSign
+		if s.leaving {
+			sign = routing.SignHeader
+		}
+		back(dispatch.Result{Result: retry.ResultAnswered, Sign: sign})
+	})
+}
+
+func (s *fakeServer) die() {
+	s.dead, s.busy = true, 0
+	s.life++
+}
+
+// scene is what happens to the servers during a run.
+type scene struct {
+	name, suffix string
+	play         func(w *world)
+}
+
+// scenes are the runs of each policy.
+var scenes = []scene{
+	{"bursts", "", func(*world) {}},
+	{"bursts with faults", ".faults", playFaults},
+}
+
+// playFaults brings the failures of the brief into the second burst of each
+// service: a server leaves, one dies, one becomes slow and one loses answers.
+func playFaults(w *world) {
+	for v := range servicesCount {
+		id := func(i int) inventory.InstanceID {
+			return inventory.InstanceID(fmt.Sprintf("%s-%02d", service(v), i))
+		}
+		burst := cycle - time.Duration(v)*cycle/servicesCount
+		w.after(burst+500*time.Millisecond, func() {
+			w.servers[id(0)].leaving = true
+			w.setState(id(0), inventory.HostLeaving)
+		})
+		w.after(burst+800*time.Millisecond, func() { w.servers[id(1)].die() })
+		w.after(burst+time.Second, func() { w.servers[id(2)].slow = 10 })
+		w.after(burst+1200*time.Millisecond, func() { w.servers[id(3)].lost = 5 })
+	}
+}
--- a/entry/backend/conn.go
+++ b/entry/backend/conn.go
@@ -6,7 +6,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -22,6 +24,9 @@
 	ErrNoAnswer = eris.New("no whole answer")
 )
 
+// maxInterim bounds the interim answers before a final one.
+const maxInterim = 8
+
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
@@ -52,18 +57,62 @@
 		return eris.Wrapf(ErrNotSent, "%s", err)
 	}
 	if err := req.Write(c.w); err != nil {
-		return eris.Wrapf(ErrNoAnswer, "writing: %s", err)
+		return eris.Wrap(errors.Join(ErrNoAnswer, err), "writing")
 	}
 	if err := c.w.Flush(); err != nil {
-		return eris.Wrapf(ErrNoAnswer, "writing: %s", err)
+		return eris.Wrap(errors.Join(ErrNoAnswer, err), "writing")
+	}
+	return c.read(resp, string(req.Header.Method()) == fasthttp.MethodHead, limit)
+}
+
+// read passes interim answers over and reads the final one. An answer whose
+// length only the end of the connection tells can't be told from a cut one and
+// counts as none.
+func (c *Conn) read(resp *fasthttp.Response, head bool, limit int) error {
+	for range maxInterim {
+		resp.Reset()
+		resp.SkipBody = head
+		if err := resp.ReadLimitBody(c.r, limit); err != nil {
+			return eris.Wrap(errors.Join(ErrNoAnswer, err), "reading")
+		}
+		status := resp.StatusCode()
+		if status == fasthttp.StatusSwitchingProtocols {
+			return eris.Wrap(ErrNoAnswer, "the server changed the protocol")
+		}
+		if status >= fasthttp.StatusOK {
+			return checkLength(resp, head)
+		}
+	}
+	return eris.Wrap(ErrNoAnswer, "too many interim answers")
+}
+
+func checkLength(resp *fasthttp.Response, head bool) error {
+	status := resp.StatusCode()
+	if head || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return nil
 	}
-	resp.SkipBody = string(req.Header.Method()) == fasthttp.MethodHead
-	if err := resp.ReadLimitBody(c.r, limit); err != nil {
-		return eris.Wrapf(ErrNoAnswer, "reading: %s", err)
+	if resp.Header.ContentLength() == lengthUntilClose {
+		return eris.Wrap(ErrNoAnswer, "the answer does not tell its length")
 	}
 	return nil
 }
 
+// lengthUntilClose is the library's mark of a body that ends with the connection.
+const lengthUntilClose = -2
+
+// isQuiet reports whether an idle connection is open as far as this host can
+// see, with nothing to read.
+func (c *Conn) isQuiet() bool {
+	if c.r.Buffered() > 0 || c.raw.SetReadDeadline(time.Now().Add(probeTime)) != nil {
+		return false
+	}
+	_, err := c.r.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// probeTime is how long an idle connection is listened to before it is used.
+const probeTime = 50 * time.Microsecond
+
 // Close closes the connection.
 func (c *Conn) Close() {
 	_ = c.raw.Close()
--- a/entry/backend/pool.go
+++ b/entry/backend/pool.go
@@ -2,27 +2,30 @@
 
 import (
 	"context"
+	"errors"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
-)
-
-// maxProvenAge is how long after its last answer an idle connection is trusted.
-const maxProvenAge = 5 * time.Second
 
-// Pool holds the idle connections to backend servers by address.
-type Pool struct {
-	dial DialFunc
-	mu   sync.Mutex
-	// idle holds connections with nothing outstanding, last used last.
-	idle map[string][]*Conn
-}
+	"github.com/godwitcross/godwitcross/fleet/dispatch"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/retry"
+	"github.com/godwitcross/godwitcross/fleet/routing"
+)
 
-// NewPool returns a pool without connections.
-func NewPool(dial DialFunc) *Pool {
-	return &Pool{dial: dial, idle: make(map[string][]*Conn)}
-}
+const (
+	// maxProvenAge is how long after its last answer an idle connection is trusted.
+	maxProvenAge = 5 * time.Second
+	// connectTime bounds the opening of a connection.
+	connectTime = time.Second
+	// HeaderNotRun is set by a backend server that refused without any effect.
+	HeaderNotRun = "Not-Run"
+	// notRunTrue is the value of HeaderNotRun.
+	notRunTrue = "true"
+)
 
 // Request is one request to a backend server.
 type Request struct {
@@ -34,25 +37,63 @@
 	Deadline time.Time
 	// Fresh asks for a connection that nothing was sent on yet.
 	Fresh bool
+	// Connections bounds the open connections to the address.
+	Connections inventory.Connections
+}
+
+// Pool holds the connections to backend servers by address.
+type Pool struct {
+	dial DialFunc
+	mu   sync.Mutex
+	// idle holds connections with nothing outstanding, last used last; open
+	// counts those and the busy ones. Both are guarded by mu.
+	idle map[string][]*Conn
+	open map[string]inventory.Connections
+}
+
+// NewPool returns a pool without connections.
+func NewPool(dial DialFunc) *Pool {
+	return &Pool{dial: dial, idle: make(map[string][]*Conn), open: make(map[string]inventory.Connections)}
 }
 
-// Do sends the request once. The error is ErrNotSent or ErrNoAnswer.
-func (p *Pool) Do(ctx context.Context, r Request, now time.Time) error {
+// Do sends the request once and tells how that ended.
+func (p *Pool) Do(ctx context.Context, r Request, now time.Time) (dispatch.Result, error) {
 	c, err := p.take(ctx, r, now)
 	if err != nil {
-		return err
+		return dispatch.Result{Result: retry.ResultNotSent}, err
 	}
 	if err := c.Do(r.Message, r.Answer, r.MaxBody, r.Deadline); err != nil {
-		c.Close()
-		return err
+		p.discard(r.Address, c)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			p.closeIdle(r.Address)
+		}
+		if errors.Is(err, ErrNotSent) {
+			return dispatch.Result{Result: retry.ResultNotSent}, err
+		}
+		return dispatch.Result{Result: retry.ResultNoAnswer}, err
 	}
+	result := judge(r.Answer)
 	if r.Answer.ConnectionClose() || c.r.Buffered() > 0 {
-		c.Close()
-		return nil
+		p.discard(r.Address, c)
+		return result, nil
 	}
 	c.proven = time.Now()
 	p.put(r.Address, c)
-	return nil
+	return result, nil
+}
+
+// judge tells an answer from a refusal and reads the signs of leaving.
+func judge(a *fasthttp.Response) dispatch.Result {
+	refused := a.StatusCode() == fasthttp.StatusServiceUnavailable && string(a.Header.Peek(HeaderNotRun)) == notRunTrue
+	switch {
+	case refused && a.ConnectionClose():
+		return dispatch.Result{Result: retry.ResultRefused, Sign: routing.SignRefusal}
+	case refused:
+		return dispatch.Result{Result: retry.ResultRefused}
+	case a.ConnectionClose():
+		return dispatch.Result{Result: retry.ResultAnswered, Sign: routing.SignHeader}
+	}
+	return dispatch.Result{Result: retry.ResultAnswered}
 }
 
 func (p *Pool) take(ctx context.Context, r Request, now time.Time) (*Conn, error) {
@@ -61,12 +102,74 @@
 			return c, nil
 		}
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	if !p.reserve(r.Address, r.Connections) {
+		return nil, eris.Wrapf(ErrNotSent, "all %d connections to %s are in use", r.Connections, r.Address)
+	}
+	deadline := r.Deadline
+	if end := now.Add(connectTime); end.Before(deadline) {
+		deadline = end
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	return openConn(ctx, p.dial, r.Address, now)
+	c, err := openConn(ctx, p.dial, r.Address, now)
+	if err != nil {
+		p.forget(r.Address)
+	}
+	return c, err
+}
+
+// reserve counts one more connection, in place of an idle one at the bound.
+func (p *Pool) reserve(address string, limit inventory.Connections) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if limit > 0 && p.open[address] >= limit {
+		list := p.idle[address]
+		if len(list) == 0 {
+			return false
+		}
+		list[0].Close()
+		p.idle[address] = list[1:]
+		p.open[address]--
+	}
+	p.open[address]++
+	return true
+}
+
+func (p *Pool) forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[address]--
+	if p.open[address] <= 0 {
+		delete(p.open, address)
+	}
 }
 
+func (p *Pool) discard(address string, c *Conn) {
+	c.Close()
+	p.forget(address)
+}
+
+// takeIdle returns an idle connection whose server answered a short time ago.
+// When the last used one is too old, so are all others.
 func (p *Pool) takeIdle(address string, now time.Time) *Conn {
+	for {
+		c := p.popIdle(address)
+		if c == nil {
+			return nil
+		}
+		if now.Sub(c.proven) > maxProvenAge {
+			p.discard(address, c)
+			p.closeIdle(address)
+			return nil
+		}
+		if c.isQuiet() {
+			return c
+		}
+		p.discard(address, c)
+	}
+}
+
+func (p *Pool) popIdle(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -74,15 +177,8 @@
 		return nil
 	}
 	c := list[len(list)-1]
-	if now.Sub(c.proven) <= maxProvenAge {
-		p.idle[address] = list[:len(list)-1]
-		return c
-	}
-	for _, old := range list {
-		old.Close()
-	}
-	delete(p.idle, address)
-	return nil
+	p.idle[address] = list[:len(list)-1]
+	return c
 }
 
 func (p *Pool) put(address string, c *Conn) {
@@ -91,14 +187,49 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
-// Close closes all idle connections.
-func (p *Pool) Close() {
+// closeIdle closes the idle connections to an address: when one was silent, its
+// siblings are suspected.
+func (p *Pool) closeIdle(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, list := range p.idle {
-		for _, c := range list {
-			c.Close()
+	for _, c := range p.idle[address] {
+		c.Close()
+		p.open[address]--
+	}
+	delete(p.idle, address)
+	if p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
+// Sweep closes idle connections that are too old to be trusted.
+func (p *Pool) Sweep(now time.Time) {
+	for _, address := range p.aged(now) {
+		p.closeIdle(address)
+	}
+}
+
+func (p *Pool) aged(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for address, list := range p.idle {
+		if len(list) == 0 || now.Sub(list[len(list)-1].proven) > maxProvenAge {
+			out = append(out, address)
 		}
 	}
-	clear(p.idle)
+	return out
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	addresses := make([]string, 0, len(p.idle))
+	for a := range p.idle {
+		addresses = append(addresses, a)
+	}
+	p.mu.Unlock()
+	for _, a := range addresses {
+		p.closeIdle(a)
+	}
 }
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -16,6 +16,7 @@
 
 	"github.com/godwitcross/godwitcross/entry/backend"
 	"github.com/godwitcross/godwitcross/entry/caller"
+	"github.com/godwitcross/godwitcross/entry/claimer"
 	"github.com/godwitcross/godwitcross/entry/duty"
 	"github.com/godwitcross/godwitcross/entry/follower"
 	"github.com/godwitcross/godwitcross/entry/lifecycle"
@@ -24,8 +25,11 @@
 	"github.com/godwitcross/godwitcross/entry/platform"
 	"github.com/godwitcross/godwitcross/entry/settings"
 	"github.com/godwitcross/godwitcross/entry/view"
+	"github.com/godwitcross/godwitcross/fleet/admission"
+	"github.com/godwitcross/godwitcross/fleet/dispatch"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/retry"
 	"github.com/godwitcross/godwitcross/fleet/state"
 )
 
@@ -85,9 +89,16 @@
 	})
 	h.last = []Task{records}
 	batches := make(chan platform.Batch, batchQueue)
+	seed := xxhash.Sum64String(string(cfg.Settings.Name))
+	dispatcher := caller.NewDispatcher(dispatch.New(dispatch.Config{
+		Name: cfg.Settings.Name, DataCentre: cfg.Settings.DataCentre,
+		Order: admission.EarliestDeadlineFirst, Retries: retry.DefaultBudget,
+		Random: rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))),
+	}), h.state, h.hosts, h.backends)
+	claims := claimer.New(claimer.Config{Log: h.log, Name: cfg.Settings.Name, Records: client})
 	h.caller = caller.NewServer(caller.Config{
-		Log: h.log, Metrics: h.metrics, DataCentre: cfg.Settings.DataCentre,
-		State: h.state, Hosts: h.hosts, Pool: h.backends, Stopping: h.readiness.IsStopping,
+		Log: h.log, Metrics: h.metrics, State: h.state, Pool: h.backends,
+		Dispatcher: dispatcher, Claims: claims, Stopping: h.readiness.IsStopping,
 	})
 	h.callers = h.caller.HTTP()
 	h.operators = operator.NewServer(operator.Config{
@@ -96,6 +107,8 @@
 	}).HTTP()
 	h.checkClients()
 	h.tasks = []Task{
+		dispatcher,
+		claims,
 		platform.NewReader(h.log, client, journal.StreamFleet, 0, batches),
 		follower.New(h.log, state.NewFleet(), batches, h.state),
 		platform.NewHostListReader(h.log, client, h.hosts),
--- a/entry/listener/listener.go
+++ b/entry/listener/listener.go
@@ -13,12 +13,19 @@
 
 // Bound sets the limits on a server of the library. The library has one
 // deadline for a whole request; it is used for the headers, and the body gets
-// one of its own once they have been read.
+// one of its own once they have been read. A limit on the body that the server
+// sets itself stays.
 func Bound(s *fasthttp.Server, log logrus.FieldLogger, l settings.Limits) {
 	s.ReadBufferSize = l.HeaderBytes
 	s.ReadTimeout = l.HeaderTime
-	s.HeaderReceived = func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-		return fasthttp.RequestConfig{ReadTimeout: l.BodyTime}
+	own := s.HeaderReceived
+	s.HeaderReceived = func(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+		var c fasthttp.RequestConfig
+		if own != nil {
+			c = own(h)
+		}
+		c.ReadTimeout = l.BodyTime
+		return c
 	}
 	s.WriteTimeout = l.AnswerTime
 	s.IdleTimeout = l.IdleTime
--- a/entry/metric/registry.go
+++ b/entry/metric/registry.go
@@ -62,6 +62,36 @@
 	h.Update(d.Microseconds())
 }
 
+// Histogram is a histogram of durations, which counts in microseconds.
+type Histogram struct {
+	h metrics.Histogram
+}
+
+// Observe adds a duration.
+func (h Histogram) Observe(d time.Duration) {
+	h.h.Update(d.Microseconds())
+}
+
+// Histogram returns the histogram of the name and labels.
+func (r *Registry) Histogram(name string, labels ...Label) Histogram {
+	return Histogram{r.metrics.GetOrRegister(key(name, labels), newHistogram).(metrics.Histogram)}
+}
+
+// Counter counts events.
+type Counter struct {
+	c metrics.Counter
+}
+
+// Add counts n more events.
+func (c Counter) Add(n int64) {
+	c.c.Inc(n)
+}
+
+// Counter returns the counter of the name and labels.
+func (r *Registry) Counter(name string, labels ...Label) Counter {
+	return Counter{r.metrics.GetOrRegister(key(name, labels), metrics.NewCounter).(metrics.Counter)}
+}
+
 func newHistogram() metrics.Histogram {
 	return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
 }
