--- a/ctl/command/app.go
+++ b/ctl/command/app.go
@@ -55,6 +55,9 @@
 			newPublish(c),
 			newConfiguration(c),
 			newStatus(c),
+			newJobs(c),
+			newSubmit(c),
+			newCancel(c),
 		},
 	}
 }
--- a/fleet/state/rules.go
+++ b/fleet/state/rules.go
@@ -4,6 +4,7 @@
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/lease"
+	"github.com/godwitcross/godwitcross/fleet/placement"
 )
 
 // Rules says what becomes of records of each kind while the log is away. A kind
@@ -17,5 +18,9 @@
 		lease.KindClaim: journal.Refuse,
 		// A renewal says everything that the one before it said.
 		lease.KindRenew: journal.Coalesce,
+		// A submitter learns at once that no job was accepted.
+		placement.KindSubmit: journal.Refuse,
+		// Where a job starts is decided anew once the log is back.
+		placement.KindStart: journal.Refuse,
 	}
 }
