--- a/standin/check/check.go
+++ b/standin/check/check.go
@@ -39,6 +39,7 @@
 	{"a request of each service is answered", requestEach},
 	{"a changed label moves a host", moveHost},
 	{"a wave reboots each host once", runWave},
+	{"a job runs to its end", jobRuns},
 	{"a stopped entry host cuts off no request", stopWithRequests},
 	{"no request was executed twice", noDoubles},
 }
