--- a/ctl/command/configuration.go
+++ b/ctl/command/configuration.go
@@ -28,6 +28,6 @@
 // current returns the configuration in force on the first host.
 func current(c *Connection) (configuration.Configuration, error) {
 	var cfg configuration.Configuration
-	err := c.Clients()[0].Get("/configuration", &cfg)
+	err := c.Get("/configuration", &cfg)
 	return cfg, err
 }
--- /dev/null
+++ b/ctl/command/explain.go
@@ -0,0 +1,77 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/pool"
+)
+
+func newExplain(c *Connection) *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "say why something is as it is",
+		Commands: []*cli.Command{
+			{
+				Name: "host", Usage: "why a host is in its pool and what it waits for", ArgsUsage: "HOST",
+				Description: "Example: ctl explain host Prices-01",
+				Action:      func(_ context.Context, cmd *cli.Command) error { return explainHost(c, cmd) },
+			},
+			{
+				Name: "job", Usage: "why a job does not start", ArgsUsage: "JOB",
+				Description: "Ask an entry host of the job's data centre.\n\nExample: ctl explain job plan-17",
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					id, err := oneArgument(cmd)
+					if err != nil {
+						return badInput(err)
+					}
+					return explainJob(c, cmd, id)
+				},
+			},
+			{
+				Name: "record", Usage: "what became of a record of the global stream", ArgsUsage: "ID",
+				Description: "A publication's ID stands in the errors of publish.\n\nExample: ctl explain record 1c59b4ad-6020-4da4-ae90-79118e064014",
+				Action:      func(_ context.Context, cmd *cli.Command) error { return explainRecord(c, cmd) },
+			},
+		},
+	}
+}
+
+func oneArgument(cmd *cli.Command) (string, error) {
+	if cmd.Args().Len() != 1 {
+		return "", eris.Wrapf(ErrArguments, "want one name, have %d", cmd.Args().Len())
+	}
+	return cmd.Args().First(), nil
+}
+
+func explainHost(c *Connection, cmd *cli.Command) error {
+	id, err := oneArgument(cmd)
+	if err != nil {
+		return badInput(err)
+	}
+	var x pool.Explanation
+	if err := c.Get("/explain/host?Host="+url.QueryEscape(id), &x); err != nil {
+		return exit(err)
+	}
+	return printAll(cmd.Root().Writer, c.Output, []pool.Explanation{x}, "HOST\tPOOL\tOWNER\tWANTED\tSINCE\tRECORD\tWHY\tWAITS", func(x pool.Explanation) string {
+		return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s", x.Host, x.Pool, x.Owner, x.Desired, timeText(x.Since), x.By, x.Why, x.Waits)
+	})
+}
+
+func explainRecord(c *Connection, cmd *cli.Command) error {
+	id, err := oneArgument(cmd)
+	if err != nil {
+		return badInput(err)
+	}
+	var v journal.Verdict
+	if err := c.Get("/explain/record?ID="+url.QueryEscape(id), &v); err != nil {
+		return exit(err)
+	}
+	return printAll(cmd.Root().Writer, c.Output, []journal.Verdict{v}, "RECORD\tOFFSET\tKIND\tBY\tOUTCOME\tREASON", func(v journal.Verdict) string {
+		return fmt.Sprintf("%s\t%d\t%s\t%s\t%s\t%s", v.ID, v.Offset, v.Kind, v.By, v.Outcome, v.Reason)
+	})
+}
--- a/ctl/command/jobs.go
+++ b/ctl/command/jobs.go
@@ -57,7 +57,7 @@
 
 func listJobs(c *Connection, cmd *cli.Command, team string) error {
 	var s JobSummary
-	if err := c.Clients()[0].Get("/jobs?Team="+url.QueryEscape(team), &s); err != nil {
+	if err := c.Get("/jobs?Team="+url.QueryEscape(team), &s); err != nil {
 		return exit(err)
 	}
 	return printAll(cmd.Root().Writer, c.Output, s.Jobs, "JOB\tTEAM\tTEMPLATE\tSTATE\tWORKER\tATTEMPT\tACCEPTED\tREASON", func(j placement.Job) string {
@@ -67,7 +67,7 @@
 
 func explainJob(c *Connection, cmd *cli.Command, id string) error {
 	var e placement.Explanation
-	if err := c.Clients()[0].Get("/jobs/explain?ID="+url.QueryEscape(id), &e); err != nil {
+	if err := c.Get("/jobs/explain?ID="+url.QueryEscape(id), &e); err != nil {
 		return exit(err)
 	}
 	return printAll(cmd.Root().Writer, c.Output, []placement.Explanation{e}, "JOB\tSTATE\tPOOL\tWORKER\tAHEAD\tNEVER\tREASON", func(e placement.Explanation) string {
@@ -88,7 +88,7 @@
 				return badInput(err)
 			}
 			var v journal.Verdict
-			if err := c.Clients()[0].Post("/jobs", Submission{ID: recordID(id), Jobs: jobs}, &v); err != nil {
+			if err := c.Post("/jobs", Submission{ID: recordID(id), Jobs: jobs}, &v); err != nil {
 				return exit(err)
 			}
 			fmt.Fprintf(cmd.Root().Writer, "accepted %d jobs\n", len(jobs))
@@ -130,7 +130,7 @@
 				x.Jobs = append(x.Jobs, inventory.JobID(a))
 			}
 			var v journal.Verdict
-			if err := c.Clients()[0].Post("/jobs/cancel", x, &v); err != nil {
+			if err := c.Post("/jobs/cancel", x, &v); err != nil {
 				return exit(err)
 			}
 			fmt.Fprintf(cmd.Root().Writer, "asked for the end of %d jobs\n", len(x.Jobs))
--- a/ctl/command/propose.go
+++ b/ctl/command/propose.go
@@ -33,7 +33,7 @@
 			}
 			p := Publication{ID: journal.RecordID(uuid.NewString()), Change: change}
 			var v journal.Verdict
-			if err := c.Clients()[0].Post("/proposals", p, &v); err != nil {
+			if err := c.Post("/proposals", p, &v); err != nil {
 				return exit(eris.Wrapf(err, "proposal %s", p.ID))
 			}
 			fmt.Fprintf(cmd.Root().Writer, "proposed; it waits for the other owners\n")
@@ -48,7 +48,7 @@
 		Description: "Example: ctl proposals\nWith --output json the whole change is shown, ready to be published by the other owner.",
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			var all []configuration.Proposal
-			if err := c.Clients()[0].Get("/proposals", &all); err != nil {
+			if err := c.Get("/proposals", &all); err != nil {
 				return exit(err)
 			}
 			return printAll(cmd.Root().Writer, c.Output, all, "OWNER\tOPERATOR\tCONTENT\tOBJECTS\tCOMMENT", func(p configuration.Proposal) string {
--- a/ctl/command/publish.go
+++ b/ctl/command/publish.go
@@ -86,7 +86,7 @@
 func publish(w io.Writer, c *Connection, change configuration.Change) error {
 	p := Publication{ID: journal.RecordID(uuid.NewString()), Change: change}
 	var v journal.Verdict
-	if err := c.Clients()[0].Post("/changes", p, &v); err != nil {
+	if err := c.Post("/changes", p, &v); err != nil {
 		return eris.Wrapf(err, "publication %s", p.ID)
 	}
 	version := configuration.Version(v.Offset) + 1
--- a/entry/keeper/routes.go
+++ b/entry/keeper/routes.go
@@ -40,12 +40,6 @@
 	return st, true
 }
 
-// HostStatus is one line of GET /hosts.
-type HostStatus struct {
-	ID inventory.HostID
-	pool.Host
-}
-
 // hosts lists all hosts in order, or those of the pool named by the query Pool.
 func (r routes) hosts(ctx *fasthttp.RequestCtx) {
 	st, ok := r.latest(ctx)
@@ -53,11 +47,11 @@
 		return
 	}
 	only := inventory.PoolID(ctx.QueryArgs().Peek("Pool"))
-	out := []HostStatus{}
+	out := []pool.HostStatus{}
 	for _, id := range slices.Sorted(maps.Keys(st.Pools.Hosts)) {
 		h := st.Pools.Hosts[id]
 		if only == "" || h.Pool == only || h.Desired == only {
-			out = append(out, HostStatus{ID: id, Host: h})
+			out = append(out, pool.HostStatus{ID: id, Host: h})
 		}
 	}
 	operator.Answer(ctx, fasthttp.StatusOK, out)
--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -68,6 +69,7 @@
 		{fasthttp.MethodGet, "/metrics.json", s.metricsJSON},
 		{fasthttp.MethodGet, "/status", s.status},
 		{fasthttp.MethodGet, "/configuration", s.configuration},
+		{fasthttp.MethodGet, "/explain/record", s.explainRecord},
 		{fasthttp.MethodPost, "/changes", s.publish},
 		{fasthttp.MethodGet, "/proposals", s.proposals},
 		{fasthttp.MethodPost, "/proposals", s.propose},
@@ -147,6 +149,17 @@
 	})
 }
 
+// explainRecord answers with the verdict on the record named by the query ID.
+func (s *Server) explainRecord(ctx *fasthttp.RequestCtx) {
+	id := journal.RecordID(ctx.QueryArgs().Peek("ID"))
+	v, ok := s.cfg.State.Latest().Verdict(id)
+	if !ok {
+		Refuse(ctx, fasthttp.StatusNotFound, fmt.Sprintf("record %q is not among the last %d of the global stream", id, journal.RecentSize))
+		return
+	}
+	Answer(ctx, fasthttp.StatusOK, v)
+}
+
 func (s *Server) configuration(ctx *fasthttp.RequestCtx) {
 	Answer(ctx, fasthttp.StatusOK, s.cfg.State.Latest().Configuration)
 }
--- a/standin/check/fleet.go
+++ b/standin/check/fleet.go
@@ -6,7 +6,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/godwitcross/godwitcross/ctl/client"
-	"github.com/godwitcross/godwitcross/entry/keeper"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/label"
@@ -32,7 +31,7 @@
 		return err
 	}
 	return awaitFor(waveTimeout, func() error {
-		var hosts []keeper.HostStatus
+		var hosts []pool.HostStatus
 		if err := c.Get("/hosts?Pool="+string(to), &hosts); err != nil {
 			return err
 		}
