--- a/ctl/command/app.go
+++ b/ctl/command/app.go
@@ -69,6 +69,9 @@
 			newToken(),
 			newConfiguration(c),
 			newStatus(c),
+			newJobs(c),
+			newSubmit(c),
+			newCancel(c),
 		},
 	}
 }
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/operator"
 	"github.com/godwitcross/godwitcross/entry/peer"
+	"github.com/godwitcross/godwitcross/entry/placement"
 	"github.com/godwitcross/godwitcross/entry/platform"
 	"github.com/godwitcross/godwitcross/entry/settings"
 	"github.com/godwitcross/godwitcross/entry/snapshot"
@@ -102,10 +103,14 @@
 	})
 	h.callers = h.caller.HTTP()
 	h.join(client, batches)
+	jobs := placement.New(placement.Config{
+		Log: h.log, Name: cfg.Settings.Name, DataCentre: cfg.Settings.DataCentre, Metrics: h.metrics,
+		Records: records, Source: client, Workers: client, Fleet: h.state, Hosts: h.hosts, EntryHosts: h.siteHosts,
+	})
 	h.operators = operator.NewServer(operator.Config{
 		Log: h.log, Name: cfg.Settings.Name, Metrics: h.metrics, State: h.state,
 		Records: records, Ready: h.readiness.Reason,
-		Routes: slices.Concat(keeper.Routes(h.state)),
+		Routes: slices.Concat(keeper.Routes(h.state), jobs.Routes()),
 	}).HTTP()
 	h.checkClients()
 	h.tasks = []Task{
@@ -123,6 +128,9 @@
 			Work:     append([]duty.Work{h.snapshotWriter(records)}, h.fleetWork(client, records)...),
 		}),
 	}
+	for _, t := range jobs.Tasks() {
+		h.tasks = append(h.tasks, t)
+	}
 	return h
 }
 
@@ -148,6 +156,18 @@
 	return ids
 }
 
+// siteHosts returns the live entry hosts of this host's data centre.
+func (h *Host) siteHosts() []inventory.EntryID {
+	ids := []inventory.EntryID{h.cfg.Settings.Name}
+	for _, l := range h.hosts.Latest().Hosts {
+		id := inventory.EntryID(l.ID)
+		if l.Role == inventory.RoleEntry && l.State == inventory.HostLive && l.DataCentre == h.cfg.Settings.DataCentre && id != h.cfg.Settings.Name {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Run serves until the context ends, then stops without cutting off a request.
 func (h *Host) Run(ctx context.Context) error {
 	callers, err := net.Listen("tcp", h.cfg.Settings.CallerAddress)
--- /dev/null
+++ b/entry/placement/config.go
@@ -0,0 +1,95 @@
+package placement
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/godwitcross/godwitcross/entry/duty"
+	"github.com/godwitcross/godwitcross/entry/follower"
+	"github.com/godwitcross/godwitcross/entry/metric"
+	"github.com/godwitcross/godwitcross/entry/operator"
+	"github.com/godwitcross/godwitcross/entry/platform"
+	"github.com/godwitcross/godwitcross/entry/view"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/lease"
+	"github.com/godwitcross/godwitcross/fleet/placement"
+)
+
+// DutyPlacement is the duty to fill the data centre's workers.
+const DutyPlacement lease.Duty = "Placement"
+
+// RecordAppender adds a record to a stream of the log.
+type RecordAppender interface {
+	Append(ctx context.Context, stream journal.StreamID, r journal.Record) error
+}
+
+// WorkerClient is the part of the platform that runs tasks.
+type WorkerClient interface {
+	Workers(dc inventory.DataCentreID) ([]platform.WorkerStatus, error)
+	StartTask(w inventory.WorkerID, id placement.TaskID, s platform.TaskStart) (platform.Task, error)
+	CommandTask(w inventory.WorkerID, id placement.TaskID, verb placement.Verb, c platform.TaskCommand) (platform.Task, error)
+	RenewTasks(w inventory.WorkerID, c platform.TaskCommand) (platform.WorkerStatus, error)
+}
+
+// Config is what the placement of a data centre is built from.
+type Config struct {
+	Log        logrus.FieldLogger
+	Name       inventory.EntryID
+	DataCentre inventory.DataCentreID
+	Metrics    *metric.Registry
+	Records    RecordAppender
+	Source     platform.StreamReader
+	Workers    WorkerClient
+	Fleet      *view.Box[follower.State]
+	Hosts      *view.Box[inventory.HostList]
+	// EntryHosts returns the entry hosts of the data centre that may hold duties.
+	EntryHosts func() []inventory.EntryID
+}
+
+// Task is one task of placement.
+type Task interface {
+	Name() string
+	Run(ctx context.Context) error
+}
+
+// Placement is the tasks and operators' paths of a data centre's jobs.
+type Placement struct {
+	cfg    Config
+	stream journal.StreamID
+	board  *Board
+	tasks  []Task
+}
+
+// New returns the placement of a data centre.
+func New(cfg Config) *Placement {
+	batches := make(chan platform.Batch, batchQueue)
+	p := &Placement{cfg: cfg, stream: journal.StreamJobs(cfg.DataCentre), board: newBoard(cfg, batches)}
+	p.tasks = []Task{
+		platform.NewReader(cfg.Log, cfg.Source, p.stream, 0, batches),
+		p.board,
+		duty.NewRunner(duty.Config{
+			Log: cfg.Log, Name: cfg.Name, Stream: p.stream, Records: cfg.Records,
+			Holdings: func() duty.Holdings { return p.board.out.Latest().Holdings },
+			Hosts:    cfg.EntryHosts,
+			Work:     []duty.Work{newFiller(cfg, p.stream, p.board)},
+		}),
+	}
+	return p
+}
+
+// Tasks returns the tasks to run.
+func (p *Placement) Tasks() []Task {
+	return p.tasks
+}
+
+// Routes returns the operators' paths.
+func (p *Placement) Routes() []operator.Route {
+	return []operator.Route{
+		{Method: "POST", Path: "/jobs", Handle: p.submit},
+		{Method: "POST", Path: "/jobs/cancel", Handle: p.cancel},
+		{Method: "GET", Path: "/jobs", Handle: p.list},
+		{Method: "GET", Path: "/jobs/explain", Handle: p.explain},
+	}
+}
--- /dev/null
+++ b/entry/placement/filler.go
@@ -0,0 +1,231 @@
+package placement
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitcross/godwitcross/entry/platform"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/lease"
+	"github.com/godwitcross/godwitcross/fleet/placement"
+)
+
+// Times of the filler.
+const (
+	// taskTerm is how long a task's lease holds without being renewed.
+	taskTerm = 120 * time.Second
+	// lostAfter is how long a worker must be silent before its tasks count as
+	// lost. Their leases have lapsed by then.
+	lostAfter = taskTerm + 10*time.Second
+	// firstLook and lastLook bound the time between two looks at a worker.
+	firstLook = 250 * time.Millisecond
+	lastLook  = 40 * time.Second
+	// tickTime bounds one tick, so that the runner goes on renewing its duties.
+	tickTime = 1500 * time.Millisecond
+	// replanAfter is how long an empty plan stands while nothing changes.
+	replanAfter = 5 * time.Second
+)
+
+// Bounds of one tick.
+const (
+	maxStarts    = 500
+	maxLooks     = 64
+	callsAtOnce  = 16
+	defaultStart = 1 * time.Minute
+)
+
+// errNotAccepted means that the fold rejected a record of the duty.
+var errNotAccepted = eris.New("record was not accepted")
+
+// look is when a worker is looked at.
+type look struct {
+	due time.Time
+	// pause is the time to the look after, which grows while nothing happens.
+	pause time.Duration
+	// heard is when the worker last answered.
+	heard time.Time
+}
+
+// filler fills the workers while the host holds the duty. Its state is made
+// anew with each epoch.
+type filler struct {
+	cfg    Config
+	stream journal.StreamID
+	board  *Board
+
+	epoch journal.Epoch
+	// pending is a record that may be in the log and was not read back. Nothing
+	// else is decided before it is.
+	pending *journal.Record
+	// boots is the number of restarts of each worker that answered.
+	boots map[inventory.WorkerID]int
+	looks map[inventory.WorkerID]*look
+	// announced are the starts of the last start record.
+	announced []placement.Start
+	// unconfirmed are own starts that no worker has confirmed, by task.
+	unconfirmed map[placement.TaskID]placement.Job
+	// planned is the scheduler's version at the last empty plan, plannedAt its time.
+	planned   int64
+	plannedAt time.Time
+}
+
+func newFiller(cfg Config, stream journal.StreamID, board *Board) *filler {
+	return &filler{cfg: cfg, stream: stream, board: board}
+}
+
+// Duty returns the duty that guards the work.
+func (f *filler) Duty() lease.Duty {
+	return DutyPlacement
+}
+
+// Tick watches tasks, ends, stops and starts jobs.
+func (f *filler) Tick(ctx context.Context, now time.Time, epoch journal.Epoch) error {
+	ctx, cancel := context.WithTimeout(ctx, tickTime)
+	defer cancel()
+	if f.epoch != epoch {
+		if err := f.begin(ctx, now, epoch); err != nil {
+			return err
+		}
+	}
+	for _, step := range []func(context.Context, time.Time) error{f.settle, f.adopt, f.watch, f.stop, f.fill, f.adopt, f.start} {
+		if err := step(ctx, now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// begin asks all workers how they are and takes over what earlier holders started.
+func (f *filler) begin(ctx context.Context, now time.Time, epoch journal.Epoch) error {
+	all, err := f.cfg.Workers.Workers(f.cfg.DataCentre)
+	if err != nil {
+		return eris.Wrap(err, "asking for the workers")
+	}
+	f.boots = make(map[inventory.WorkerID]int, len(all))
+	f.looks = make(map[inventory.WorkerID]*look)
+	f.unconfirmed = make(map[placement.TaskID]placement.Job)
+	f.pending, f.announced, f.planned = nil, nil, -1
+	for _, w := range all {
+		f.boots[w.Facts.ID] = w.Reboots
+	}
+	var busy []inventory.WorkerID
+	if err := f.board.Do(ctx, func(r *placement.Reducer, _ *placement.Scheduler) { busy = r.BusyWorkers() }); err != nil {
+		return err
+	}
+	for _, w := range busy {
+		f.looks[w] = &look{due: now, pause: firstLook, heard: now}
+	}
+	f.epoch = epoch
+	return nil
+}
+
+// settle waits for the record of an earlier tick.
+func (f *filler) settle(ctx context.Context, _ time.Time) error {
+	if f.pending == nil {
+		return nil
+	}
+	return f.append(ctx, *f.pending)
+}
+
+// write appends a record and waits until it was read back.
+func (f *filler) write(ctx context.Context, now time.Time, kind journal.Kind, body any) error {
+	r, err := journal.NewRecord(journal.RecordID(uuid.NewString()), kind, now, string(f.cfg.Name), body)
+	if err != nil {
+		return err
+	}
+	r.Duty, r.Epoch = string(DutyPlacement), f.epoch
+	return f.append(ctx, r)
+}
+
+// append adds the record, under the same identity as before if it was tried
+// before, and waits for its verdict.
+func (f *filler) append(ctx context.Context, r journal.Record) error {
+	f.pending = &r
+	if err := f.cfg.Records.Append(ctx, f.stream, r); err != nil {
+		if errors.Is(err, platform.ErrNotAppended) {
+			f.pending, f.announced = nil, nil
+		}
+		return eris.Wrapf(err, "appending %s", r.Kind)
+	}
+	v, err := f.board.await(ctx, r.ID)
+	if err != nil {
+		return eris.Wrapf(err, "reading %s back", r.Kind)
+	}
+	f.pending = nil
+	if v.Outcome != journal.Accepted {
+		return eris.Wrapf(errNotAccepted, "%s: %s", r.Kind, v.Reason)
+	}
+	return nil
+}
+
+// fill decides what starts and what gives way.
+func (f *filler) fill(ctx context.Context, now time.Time) error {
+	var plan placement.Plan
+	var version int64
+	err := f.board.Do(ctx, func(_ *placement.Reducer, s *placement.Scheduler) {
+		version = s.Version()
+		if version == f.planned && now.Sub(f.plannedAt) < replanAfter {
+			return
+		}
+		plan = s.Plan(now, maxStarts)
+	})
+	if err != nil {
+		return err
+	}
+	if len(plan.Starts)+len(plan.Reliefs)+len(plan.GiveUps) == 0 {
+		if version != f.planned || now.Sub(f.plannedAt) >= replanAfter {
+			f.planned, f.plannedAt = version, now
+		}
+		return nil
+	}
+	if err := f.record(ctx, now, plan); err != nil {
+		return err
+	}
+	return f.relieve(ctx, now, plan.Reliefs)
+}
+
+// record writes the starts and keeps them to be told to their workers.
+func (f *filler) record(ctx context.Context, now time.Time, plan placement.Plan) error {
+	if len(plan.GiveUps) > 0 {
+		if err := f.write(ctx, now, placement.KindGiveUp, placement.GiveUp{Jobs: plan.GiveUps}); err != nil {
+			return err
+		}
+	}
+	starts := make([]placement.Start, 0, len(plan.Starts))
+	for _, s := range plan.Starts {
+		boot, ok := f.boots[s.Worker]
+		if !ok {
+			continue
+		}
+		s.Boot = boot
+		starts = append(starts, s)
+	}
+	if len(starts) == 0 {
+		return nil
+	}
+	for _, s := range starts {
+		f.lookSoon(s.Worker, now)
+	}
+	f.announced = starts
+	return f.write(ctx, now, placement.KindStart, placement.Starts{Starts: starts})
+}
+
+// lookSoon makes the worker be looked at within the first pause.
+func (f *filler) lookSoon(w inventory.WorkerID, now time.Time) {
+	l, ok := f.looks[w]
+	if !ok {
+		l = &look{heard: now}
+		f.looks[w] = l
+	}
+	l.due, l.pause = now.Add(firstLook), firstLook
+}
+
+// command returns a command under the duty's epoch.
+func (f *filler) command() platform.TaskCommand {
+	return platform.TaskCommand{Epoch: f.epoch, Term: taskTerm}
+}
--- /dev/null
+++ b/entry/placement/routes.go
@@ -0,0 +1,142 @@
+package placement
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/godwitcross/godwitcross/entry/operator"
+	"github.com/godwitcross/godwitcross/entry/platform"
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/placement"
+)
+
+// Limits of the operators' paths.
+const (
+	// answerTime bounds how long a submission or cancellation waits for its verdict.
+	answerTime = 10 * time.Second
+	// askTime bounds a question.
+	askTime = 3 * time.Second
+	// maxListed bounds the jobs of one answer.
+	maxListed = 1000
+)
+
+// Submission is the body of POST /jobs.
+type Submission struct {
+	// ID is unique to the submission; a repeat under the same ID has no effect.
+	ID   journal.RecordID
+	Jobs []configuration.Job
+}
+
+// Cancellation is the body of POST /jobs/cancel.
+type Cancellation struct {
+	ID   journal.RecordID
+	Jobs []inventory.JobID
+}
+
+func (p *Placement) submit(ctx *fasthttp.RequestCtx) {
+	var s Submission
+	if err := json.Unmarshal(ctx.PostBody(), &s); err != nil || s.ID == "" || len(s.Jobs) == 0 {
+		operator.Refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Jobs\":[...]}")
+		return
+	}
+	for _, j := range s.Jobs {
+		if err := j.Validate(); err != nil {
+			operator.Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
+			return
+		}
+	}
+	p.append(ctx, s.ID, placement.KindSubmit, placement.Submit{Jobs: s.Jobs})
+}
+
+func (p *Placement) cancel(ctx *fasthttp.RequestCtx) {
+	var c Cancellation
+	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil || c.ID == "" || len(c.Jobs) == 0 {
+		operator.Refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Jobs\":[...]}")
+		return
+	}
+	p.append(ctx, c.ID, placement.KindCancel, placement.Cancel{Jobs: c.Jobs})
+}
+
+// append adds an operator's record and answers with its verdict. The answer
+// comes only after the record is in the log.
+func (p *Placement) append(ctx *fasthttp.RequestCtx, id journal.RecordID, kind journal.Kind, body any) {
+	by := string(ctx.Request.Header.Peek(operator.HeaderOperator))
+	r, err := journal.NewRecord(id, kind, time.Now(), by, body)
+	if err != nil {
+		operator.Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	c, stop := context.WithTimeout(context.Background(), answerTime)
+	defer stop()
+	if err := p.cfg.Records.Append(c, p.stream, r); err != nil {
+		status := fasthttp.StatusServiceUnavailable
+		if errors.Is(err, platform.ErrUncertain) {
+			status = fasthttp.StatusGatewayTimeout
+		}
+		operator.Refuse(ctx, status, err.Error())
+		return
+	}
+	v, err := p.board.await(c, id)
+	switch {
+	case err != nil:
+		operator.Refuse(ctx, fasthttp.StatusGatewayTimeout, "the record was appended but not read back yet")
+	case v.Outcome != journal.Accepted:
+		operator.Answer(ctx, fasthttp.StatusConflict, v)
+	default:
+		operator.Answer(ctx, fasthttp.StatusOK, v)
+	}
+}
+
+// Summary is the answer to GET /jobs.
+type Summary struct {
+	DataCentre inventory.DataCentreID
+	// Counts has the number of remembered jobs in each state.
+	Counts map[placement.State]int
+	// Jobs are the last accepted, at most maxListed.
+	Jobs []placement.Job
+}
+
+func (p *Placement) list(ctx *fasthttp.RequestCtx) {
+	s := Summary{DataCentre: p.cfg.DataCentre, Counts: make(map[placement.State]int)}
+	team := inventory.TeamID(ctx.QueryArgs().Peek("Team"))
+	c, stop := context.WithTimeout(context.Background(), askTime)
+	defer stop()
+	err := p.board.Do(c, func(r *placement.Reducer, _ *placement.Scheduler) {
+		for _, j := range r.Jobs() {
+			if team != "" && j.Team != team {
+				continue
+			}
+			s.Counts[j.State]++
+			s.Jobs = append(s.Jobs, *j)
+		}
+	})
+	if err != nil {
+		operator.Refuse(ctx, fasthttp.StatusServiceUnavailable, "the job stream is busy")
+		return
+	}
+	s.Jobs = s.Jobs[max(0, len(s.Jobs)-maxListed):]
+	operator.Answer(ctx, fasthttp.StatusOK, s)
+}
+
+func (p *Placement) explain(ctx *fasthttp.RequestCtx) {
+	id := inventory.JobID(ctx.QueryArgs().Peek("ID"))
+	c, stop := context.WithTimeout(context.Background(), askTime)
+	defer stop()
+	var e placement.Explanation
+	found := false
+	err := p.board.Do(c, func(_ *placement.Reducer, s *placement.Scheduler) { e, found = s.Explain(id, time.Now()) })
+	switch {
+	case err != nil:
+		operator.Refuse(ctx, fasthttp.StatusServiceUnavailable, "the job stream is busy")
+	case !found:
+		operator.Refuse(ctx, fasthttp.StatusNotFound, "no such job in this data centre")
+	default:
+		operator.Answer(ctx, fasthttp.StatusOK, e)
+	}
+}
--- /dev/null
+++ b/entry/placement/start.go
@@ -0,0 +1,83 @@
+package placement
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/godwitcross/godwitcross/entry/metric"
+	"github.com/godwitcross/godwitcross/entry/platform"
+	"github.com/godwitcross/godwitcross/fleet/placement"
+)
+
+// adopt takes over the starts that were read back as this holder's own. Only
+// these are told to workers.
+func (f *filler) adopt(ctx context.Context, _ time.Time) error {
+	if len(f.announced) == 0 || f.pending != nil {
+		return nil
+	}
+	err := f.board.Do(ctx, func(r *placement.Reducer, _ *placement.Scheduler) {
+		for _, s := range f.announced {
+			j, ok := r.Job(s.Job)
+			if ok && j.State == placement.Started && j.Epoch == f.epoch && j.Start == s {
+				f.unconfirmed[j.Task()] = *j
+			}
+		}
+	})
+	if err == nil {
+		f.announced = nil
+	}
+	return err
+}
+
+// start tells workers to run the starts that none has confirmed. It is safe to
+// repeat: a worker runs an identity once.
+func (f *filler) start(ctx context.Context, now time.Time) error {
+	jobs := make([]placement.Job, 0, len(f.unconfirmed))
+	for _, j := range f.unconfirmed {
+		jobs = append(jobs, j)
+	}
+	var mu sync.Mutex
+	found := &findings{}
+	var refused []placement.Job
+	f.each(ctx, len(jobs), func(i int) {
+		t, err := f.startTask(jobs[i])
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case err == nil:
+			f.confirm(jobs[i])
+			found.add(jobs[i], t, now)
+		case errors.Is(err, platform.ErrRefused) || errors.Is(err, platform.ErrUnavailable):
+			refused = append(refused, jobs[i])
+		default:
+			f.cfg.Log.WithError(err).WithField("Task", jobs[i].Task()).Warn("a start had no answer and will be repeated")
+		}
+	})
+	for _, j := range refused {
+		f.withdraw(found, j.Start.Worker, j, now)
+	}
+	return f.report(ctx, now, found)
+}
+
+func (f *filler) startTask(j placement.Job) (platform.Task, error) {
+	runTime := j.DeclaredTime.Std()
+	if runTime <= 0 {
+		runTime = defaultStart
+	}
+	return f.cfg.Workers.StartTask(j.Start.Worker, j.Task(), platform.TaskStart{
+		Epoch: f.epoch, Boot: j.Start.Boot, Term: taskTerm, Size: j.Start.Size, RunTime: runTime, Command: j.Command,
+	})
+}
+
+// confirm notes that the worker has the task.
+func (f *filler) confirm(j placement.Job) {
+	delete(f.unconfirmed, j.Task())
+	class := "Standard"
+	if j.Urgent {
+		class = "Urgent"
+	}
+	f.cfg.Metrics.Observe("job_start_wait_microseconds", time.Since(j.AcceptedAt),
+		metric.Label{Name: "Class", Value: class}, metric.Label{Name: "Owner", Value: string(j.Owner)})
+}
--- a/entry/platform/client.go
+++ b/entry/platform/client.go
@@ -152,7 +152,7 @@
 		return eris.Wrapf(ErrForgotten, "%s", what)
 	case status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable:
 		return eris.Wrapf(ErrUnavailable, "%s: status %d", what, status)
-	case status < 500:
+	case status < 500 || status == fasthttp.StatusInsufficientStorage:
 		return eris.Wrapf(ErrRefused, "%s: status %d: %s", what, status, resp.Body())
 	}
 	return eris.Wrapf(ErrUncertain, "%s: status %d", what, status)
--- /dev/null
+++ b/fleet/placement/explain.go
@@ -0,0 +1,101 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+)
+
+// Explanation says how a job is and why it does not start.
+type Explanation struct {
+	Job   inventory.JobID
+	State State
+	Pool  inventory.PoolID `json:",omitempty"`
+	// Worker is set once the job was started.
+	Worker  inventory.WorkerID `json:",omitempty"`
+	Attempt int                `json:",omitempty"`
+	// Never is true if no worker of the pool could ever hold the job.
+	Never bool `json:",omitempty"`
+	// Ahead counts jobs of the same queue that were accepted earlier.
+	Ahead int `json:",omitempty"`
+	// Need is what would be reserved, Learned whether it comes from earlier jobs
+	// of the template.
+	Need    inventory.Size
+	Learned bool `json:",omitempty"`
+	Reason  string
+}
+
+// Explain says how a job is at a moment; false if it is not known.
+func (s *Scheduler) Explain(id inventory.JobID, now time.Time) (Explanation, bool) {
+	j, ok := s.jobs.Job(id)
+	if !ok {
+		return Explanation{}, false
+	}
+	_, learned := s.jobs.Template(j.Template).Size()
+	e := Explanation{Job: id, State: j.State, Worker: j.Start.Worker, Pool: j.Start.Pool, Attempt: j.Attempt, Need: s.need(j), Learned: learned, Reason: j.Reason}
+	if j.State == Queued {
+		s.explainQueued(&e, j, now)
+	}
+	if j.State == Started && j.Cancelling {
+		e.Reason = "is being stopped"
+	}
+	return e, true
+}
+
+func (s *Scheduler) explainQueued(e *Explanation, j *Job, now time.Time) {
+	p := s.pool(j.queue)
+	if why := s.whyNever(j, p); why != "" {
+		e.Never, e.Reason = true, why
+		return
+	}
+	e.Pool = p.id
+	for o := j.previous; o != nil; o = o.previous {
+		e.Ahead++
+	}
+	may := func(w *workerState) bool { return s.jobs.health.mayTry(j, w, now) }
+	switch {
+	case e.Ahead > 0:
+		e.Reason = fmt.Sprintf("waits behind %d jobs of its team and template", e.Ahead)
+	case p.find(e.Need, j.Template, may) != nil:
+		e.Reason = "is about to start"
+	case !p.hasAny(may):
+		e.Reason = "every worker of the pool is in quarantine or failed the job"
+	case s.isBorrowing(j.Team, e.Need):
+		e.Reason = fmt.Sprintf("team %s is at its quota and the pool has no room to lend", j.Team)
+	default:
+		e.Reason = "waits for room: " + sizeText(e.Need) + " are free on no worker of the pool"
+	}
+}
+
+func (p *poolState) hasAny(may func(*workerState) bool) bool {
+	for _, w := range p.workers {
+		if may(w) {
+			return true
+		}
+	}
+	return false
+}
+
+// whyNever returns why the job can never run as the fleet is, or an empty text.
+func (s *Scheduler) whyNever(j *Job, p *poolState) string {
+	switch t, ok := s.layout.Teams[j.Team]; {
+	case !ok:
+		return fmt.Sprintf("team %s is not configured", j.Team)
+	case t.Owner != j.Owner:
+		return fmt.Sprintf("team %s belongs to %s, not to %s", j.Team, t.Owner, j.Owner)
+	case p == nil:
+		return fmt.Sprintf("no pool of %s selects jobs with the labels %s", j.Owner, j.Labels)
+	case len(p.workers) == 0:
+		return fmt.Sprintf("pool %s has no worker in this data centre", p.id)
+	}
+	if need := s.need(j); !p.holds(need) {
+		return fmt.Sprintf("needs %s, more than any worker of pool %s has", sizeText(need), p.id)
+	}
+	return ""
+}
+
+func sizeText(s inventory.Size) string {
+	return fmt.Sprintf("%d.%03d cores, %d MiB and %d accelerators",
+		s.Cores/inventory.CoresPerUnit, s.Cores%inventory.CoresPerUnit, s.Memory/inventory.Mebibyte, s.Accelerators)
+}
--- /dev/null
+++ b/fleet/placement/layout.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/label"
+)
+
+// Worker is a worker that may be given jobs.
+type Worker struct {
+	ID   inventory.WorkerID
+	Pool inventory.PoolID
+	Rack inventory.RackID
+	Size inventory.Size
+}
+
+// Pool is what placement needs of a pool.
+type Pool struct {
+	Owner inventory.OwnerID
+	Jobs  label.Selector
+}
+
+// Team is what placement needs of a team.
+type Team struct {
+	Owner inventory.OwnerID
+	// Weight is at least 1.
+	Weight int
+	// Quota is the part of the team's quota that this data centre gives.
+	Quota inventory.Size
+}
+
+// Layout is the part of the fleet that a data centre's jobs are placed on.
+type Layout struct {
+	// Workers are live and take jobs; each is in one pool.
+	Workers []Worker
+	Pools   map[inventory.PoolID]Pool
+	Teams   map[inventory.TeamID]Team
+}
+
+// NewLayout returns the layout of a data centre. A host takes part if takes
+// reports true for it; poolOf names the pool of each host.
+func NewLayout(cfg configuration.Configuration, dc inventory.DataCentreID, poolOf func(inventory.HostID) (inventory.PoolID, bool), takes func(inventory.HostID) bool) Layout {
+	l := Layout{Pools: make(map[inventory.PoolID]Pool, len(cfg.Pools)), Teams: make(map[inventory.TeamID]Team, len(cfg.Teams))}
+	here, all := make(map[inventory.OwnerID]inventory.Size), make(map[inventory.OwnerID]inventory.Size)
+	for id, h := range cfg.Hosts {
+		pool, ok := poolOf(id)
+		if !ok {
+			continue
+		}
+		owner := cfg.Pools[pool].Owner
+		all[owner] = all[owner].Add(h.Size)
+		if h.DataCentre != dc {
+			continue
+		}
+		here[owner] = here[owner].Add(h.Size)
+		if takes(id) {
+			l.Workers = append(l.Workers, Worker{ID: id.Worker(), Pool: pool, Rack: h.Rack, Size: h.Size})
+		}
+	}
+	slices.SortFunc(l.Workers, func(a, b Worker) int { return cmp.Compare(a.ID, b.ID) })
+	for id, p := range cfg.Pools {
+		l.Pools[id] = Pool{Owner: p.Owner, Jobs: p.Jobs}
+	}
+	for id, t := range cfg.Teams {
+		l.Teams[id] = Team{Owner: t.Owner, Weight: max(t.Weight, 1), Quota: part(t.Quota, here[t.Owner], all[t.Owner])}
+	}
+	return l
+}
+
+// part returns the share of the quota that the data centre's size is of all.
+func part(quota, here, all inventory.Size) inventory.Size {
+	return inventory.Size{
+		Cores:        inventory.Cores(ratio(int64(quota.Cores), int64(here.Cores), int64(all.Cores))),
+		Memory:       inventory.Bytes(ratio(int64(quota.Memory), int64(here.Memory), int64(all.Memory))),
+		Accelerators: inventory.Accelerators(ratio(int64(quota.Accelerators), int64(here.Accelerators), int64(all.Accelerators))),
+	}
+}
+
+// ratio returns n times a share of here in all, rounded up.
+func ratio(n, here, all int64) int64 {
+	if all <= 0 {
+		return 0
+	}
+	// Memory in bytes times memory in bytes leaves 64 bits; a float's 53 bits are
+	// exact enough for a quota.
+	v := float64(n) * float64(here) / float64(all)
+	r := int64(v)
+	if float64(r) < v {
+		r++
+	}
+	return r
+}
+
+// SelectorPools returns the pool of each host by the selectors alone. A host
+// that no pool or more than one claims is in its owner's spare pool.
+func SelectorPools(cfg configuration.Configuration) map[inventory.HostID]inventory.PoolID {
+	pools := make([]inventory.PoolID, 0, len(cfg.Pools))
+	for id := range cfg.Pools {
+		pools = append(pools, id)
+	}
+	slices.Sort(pools)
+	out := make(map[inventory.HostID]inventory.PoolID, len(cfg.Hosts))
+	for id, h := range cfg.Hosts {
+		labels := h.AllLabels(id)
+		out[id] = cfg.Owners[h.Owner].SparePool
+		claims := 0
+		for _, p := range pools {
+			if !cfg.Pools[p].Hosts.Matches(labels) {
+				continue
+			}
+			if claims++; claims == 1 {
+				out[id] = p
+			}
+		}
+		if claims > 1 {
+			out[id] = cfg.Owners[h.Owner].SparePool
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/fleet/placement/planner.go
@@ -0,0 +1,179 @@
+package placement
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+)
+
+// planner is one pass over the queues.
+type planner struct {
+	s     *Scheduler
+	now   time.Time
+	limit int
+	plan  Plan
+	// taken are the jobs of the plan's starts, whose room is given back at its end.
+	taken []*Job
+	// waiting are the queues whose first job found no room.
+	waiting []*cursor
+	// relieved are the workers at which something gives way already.
+	relieved map[inventory.WorkerID]bool
+}
+
+// cursor is a queue and the first of its jobs that the plan has not started.
+type cursor struct {
+	queue *queue
+	pool  *poolState
+	job   *Job
+}
+
+// isFull reports whether the plan has as many starts as it may.
+func (p *planner) isFull() bool {
+	return len(p.plan.Starts) >= p.limit
+}
+
+// cursors returns the queues of a class whose jobs some worker could hold. The
+// others block nobody, since each is a queue of its own.
+func (p *planner) cursors(urgent bool) []*cursor {
+	var all []*cursor
+	for _, q := range p.s.jobs.queues.inOrder(urgent) {
+		c := &cursor{queue: q, pool: p.s.pool(q), job: q.first}
+		if p.s.whyNever(q.first, c.pool) == "" {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
+// urgent starts urgent jobs in order of their age and makes room for the rest.
+func (p *planner) urgent() {
+	for _, c := range p.cursors(true) {
+		for !p.isFull() && p.start(c) {
+			continue
+		}
+		for j := c.job; j != nil && p.relieve(j, c.pool, isNormal); j = j.next {
+			continue
+		}
+	}
+}
+
+// start starts the cursor's next job and reports whether there was room. A job
+// that failed before and finds no worker left does not hold up the next.
+func (p *planner) start(c *cursor) bool {
+	for c.job != nil {
+		j := c.job
+		if p.place(j, c.pool) {
+			c.job = j.next
+			return true
+		}
+		if !p.s.jobs.health.hasFailed(j) {
+			return false
+		}
+		p.giveUp(j, c.pool)
+		c.job = j.next
+	}
+	return false
+}
+
+// place adds a start of the job and reports whether there was room.
+func (p *planner) place(j *Job, pool *poolState) bool {
+	need := p.s.need(j)
+	w := pool.find(need, j.Template, func(w *workerState) bool { return p.s.jobs.health.mayTry(j, w, p.now) })
+	if w == nil {
+		return false
+	}
+	st := Start{Job: j.ID, Worker: w.ID, Rack: w.Rack, Pool: pool.id, Size: need}
+	p.s.take(st, j.Team, j.Template, need)
+	p.plan.Starts = append(p.plan.Starts, st)
+	p.taken = append(p.taken, j)
+	return true
+}
+
+// giveUp ends a job that failed on every sound worker of its pool.
+func (p *planner) giveUp(j *Job, pool *poolState) {
+	sound := 0
+	for _, w := range pool.workers {
+		if p.s.jobs.IsQuarantined(w.ID) {
+			continue
+		}
+		if p.s.jobs.health.mayTry(j, w, p.now) {
+			return
+		}
+		sound++
+	}
+	if sound > 0 {
+		p.plan.GiveUps = append(p.plan.GiveUps, j.ID)
+	}
+}
+
+// undo gives the room of the plan's starts back.
+func (p *planner) undo() {
+	before := p.s.changes
+	for i, st := range p.plan.Starts {
+		j := *p.taken[i]
+		j.Start, j.Throttled = st, false
+		p.s.JobReleased(&j, st.Size)
+	}
+	p.s.changes = before
+}
+
+// shared starts other jobs by weighted fair share: teams within their quota
+// first, and the one with the smallest share before the others.
+func (p *planner) shared() {
+	h := &shareHeap{}
+	for _, c := range p.cursors(false) {
+		h.addQueue(p.s, c)
+	}
+	heap.Init(h)
+	for h.Len() > 0 && !p.isFull() {
+		t := h.shares[0]
+		if p.startOldest(t) {
+			t.count(p.s)
+			heap.Fix(h, 0)
+			continue
+		}
+		heap.Pop(h)
+	}
+}
+
+// startOldest starts the team's oldest job that finds room. Queues without room
+// or jobs leave the share.
+func (p *planner) startOldest(t *teamShare) bool {
+	for len(t.cursors) > 0 {
+		i := t.oldest()
+		c := t.cursors[i]
+		started := p.start(c)
+		if !started && c.job != nil {
+			p.waiting = append(p.waiting, c)
+		}
+		if !started || c.job == nil {
+			t.remove(i)
+		}
+		if started {
+			return true
+		}
+	}
+	return false
+}
+
+// giveBack makes room for teams within their quota at the cost of teams that
+// borrow.
+func (p *planner) giveBack() {
+	for _, c := range p.waiting {
+		team := c.queue.key.team
+		if p.s.isBorrowing(team, p.s.need(c.job)) {
+			continue
+		}
+		p.relieve(c.job, c.pool, func(v *Job) bool { return isNormal(v) && v.Team != team && p.s.isBorrowing(v.Team, inventory.Size{}) })
+	}
+}
+
+func isNormal(j *Job) bool {
+	return !j.Urgent
+}
+
+// isBorrowing reports whether the team is beyond its quota with more on top.
+func (s *Scheduler) isBorrowing(team inventory.TeamID, more inventory.Size) bool {
+	return !s.used[team].Add(more).Fits(s.layout.Teams[team].Quota)
+}
--- /dev/null
+++ b/fleet/placement/reducer.go
@@ -0,0 +1,415 @@
+package placement
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+)
+
+// Bounds of the state.
+const (
+	// MaxJobs bounds the jobs of a data centre that have not ended. A submission
+	// beyond it is rejected.
+	MaxJobs = 400_000
+	// keepEnded is how many ended jobs are remembered, to show them and to know
+	// their IDs again.
+	keepEnded = 20_000
+)
+
+// Observer is told of changes that concern workers.
+type Observer interface {
+	// JobStarted is called when a job holds room at a worker.
+	JobStarted(j *Job)
+	// JobReleased is called with the room that a job gave back.
+	JobReleased(j *Job, room inventory.Size)
+}
+
+// Reducer folds the job stream of a data centre.
+type Reducer struct {
+	// jobs has every job that has not ended and the last keepEnded that have.
+	jobs map[inventory.JobID]*Job
+	// ended has the IDs of ended jobs, oldest first.
+	ended []inventory.JobID
+	// started has the started jobs of each worker.
+	started map[inventory.WorkerID]map[inventory.JobID]*Job
+	// cancelling has the started jobs that are to be stopped.
+	cancelling map[inventory.JobID]*Job
+	// open counts jobs that have not ended.
+	open      int
+	sequence  int64
+	queues    *queues
+	templates map[string]*Template
+	health    *Health
+	observer  Observer
+}
+
+// NewReducer returns a reducer without jobs.
+func NewReducer() *Reducer {
+	r := &Reducer{}
+	r.reset()
+	return r
+}
+
+func (r *Reducer) reset() {
+	r.jobs = make(map[inventory.JobID]*Job)
+	r.started = make(map[inventory.WorkerID]map[inventory.JobID]*Job)
+	r.cancelling = make(map[inventory.JobID]*Job)
+	r.ended, r.open, r.sequence = nil, 0, 0
+	r.queues = newQueues()
+	r.templates = make(map[string]*Template)
+	r.health = newHealth()
+}
+
+// Observe sets who is told of changes; nil for nobody.
+func (r *Reducer) Observe(o Observer) {
+	r.observer = o
+}
+
+// Job returns a job, which the caller must not change.
+func (r *Reducer) Job(id inventory.JobID) (*Job, bool) {
+	j, ok := r.jobs[id]
+	return j, ok
+}
+
+// Open returns the number of jobs that have not ended.
+func (r *Reducer) Open() int {
+	return r.open
+}
+
+// Jobs returns all remembered jobs in order of acceptance.
+func (r *Reducer) Jobs() []*Job {
+	all := make([]*Job, 0, len(r.jobs))
+	for _, j := range r.jobs {
+		all = append(all, j)
+	}
+	slices.SortFunc(all, func(a, b *Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	return all
+}
+
+// StartedJobs returns the started jobs in order of acceptance.
+func (r *Reducer) StartedJobs() []*Job {
+	var all []*Job
+	for _, of := range r.started {
+		for _, j := range of {
+			all = append(all, j)
+		}
+	}
+	slices.SortFunc(all, func(a, b *Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	return all
+}
+
+// StartedOn returns copies of the started jobs of a worker.
+func (r *Reducer) StartedOn(w inventory.WorkerID) []Job {
+	out := make([]Job, 0, len(r.started[w]))
+	for _, j := range r.started[w] {
+		out = append(out, *j)
+	}
+	return out
+}
+
+// BusyWorkers returns the workers with started jobs.
+func (r *Reducer) BusyWorkers() []inventory.WorkerID {
+	out := make([]inventory.WorkerID, 0, len(r.started))
+	for w := range r.started {
+		out = append(out, w)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Stopping returns copies of the started jobs that are to be stopped.
+func (r *Reducer) Stopping() []Job {
+	out := make([]Job, 0, len(r.cancelling))
+	for _, j := range r.cancelling {
+		out = append(out, *j)
+	}
+	return out
+}
+
+// Template returns what is learned about a template; nil if nothing is.
+func (r *Reducer) Template(name string) *Template {
+	return r.templates[name]
+}
+
+// IsQuarantined reports whether the worker is given no jobs.
+func (r *Reducer) IsQuarantined(w inventory.WorkerID) bool {
+	_, ok := r.health.Quarantined[w]
+	return ok
+}
+
+// Kinds returns the kinds of records that the reducer folds.
+func (r *Reducer) Kinds() []journal.Kind {
+	return []journal.Kind{KindSubmit, KindCancel, KindStart, KindThrottle, KindEnd, KindGiveUp}
+}
+
+// Reduce applies one record.
+func (r *Reducer) Reduce(e journal.Entry) error {
+	switch e.Record.Kind {
+	case KindSubmit:
+		return reduce(e, func(s Submit) error { return r.submit(s, e.Record.At) })
+	case KindCancel:
+		return reduce(e, r.cancel)
+	}
+	if e.Record.Duty == "" {
+		return eris.Wrapf(ErrFenced, "%s", e.Record.Kind)
+	}
+	switch e.Record.Kind {
+	case KindStart:
+		return reduce(e, func(s Starts) error { return r.start(s, e.Record) })
+	case KindThrottle:
+		return reduce(e, r.throttle)
+	case KindGiveUp:
+		return reduce(e, r.giveUp)
+	}
+	return reduce(e, func(s Ends) error { return r.end(s, e.Record.At) })
+}
+
+func reduce[T any](e journal.Entry, apply func(T) error) error {
+	body, err := journal.DecodeBody[T](e.Record)
+	if err != nil {
+		return err
+	}
+	return apply(body)
+}
+
+func (r *Reducer) submit(s Submit, at time.Time) error {
+	fresh := make(map[inventory.JobID]configuration.Job, len(s.Jobs))
+	for _, c := range s.Jobs {
+		if err := c.Validate(); err != nil {
+			return err
+		}
+		known, ok := fresh[c.ID]
+		if j, found := r.jobs[c.ID]; found {
+			known, ok = j.Job, true
+		}
+		if ok && !sameJob(known, c) {
+			return eris.Wrapf(ErrConflict, "%s", c.ID)
+		}
+		if !ok {
+			fresh[c.ID] = c
+		}
+	}
+	if r.open+len(fresh) > MaxJobs {
+		return eris.Wrapf(ErrFull, "%d jobs and %d more are over %d", r.open, len(fresh), MaxJobs)
+	}
+	for _, c := range s.Jobs {
+		if _, found := r.jobs[c.ID]; !found {
+			r.accept(c, at)
+		}
+	}
+	return nil
+}
+
+func sameJob(a, b configuration.Job) bool {
+	x, errX := json.Marshal(a)
+	y, errY := json.Marshal(b)
+	return errX == nil && errY == nil && string(x) == string(y)
+}
+
+func (r *Reducer) accept(c configuration.Job, at time.Time) {
+	r.sequence++
+	j := &Job{Job: c, Sequence: r.sequence, AcceptedAt: at, State: Queued}
+	r.jobs[c.ID] = j
+	r.open++
+	r.queues.add(j)
+}
+
+func (r *Reducer) cancel(c Cancel) error {
+	for _, id := range c.Jobs {
+		j, ok := r.jobs[id]
+		switch {
+		case !ok || j.HasEnded():
+		case j.State == Queued:
+			r.queues.remove(j)
+			r.finish(j, Cancelled, "cancelled before it started")
+		default:
+			j.Cancelling = true
+			r.cancelling[id] = j
+		}
+	}
+	return nil
+}
+
+func (r *Reducer) start(s Starts, rec journal.Record) error {
+	for _, st := range s.Starts {
+		j, ok := r.jobs[st.Job]
+		if !ok || j.State != Queued {
+			continue
+		}
+		r.queues.remove(j)
+		j.State, j.Start, j.Epoch, j.StartedAt, j.Reason = Started, st, rec.Epoch, rec.At, ""
+		j.Attempt++
+		r.hold(j)
+	}
+	return nil
+}
+
+// hold enters a started job at its worker.
+func (r *Reducer) hold(j *Job) {
+	of := r.started[j.Start.Worker]
+	if of == nil {
+		of = make(map[inventory.JobID]*Job)
+		r.started[j.Start.Worker] = of
+	}
+	of[j.ID] = j
+	if j.Cancelling {
+		r.cancelling[j.ID] = j
+	}
+	if r.observer != nil {
+		r.observer.JobStarted(j)
+	}
+}
+
+// release takes a started job from its worker.
+func (r *Reducer) release(j *Job) {
+	of := r.started[j.Start.Worker]
+	delete(of, j.ID)
+	if len(of) == 0 {
+		delete(r.started, j.Start.Worker)
+	}
+	delete(r.cancelling, j.ID)
+	room := j.Reserved()
+	j.Throttled = false
+	if r.observer != nil {
+		r.observer.JobReleased(j, room)
+	}
+}
+
+func (r *Reducer) throttle(t Throttle) error {
+	for _, id := range t.Jobs {
+		j, ok := r.jobs[id]
+		if !ok || j.State != Started || j.Throttled {
+			continue
+		}
+		before := j.Reserved()
+		j.Throttled = true
+		if r.observer != nil {
+			r.observer.JobReleased(j, before.Sub(j.Reserved()))
+		}
+	}
+	return nil
+}
+
+func (r *Reducer) giveUp(g GiveUp) error {
+	for _, id := range g.Jobs {
+		j, ok := r.jobs[id]
+		if !ok || j.State != Queued {
+			continue
+		}
+		r.queues.remove(j)
+		r.finish(j, Failed, "failed on every worker of its pool: "+j.Reason)
+	}
+	return nil
+}
+
+func (r *Reducer) end(s Ends, at time.Time) error {
+	for _, e := range s.Ends {
+		j, ok := r.jobs[e.Job]
+		if !ok || j.State != Started || j.Attempt != e.Attempt {
+			continue
+		}
+		r.release(j)
+		r.learn(j, e)
+		r.settle(j, e, at)
+	}
+	return nil
+}
+
+// learn remembers what an attempt tells about its template and its worker.
+func (r *Reducer) learn(j *Job, e End) {
+	if e.Outcome == OutcomeDone {
+		r.health.succeeded(Failure{Job: j.ID, Template: j.Template}, j.Start.Worker)
+	}
+	if e.Outcome != OutcomeDone || e.Used == (inventory.Size{}) {
+		return
+	}
+	t, ok := r.templates[j.Template]
+	if !ok && len(r.templates) >= maxTemplates {
+		return
+	}
+	if !ok {
+		t = &Template{}
+		r.templates[j.Template] = t
+	}
+	t.add(Observation{Used: e.Used, RunTime: e.RunTime})
+}
+
+// settle ends the job or puts it back into the queue.
+func (r *Reducer) settle(j *Job, e End, at time.Time) {
+	failure := Failure{Job: j.ID, Template: j.Template}
+	hopeless := e.Outcome == OutcomeFailed && r.health.failed(failure, j.Start.Worker, at)
+	switch {
+	case e.Outcome == OutcomeDone:
+		r.finish(j, Done, "")
+	case j.Cancelling:
+		r.finish(j, Cancelled, "cancelled while it ran")
+	case hopeless:
+		r.finish(j, Failed, "failed on every worker that tried it: "+e.Reason)
+	case j.mayRunAgain(e.Outcome):
+		j.State = Queued
+		j.Reason = e.Reason
+		j.Checkpointed = j.Checkpointed || e.Outcome == OutcomeCheckpointed
+		r.queues.add(j)
+	default:
+		r.finish(j, endState(e.Outcome), e.Reason)
+	}
+}
+
+// finish ends the job for good and forgets the oldest ended one beyond the bound.
+func (r *Reducer) finish(j *Job, s State, reason string) {
+	j.State, j.Reason = s, reason
+	r.health.forget(j.ID)
+	r.open--
+	r.ended = append(r.ended, j.ID)
+	if len(r.ended) > keepEnded {
+		delete(r.jobs, r.ended[0])
+		r.ended = r.ended[1:]
+	}
+}
+
+// marshalled is the form of the state in snapshots.
+type marshalled struct {
+	Jobs      []*Job
+	Ended     []inventory.JobID
+	Sequence  int64
+	Templates map[string]*Template
+	Health    *Health
+}
+
+// MarshalState returns the jobs and what was learned.
+func (r *Reducer) MarshalState() ([]byte, error) {
+	return json.Marshal(marshalled{Jobs: r.Jobs(), Ended: r.ended, Sequence: r.sequence, Templates: r.templates, Health: r.health})
+}
+
+// UnmarshalState replaces the state and builds its indexes again.
+func (r *Reducer) UnmarshalState(b []byte) error {
+	m := marshalled{Health: newHealth()}
+	if err := json.Unmarshal(b, &m); err != nil {
+		return err
+	}
+	r.reset()
+	r.ended, r.sequence, r.health = m.Ended, m.Sequence, m.Health
+	if m.Templates != nil {
+		r.templates = m.Templates
+	}
+	for _, j := range m.Jobs {
+		r.jobs[j.ID] = j
+		if !j.HasEnded() {
+			r.open++
+		}
+		if j.State == Queued {
+			r.queues.add(j)
+		}
+		if j.State == Started {
+			r.hold(j)
+		}
+	}
+	return nil
+}
--- a/fleet/state/rules.go
+++ b/fleet/state/rules.go
@@ -4,6 +4,7 @@
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/lease"
+	"github.com/godwitcross/godwitcross/fleet/placement"
 	"github.com/godwitcross/godwitcross/fleet/pool"
 )
 
@@ -32,5 +33,9 @@
 		// A snapshot that breaks off is written anew from a newer state.
 		journal.KindSnapshotChunk: journal.Refuse,
 		journal.KindCheckpoint:    journal.Refuse,
+		// A submitter learns at once that no job was accepted.
+		placement.KindSubmit: journal.Refuse,
+		// Where a job starts is decided anew once the log is back.
+		placement.KindStart: journal.Refuse,
 	}
 }
--- a/standin/check/check.go
+++ b/standin/check/check.go
@@ -37,6 +37,7 @@
 	{"publish the sample configuration", publishSample},
 	{"all entry hosts are ready", allReady},
 	{"a request of each service is answered", requestEach},
+	{"a job runs to its end", jobRuns},
 	{"a changed label moves a host", moveHost},
 	{"a wave reboots each host once", runWave},
 	{"a stopped entry host cuts off no request", stopWithRequests},
--- /dev/null
+++ b/standin/check/job.go
@@ -0,0 +1,82 @@
+package check
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitcross/godwitcross/ctl/client"
+	"github.com/godwitcross/godwitcross/entry/placement"
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/label"
+	core "github.com/godwitcross/godwitcross/fleet/placement"
+	"github.com/godwitcross/godwitcross/standin/deployment"
+)
+
+// checkJob returns a job that runs for 300 ms in a pool of Corchos.
+func checkJob(id string) configuration.Job {
+	return configuration.Job{
+		ID: inventory.JobID(id), Owner: "Corchos", Team: "Pressing", Labels: label.Set{"Pool": "BatchPlans"},
+		Template: "press", Command: "run 300ms", Declared: inventory.Size{Cores: 4000, Memory: inventory.Gibibyte},
+		DeclaredTime: configuration.Duration(time.Hour),
+	}
+}
+
+// jobRuns submits jobs, one of which can never run, cancels one, and waits for
+// the others' ends.
+func jobRuns(d *deployment.Deployment) error {
+	c := client.New(d.Entries[0].Settings.OperatorAddress, "corchos-operator")
+	large, long := checkJob("check-large"), checkJob("check-long")
+	large.Declared.Cores = 1_000_000
+	long.Command = "run 1h"
+	s := placement.Submission{ID: "check-jobs", Jobs: []configuration.Job{large, checkJob("check-job"), long}}
+	var v journal.Verdict
+	if err := c.Post("/jobs", s, &v); err != nil {
+		return err
+	}
+	if err := awaitJob(c, "check-job", core.Done); err != nil {
+		return err
+	}
+	if err := c.Post("/jobs/cancel", placement.Cancellation{ID: "check-cancel", Jobs: []inventory.JobID{"check-long"}}, &v); err != nil {
+		return err
+	}
+	if err := awaitJob(c, "check-long", core.Cancelled); err != nil {
+		return err
+	}
+	var e core.Explanation
+	if err := c.Get("/jobs/explain?ID=check-large", &e); err != nil {
+		return err
+	}
+	if !e.Never {
+		return eris.Wrapf(ErrWrong, "a job that fits nowhere: %+v", e)
+	}
+	return startedOnce(d)
+}
+
+func awaitJob(c *client.Client, id inventory.JobID, want core.State) error {
+	return await(func() error {
+		var e core.Explanation
+		if err := c.Get("/jobs/explain?ID="+string(id), &e); err != nil {
+			return err
+		}
+		if e.State != want {
+			return eris.Wrapf(ErrWrong, "job %s is %s: %s", id, e.State, e.Reason)
+		}
+		return nil
+	})
+}
+
+// startedOnce looks at the workers for a task that was executed twice.
+func startedOnce(d *deployment.Deployment) error {
+	for _, w := range d.Platform.Fleet.Workers(time.Now()) {
+		for id, t := range w.Tasks {
+			if t.Starts > 1 {
+				return eris.Wrapf(ErrWrong, "task %s on %s", id, fmt.Sprintf("started %d times", t.Starts))
+			}
+		}
+	}
+	return nil
+}
--- a/standin/fault/table.go
+++ b/standin/fault/table.go
@@ -23,6 +23,10 @@
 	LeaseLapse Kind = "LeaseLapse"
 	// FailTasks makes a worker fail everything that it starts.
 	FailTasks Kind = "FailTasks"
+	// UsageMissing makes a worker leave out its last usage report.
+	UsageMissing Kind = "UsageMissing"
+	// UsageRepeated makes a worker tell each usage report twice.
+	UsageRepeated Kind = "UsageRepeated"
 	// Refuse makes a backend server refuse with 503 before it does anything.
 	Refuse Kind = "Refuse"
 	// CutAnswer makes a backend server close in the middle of an answer.
--- a/standin/platform/fleet.go
+++ b/standin/platform/fleet.go
@@ -2,14 +2,11 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/godwitcross/godwitcross/fleet/inventory"
-	"github.com/godwitcross/godwitcross/standin/fault"
-	"github.com/valyala/fasthttp"
 )
 
 // DrainState is how far a host is in being drained and rebooted.
@@ -40,6 +37,8 @@
 type StartTask struct {
 	// Epoch fences: a worker refuses a lower one than it has seen.
 	Epoch int64
+	// Boot is the number of restarts after which the worker is expected to be.
+	Boot int
 	// Term is how long the lease holds without being renewed.
 	Term time.Duration
 	// Size is what the task may use.
@@ -61,6 +60,8 @@
 	Ends time.Time
 	// Starts counts how often the task was executed.
 	Starts int
+	// Peak is the most that the task really used.
+	Peak inventory.Size
 	// Used is the processor time so far, in thousandths of a core times
 	// milliseconds.
 	Used int64
@@ -83,6 +84,8 @@
 	// Back is when a running reboot ends.
 	Back  time.Time
 	Tasks map[string]*Task
+	// usage is what the worker's tasks used, by the moments of its reports.
+	usage usageMeter
 }
 
 // Fleet is all workers. It is safe for concurrent use.
@@ -159,7 +162,7 @@
 		state = TaskStopped
 	}
 	if end.After(t.from) {
-		t.Used += int64(t.Size.Cores) * end.Sub(t.from).Milliseconds()
+		t.Used += int64(t.reserved().Cores) * end.Sub(t.from).Milliseconds()
 		t.from = end
 	}
 	t.State = state
@@ -172,102 +175,3 @@
 	// Reboot is the identity of a reboot. One that was begun is not begun again.
 	Reboot string `json:",omitempty"`
 }
-
-func (p *Platform) handleWorkers(ctx *fasthttp.RequestCtx, rest []string) {
-	if len(rest) == 0 {
-		answer(ctx, fasthttp.StatusOK, p.Fleet.Workers(p.now()))
-		return
-	}
-	_, lapse := p.Faults.Take(fault.LeaseLapse, rest[0])
-	p.Fleet.mu.Lock()
-	defer p.Fleet.mu.Unlock()
-	w, ok := p.Fleet.workers[inventory.WorkerID(rest[0])]
-	if !ok {
-		refuse(ctx, fasthttp.StatusNotFound, "no such worker")
-		return
-	}
-	w.advance(p.now(), lapse)
-	switch {
-	case len(rest) == 1:
-		answer(ctx, fasthttp.StatusOK, w)
-	case len(rest) == 3 && rest[1] == "tasks":
-		p.startTask(ctx, w, rest[2])
-	case len(rest) == 4 && rest[1] == "tasks":
-		p.commandTask(ctx, w, rest[2], rest[3])
-	default:
-		refuse(ctx, fasthttp.StatusNotFound, "want /workers/{Worker}/tasks/{Task}")
-	}
-}
-
-func (p *Platform) startTask(ctx *fasthttp.RequestCtx, w *Worker, id string) {
-	var s StartTask
-	if err := json.Unmarshal(ctx.PostBody(), &s); err != nil || s.Term <= 0 {
-		refuse(ctx, fasthttp.StatusBadRequest, "not a task")
-		return
-	}
-	now := p.now()
-	if s.Epoch < w.Epoch {
-		refuse(ctx, fasthttp.StatusConflict, "older epoch")
-		return
-	}
-	w.Epoch = s.Epoch
-	if t, ok := w.Tasks[id]; ok && t.State != TaskCheckpointed {
-		answer(ctx, fasthttp.StatusOK, t)
-		return
-	}
-	if w.State != Admitted {
-		refuse(ctx, fasthttp.StatusServiceUnavailable, "host takes no tasks")
-		return
-	}
-	used := inventory.Size{}
-	for _, t := range w.Tasks {
-		if t.State == TaskRunning || t.State == TaskThrottled {
-			used = used.Add(t.Size)
-		}
-	}
-	if !used.Add(s.Size).Fits(w.Facts.Size) {
-		refuse(ctx, fasthttp.StatusInsufficientStorage, "no room")
-		return
-	}
-	t := &Task{ID: id, State: TaskRunning, Epoch: s.Epoch, Size: s.Size, Until: now.Add(s.Term), Ends: now.Add(s.RunTime), from: now}
-	if old, ok := w.Tasks[id]; ok {
-		t.Starts, t.Used = old.Starts, old.Used
-	}
-	t.Starts++
-	if _, ok := p.Faults.Take(fault.FailTasks, string(w.Facts.ID)); ok {
-		t.State = TaskFailed
-	}
-	w.Tasks[id] = t
-	answer(ctx, fasthttp.StatusOK, t)
-}
-
-func (p *Platform) commandTask(ctx *fasthttp.RequestCtx, w *Worker, id, verb string) {
-	var c command
-	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
-		refuse(ctx, fasthttp.StatusBadRequest, "not a command")
-		return
-	}
-	t, ok := w.Tasks[id]
-	if !ok {
-		refuse(ctx, fasthttp.StatusNotFound, "no such task")
-		return
-	}
-	if c.Epoch < w.Epoch {
-		refuse(ctx, fasthttp.StatusConflict, "older epoch")
-		return
-	}
-	w.Epoch = c.Epoch
-	running := t.State == TaskRunning || t.State == TaskThrottled
-	switch {
-	case verb == "renew" && running:
-		t.Until = p.now().Add(c.Term)
-		t.Epoch = c.Epoch
-	case verb == "checkpoint" && running:
-		t.State = TaskCheckpointed
-	case verb == "throttle" && running:
-		t.State = TaskThrottled
-	case verb == "stop" && running:
-		t.State = TaskStopped
-	}
-	answer(ctx, fasthttp.StatusOK, t)
-}
