fix: answers that tell no length, folded headers and lengths beside chunks are refused

Cause: the library takes an answer whose end is the end of the connection for whole, so that a cut one passed as a success; and it takes requests with a length beside chunks, the coding identity and folded header lines, which other readers take differently.

A request for which no server can come back in time is refused at once instead of waiting, and signs of leaving take out at most half of a service's servers until the host list says more.

--- a/entry/backend/conn.go
+++ b/entry/backend/conn.go
@@ -57,10 +57,10 @@
 		return eris.Wrapf(ErrNotSent, "%s", err)
 	}
 	if err := req.Write(c.w); err != nil {
-		return eris.Wrap(errors.Join(ErrNoAnswer, err), "writing")
+		return noAnswer(err, "writing")
 	}
 	if err := c.w.Flush(); err != nil {
-		return eris.Wrap(errors.Join(ErrNoAnswer, err), "writing")
+		return noAnswer(err, "writing")
 	}
 	return c.read(resp, string(req.Header.Method()) == fasthttp.MethodHead, limit)
 }
@@ -69,36 +69,61 @@
 // length only the end of the connection tells can't be told from a cut one and
 // counts as none.
 func (c *Conn) read(resp *fasthttp.Response, head bool, limit int) error {
+	resp.Reset()
+	resp.SkipBody = head
+	if err := c.readHeader(resp); err != nil {
+		return err
+	}
+	if head || hasNoBody(resp.StatusCode()) {
+		return nil
+	}
+	length := resp.Header.ContentLength()
+	if length == lengthUntilClose {
+		return eris.Wrap(ErrNoAnswer, "the answer does not tell its length")
+	}
+	if err := resp.ReadBody(c.r, limit); err != nil {
+		return noAnswer(err, "reading the body")
+	}
+	if length != lengthOfChunks {
+		return nil
+	}
+	if err := resp.Header.ReadTrailer(c.r); err != nil {
+		return noAnswer(err, "reading the trailer")
+	}
+	return nil
+}
+
+func (c *Conn) readHeader(resp *fasthttp.Response) error {
 	for range maxInterim {
-		resp.Reset()
-		resp.SkipBody = head
-		if err := resp.ReadLimitBody(c.r, limit); err != nil {
-			return eris.Wrap(errors.Join(ErrNoAnswer, err), "reading")
+		if err := resp.Header.Read(c.r); err != nil {
+			return noAnswer(err, "reading the headers")
 		}
 		status := resp.StatusCode()
 		if status == fasthttp.StatusSwitchingProtocols {
 			return eris.Wrap(ErrNoAnswer, "the server changed the protocol")
 		}
 		if status >= fasthttp.StatusOK {
-			return checkLength(resp, head)
+			return nil
 		}
 	}
 	return eris.Wrap(ErrNoAnswer, "too many interim answers")
 }
 
-func checkLength(resp *fasthttp.Response, head bool) error {
-	status := resp.StatusCode()
-	if head || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-		return nil
-	}
-	if resp.Header.ContentLength() == lengthUntilClose {
-		return eris.Wrap(ErrNoAnswer, "the answer does not tell its length")
-	}
-	return nil
+// noAnswer returns ErrNoAnswer together with its cause.
+func noAnswer(cause error, doing string) error {
+	return eris.Wrap(errors.Join(ErrNoAnswer, cause), doing)
 }
 
-// lengthUntilClose is the library's mark of a body that ends with the connection.
-const lengthUntilClose = -2
+func hasNoBody(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// Lengths by which the library marks a body in chunks and one that ends with
+// the connection.
+const (
+	lengthOfChunks   = -1
+	lengthUntilClose = -2
+)
 
 // isQuiet reports whether an idle connection is open as far as this host can
 // see, with nothing to read.
--- a/entry/caller/resolve.go
+++ b/entry/caller/resolve.go
@@ -37,13 +37,13 @@
 // resolve reads what the request asks for, or returns why it is refused.
 func (s *Server) resolve(ctx *fasthttp.RequestCtx, now time.Time) (target, admission.Reason) {
 	h := &ctx.Request.Header
+	if !isPlain(h) || slices.Contains(refusedMethods, string(h.Method())) {
+		return target{}, ReasonMessage
+	}
 	t, reason := s.find(h)
 	if reason != "" {
 		return t, reason
 	}
-	if !isPlain(h) || slices.Contains(refusedMethods, string(h.Method())) {
-		return t, ReasonMessage
-	}
 	if len(ctx.Request.Body()) > int(t.spec.MaxBody) {
 		return t, ReasonTooLarge
 	}
@@ -123,22 +123,46 @@
 var singleHeaders = []string{HeaderTenant, HeaderKey, HeaderDeadline, fasthttp.HeaderHost}
 
 // isPlain reports whether no other reader of the message can take it for
-// something else: one length, one tenant, and no control characters anywhere.
+// something else: one length, one tenant, no folded lines and no control
+// characters.
 func isPlain(h *fasthttp.RequestHeader) bool {
 	for _, name := range singleHeaders {
 		if len(h.PeekAll(name)) > 1 {
 			return false
 		}
 	}
-	if hasControl(h.RequestURI()) || bytes.ContainsAny(h.RequestURI(), " \t#") {
+	uri := h.RequestURI()
+	if !bytes.HasPrefix(uri, []byte("/")) || hasControl(uri) || bytes.ContainsAny(uri, " \t#") {
 		return false
 	}
-	for name, value := range h.All() {
-		if hasControl(name) || bytes.ContainsAny(name, " \t:") || hasControl(value) {
+	return hasPlainLines(h.RawHeaders())
+}
+
+// hasPlainLines looks at the header as it came in. The library takes a length
+// beside chunks, the coding identity and folded lines, which others refuse or
+// read in their own way.
+func hasPlainLines(raw []byte) bool {
+	lengths, codings := 0, 0
+	for line := range bytes.Lines(raw) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			continue
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || bytes.ContainsAny(name, " \t") || hasControl(line) {
 			return false
 		}
+		switch {
+		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
+			lengths++
+		case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+			codings++
+			if !bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked")) {
+				return false
+			}
+		}
 	}
-	return true
+	return lengths+codings <= 1
 }
 
 // hasControl reports whether the text has control characters other than tabs.
--- a/entry/lifecycle/stopper.go
+++ b/entry/lifecycle/stopper.go
@@ -12,8 +12,6 @@
 	// ShutdownWithContext takes no new connections, closes idle ones, and
 	// returns once the others have ended or the context has.
 	ShutdownWithContext(ctx context.Context) error
-	// GetOpenConnectionsCount returns the connections that are still open.
-	GetOpenConnectionsCount() int32
 }
 
 // StopConfig is what a stopper is built from.
@@ -38,8 +36,6 @@
 	// InFlight is the number of requests that were cut off at the end of the
 	// stop time; 0 after a stop that cut off nothing.
 	InFlight int
-	// Connections is the number of callers' connections open at the end.
-	Connections int
 }
 
 // Stopper stops a host in the order that cuts off no request.
@@ -63,7 +59,7 @@
 	defer cancel()
 	var r Report
 	if err := s.cfg.Callers.ShutdownWithContext(ctx); err != nil {
-		r = Report{InFlight: s.cfg.InFlight(), Connections: int(s.cfg.Callers.GetOpenConnectionsCount())}
+		r = Report{InFlight: s.cfg.InFlight()}
 		s.cfg.Log.WithError(err).WithField("Remaining", r).Error("requests were still in flight at the end of the stop time")
 	}
 	if err := s.cfg.Operators.ShutdownWithContext(ctx); err != nil {
--- a/entry/lifecycle/stopper_test.go
+++ b/entry/lifecycle/stopper_test.go
@@ -16,29 +16,27 @@
 type server struct {
 	name string
 	log  *journal
-	// open is the number of connections that never end.
-	open int32
+	// stuck is whether a request never ends.
+	stuck bool
 }
 
 func (s *server) ShutdownWithContext(ctx context.Context) error {
 	s.log.steps = append(s.log.steps, s.name)
-	if s.open == 0 {
+	if !s.stuck {
 		return nil
 	}
 	<-ctx.Done()
 	return ctx.Err()
 }
 
-func (s *server) GetOpenConnectionsCount() int32 { return s.open }
-
 func TestStopper(t *testing.T) {
 	tests := []struct {
-		name string
-		open int32
-		want Report
+		name  string
+		stuck bool
+		want  Report
 	}{
-		{"nothing in flight", 0, Report{}},
-		{"a request that never ends is reported", 2, Report{InFlight: 1, Connections: 2}},
+		{"nothing in flight", false, Report{}},
+		{"a request that never ends is reported", true, Report{InFlight: 1}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -48,7 +46,7 @@
 			r := NewReadiness("")
 			s := NewStopper(StopConfig{
 				Log: log, Readiness: r, NoticeTime: time.Millisecond, StopTime: 2 * time.Millisecond,
-				Callers: &server{"callers", j, test.open}, Operators: &server{"operators", j, 0},
+				Callers: &server{"callers", j, test.stuck}, Operators: &server{"operators", j, false},
 				InFlight: func() int { return 1 },
 				Wait: func(time.Duration) {
 					require.True(t, r.IsStopping())
--- a/fleet/dispatch/dispatcher.go
+++ b/fleet/dispatch/dispatcher.go
@@ -14,6 +14,9 @@
 const (
 	// maxTries bounds how often one request is sent.
 	maxTries = 3
+	// maxReturn is the longest pause that a caller is told to make while servers
+	// are away.
+	maxReturn = time.Minute
 	// reviewEvery is the time between two reviews of the servers' latencies.
 	reviewEvery = time.Second
 	// trialShare of the time that remains is given to one sending of an
@@ -133,7 +136,7 @@
 	if s.table.Len() == 0 {
 		wake := s.table.NextWake()
 		if wake.IsZero() || wake.After(c.Deadline) {
-			return admission.Refusal{Reason: ReasonNoServer, After: max(min(wake.Sub(now), time.Minute), admission.MinReturn)}
+			return admission.Refusal{Reason: ReasonNoServer, After: max(min(wake.Sub(now), maxReturn), admission.MinReturn)}
 		}
 	}
 	return s.gate.Check(s.queue, c.Request.Request, s.table.Slots(), now)
@@ -187,6 +190,7 @@
 	if inTime && c.attempts.MaySendAgain() && c.attempts.Count < maxTries && s.retries.Take() {
 		c.queued = now
 		s.queue.Return(c.item)
+		d.expire(s, now)
 		return
 	}
 	reason := ReasonNoAnswer
@@ -255,17 +259,26 @@
 	return c.Deadline
 }
 
-// expire ends requests that can't be answered in time any more.
+// expire ends requests that can't be answered in time any more: their time has
+// come, or no server comes back before it does.
 func (d *Dispatcher) expire(s *service, now time.Time) {
+	horizon, reason := now, admission.ReasonExpired
+	if s.table.Len() == 0 {
+		reason = ReasonNoServer
+		horizon = s.table.NextWake()
+		if horizon.IsZero() {
+			horizon = now.Add(configuration.MaxDeadline.Std())
+		}
+	}
 	for {
-		it, ok := s.queue.Expired(now)
+		it, ok := s.queue.Expired(horizon)
 		if !ok {
 			return
 		}
 		c := d.calls[it.ID]
 		c.waited += now.Sub(c.queued)
-		wait := s.gate.Wait(s.queue, it.Request, s.table.Slots())
-		d.finish(c, c.attempts.Outcome(), admission.ReasonExpired, d.spread(max(wait, admission.MinReturn)))
+		after := max(s.gate.Wait(s.queue, it.Request, s.table.Slots()), min(horizon.Sub(now), maxReturn), admission.MinReturn)
+		d.finish(c, c.attempts.Outcome(), reason, d.spread(after))
 	}
 }
 
--- a/fleet/retry/budget.go
+++ b/fleet/retry/budget.go
@@ -9,7 +9,7 @@
 type BudgetConfig struct {
 	// Share is how many retries each first sending pays for.
 	Share float64
-	// Most is how many unused retries are kept for later.
+	// Most is how many unused retries are kept for later. A new budget has them.
 	Most float64
 }
 
@@ -23,9 +23,9 @@
 	tokens float64
 }
 
-// NewBudget returns a budget that holds nothing.
+// NewBudget returns a budget that is full.
 func NewBudget(cfg BudgetConfig) *Budget {
-	return &Budget{cfg: cfg}
+	return &Budget{cfg: cfg, tokens: cfg.Most}
 }
 
 // Earn counts a first sending.
--- a/fleet/routing/health.go
+++ b/fleet/routing/health.go
@@ -13,8 +13,9 @@
 const (
 	// maxFailures in a row eject a server.
 	maxFailures = 2
-	// maxEjectedShare of a service's servers are ejected at once, at most.
-	maxEjectedShare = 0.5
+	// maxLostShare of a service's servers are taken out at once, at most, by what
+	// one host has seen without the host list.
+	maxLostShare = 0.5
 	// signHold is how long a server that showed a sign of leaving gets nothing,
 	// unless the host list tells more. It is longer than the list's delay.
 	signHold = 10 * time.Second
@@ -76,7 +77,7 @@
 	if s.condition == ejected || s.condition == leaving {
 		return
 	}
-	if float64(t.ejected+1) > maxEjectedShare*float64(len(t.servers)) {
+	if !t.mayLose(1) {
 		o := t.nextEjected()
 		if o == nil {
 			return
@@ -88,6 +89,22 @@
 	t.sendAway(s, ejected, now.Add(awayAfterFailure.Pause(s.ejections, t.cfg.Random)))
 }
 
+// mayLose reports whether n more servers can be taken out by what this host
+// alone has seen.
+func (t *Table) mayLose(n int) bool {
+	stay, out := 0, n
+	for _, s := range t.servers {
+		if s.Leaving {
+			continue
+		}
+		stay++
+		if s.condition == ejected || s.condition == leaving {
+			out++
+		}
+	}
+	return float64(out) <= maxLostShare*float64(stay)
+}
+
 func (t *Table) nextEjected() *server {
 	var next *server
 	for _, s := range t.servers {
@@ -126,7 +143,7 @@
 	if !ok || sign == NoSign || s.condition == leaving || s.recycles {
 		return
 	}
-	if float64(t.away.Len()+1) > maxEjectedShare*float64(len(t.servers)) && s.condition == inUse {
+	if !t.mayLose(1) {
 		return
 	}
 	s.signed = true
@@ -170,9 +187,6 @@
 	case inUse:
 		t.own -= s.own
 		t.queue(s).Remove(s.entry)
-	case ejected:
-		t.ejected--
-		t.away.Remove(s.entry)
 	default:
 		t.away.Remove(s.entry)
 	}
@@ -181,9 +195,6 @@
 func (t *Table) sendAway(s *server, c condition, until time.Time) {
 	t.remove(s)
 	s.condition, s.until = c, until
-	if c == ejected {
-		t.ejected++
-	}
 	s.entry = t.away.Push(s)
 }
 
--- a/fleet/routing/table.go
+++ b/fleet/routing/table.go
@@ -41,8 +41,6 @@
 	// away holds resting and ejected servers and those with a sign of leaving,
 	// by the time at which they come back.
 	away *priority.Queue[*server]
-	// ejected counts servers in that condition.
-	ejected int
 	// own is the sum of own slots of servers in use.
 	own inventory.Slots
 	// inFlight and borrowed are sums over all servers.
--- /dev/null
+++ b/standin/requests/failures_test.go
@@ -0,0 +1,224 @@
+package requests
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	get  = http.MethodGet
+	post = http.MethodPost
+)
+
+// TestFailuresOfAServer says for each way in which a server fails what a caller
+// is told, with and without another server that works.
+func TestFailuresOfAServer(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbell"
+	tests := []struct {
+		name string
+		make func(s *server) act
+		// alone and spared are the outcomes of a POST without and with another
+		// server; a GET is always answered when there is one.
+		alone, spared string
+		// status of the POST without another server.
+		status int
+		// runs is how often the failing server executes the POST.
+		runs int
+	}{
+		{"closes before reading", nil, "Unknown", "Unknown", 504, 0},
+		{"closes after reading", func(s *server) act { return s.write("", false) }, "Unknown", "Unknown", 504, 1},
+		{"cuts its answer in the body", func(s *server) act { return s.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false) }, "Unknown", "Unknown", 504, 1},
+		{"cuts its answer in the headers", func(s *server) act { return s.write("HTTP/1.1 200 OK\r\nConte", false) }, "Unknown", "Unknown", 504, 1},
+		{"cuts its answer between chunks", func(s *server) act {
+			return s.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbell\r\n", false)
+		}, "Unknown", "Unknown", 504, 1},
+		{"tells no length", func(s *server) act { return s.write("HTTP/1.1 200 OK\r\n\r\nbell", false) }, "Unknown", "Unknown", 504, 1},
+		{"tells two lengths", func(s *server) act {
+			return s.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbell", false)
+		}, "Unknown", "Unknown", 504, 1},
+		{"changes the protocol", func(s *server) act { return s.write("HTTP/1.1 101 Switching Protocols\r\n\r\n", false) }, "Unknown", "Unknown", 504, 1},
+		{"answers more than the limit", func(s *server) act {
+			return s.write("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n"+string(make([]byte, 70000)), true)
+		}, "Unknown", "Unknown", 504, 1},
+		{"hangs", func(s *server) act { return s.hang }, "Unknown", "Unknown", 504, 1},
+		{"refuses without effect", func(*server) act { return refuse }, "NotRun", "Answered", 503, 0},
+		{"refuses and leaves", func(*server) act { return leave }, "NotRun", "Answered", 503, 0},
+		{"refuses with effect", func(s *server) act { return s.write("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", true) }, "Answered", "Answered", 503, 1},
+		{"refuses in words with an answer of success", func(s *server) act {
+			return s.write("HTTP/1.1 200 OK\r\nNot-Run: true\r\nContent-Length: 0\r\n\r\n", true)
+		}, "Answered", "Answered", 200, 1},
+		{"answers after an interim answer", func(s *server) act {
+			return s.write("HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n"+whole, true)
+		}, "Answered", "Answered", 200, 1},
+	}
+	for _, test := range tests {
+		for _, spare := range []bool{false, true} {
+			for _, method := range []string{get, post} {
+				t.Run(test.name+map[bool]string{true: " beside another, "}[spare]+method, func(t *testing.T) {
+					t.Parallel()
+					w := newWorld(t)
+					e := w.addEntry("entry-1", "Palermo")
+					// The name comes first in order, so that it is chosen first.
+					s := w.addScript("server-0")
+					s.setAccept(func(net.Conn) bool { return test.make != nil })
+					if test.make != nil {
+						s.setScript(test.make(s))
+					}
+					if spare {
+						o := w.addScript("server-1")
+						o.setScript(o.ok)
+					}
+					a := e.send(request{method: method, deadline: 1500 * time.Millisecond})
+					want := test.alone
+					if spare {
+						want = test.spared
+					}
+					if method == get && spare {
+						want = "Answered"
+					}
+					require.Equal(t, want, a.outcome, "%+v", a)
+					if !spare {
+						require.Equal(t, test.status, a.status)
+					}
+					if method == post {
+						require.Equal(t, test.runs, s.runs())
+					}
+					require.Equal(t, want == "NotRun", a.retryIn != "", "Retry-After comes with each refusal and nothing else")
+				})
+			}
+		}
+	}
+}
+
+func TestServerThatCannotBeReached(t *testing.T) {
+	w := newWorld(t)
+	e := w.addEntry("entry-1", "Palermo")
+	l := w.listen("Palermo")
+	w.addServer("server-0", "Palermo", l.Addr().String())
+	require.NoError(t, l.Close())
+	a := e.send(request{method: post})
+	require.Equal(t, answer{status: 503, outcome: "NotRun", reason: "ServersUnreachable", retryIn: a.retryIn, body: a.body}, a)
+	o := w.addScript("server-1")
+	o.setScript(o.ok)
+	require.Equal(t, "Answered", e.send(request{method: post}).outcome)
+}
+
+// TestLateAnswerReachesNobody lets an answer come after its deadline, and an
+// answer that nobody asked for, and looks at what the next callers get.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	release := make(chan struct{})
+	tests := []struct {
+		name string
+		make func(s *server) act
+		want string
+	}{
+		{"late", func(s *server) act {
+			return func(c net.Conn, r *http.Request, body string) bool {
+				<-release
+				return s.ok(c, r, body)
+			}
+		}, "Unknown"},
+		{"twice", func(s *server) act {
+			return func(c net.Conn, r *http.Request, body string) bool { return s.ok(c, r, body) && s.ok(c, r, body) }
+		}, "Answered"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t)
+			e := w.addEntry("entry-1", "Palermo")
+			s := w.addScript("server-0")
+			s.setScript(test.make(s), s.ok)
+			first := e.send(request{method: post, key: "a", path: "/services/Bells/first", deadline: 100 * time.Millisecond})
+			require.Equal(t, test.want, first.outcome)
+			if test.name == "late" {
+				close(release)
+			}
+			for range 5 {
+				next := e.send(request{method: get, path: "/services/Bells/next"})
+				require.Equal(t, "GET /next ", next.body)
+			}
+		})
+	}
+}
+
+// TestSilentConnections makes all open connections to a server silent for good
+// while new ones work.
+func TestSilentConnections(t *testing.T) {
+	for _, method := range []string{get, post} {
+		t.Run(method, func(t *testing.T) {
+			w := newWorld(t)
+			e := w.addEntry("entry-1", "Palermo")
+			s := w.addScript("server-0")
+			s.setScript(s.ok)
+			for range 3 {
+				require.Equal(t, "Answered", e.send(request{method: get}).outcome)
+			}
+			w.net.Silence(s.address)
+			for range 3 {
+				require.Equal(t, "Answered", e.send(request{method: method, deadline: 2 * time.Second}).outcome)
+			}
+		})
+	}
+}
+
+// TestLeavingServer looks at what a server gets after each sign of its leaving.
+func TestLeavingServer(t *testing.T) {
+	tests := []struct {
+		name string
+		sign func(w *world, s *server)
+	}{
+		{"the host list says so", func(w *world, _ *server) { w.setState("server-0", "Leaving") }},
+		{"a refusal says so", func(_ *world, s *server) { s.setScript(leave) }},
+		{"an answer says so", func(_ *world, s *server) {
+			s.setScript(s.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", false))
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t)
+			e := w.addEntry("entry-1", "Palermo")
+			s, o := w.addScript("server-0"), w.addScript("server-1")
+			s.setScript(s.ok)
+			o.setScript(o.ok)
+			for range 4 {
+				require.Equal(t, "Answered", e.send(request{method: post}).outcome)
+			}
+			require.Positive(t, s.runs())
+			test.sign(w, s)
+			// The sign may need one more request to show.
+			for range 2 {
+				require.Equal(t, "Answered", e.send(request{method: post}).outcome)
+			}
+			before := s.heads()
+			for range 10 {
+				require.Equal(t, "Answered", e.send(request{method: post}).outcome)
+			}
+			require.Equal(t, before, s.heads())
+		})
+	}
+}
+
+// TestSlowReader lets a caller take its answer slowly and another send slowly;
+// others are served meanwhile.
+func TestSlowReader(t *testing.T) {
+	w := newWorld(t)
+	e := w.addEntry("entry-1", "Palermo")
+	s := w.addScript("server-0")
+	s.setScript(s.ok)
+	for _, part := range []string{"GET /services/Bells/x HTTP/1.1\r\nHost: x\r\nTen", "POST /services/Bells/x HTTP/1.1\r\nHost: x\r\nTenant: Secretaries\r\nContent-Length: 100\r\n\r\nhalf"} {
+		c, err := net.Dial("tcp", e.address)
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, part)
+		require.NoError(t, err)
+	}
+	for range 20 {
+		require.Equal(t, "Answered", e.send(request{method: get}).outcome)
+	}
+	require.Equal(t, 20, s.runs())
+}
