--- a/bench/whole/judge.go
+++ b/bench/whole/judge.go
@@ -133,7 +133,7 @@
 	var out []Violation
 	for _, j := range o.Jobs {
 		if !j.Known || !j.Done {
-			out = append(out, violation(RuleLostJob, "job %s: known %t, done %t", j.Job, j.Known, j.Done))
+			out = append(out, violation(RuleLostJob, "job %s: known %t, state %q", j.Job, j.Known, j.State))
 		}
 		if j.Starts > 1 {
 			out = append(out, violation(RuleDoubleJob, "job %s started %d times", j.Job, j.Starts))
--- a/bench/whole/observation.go
+++ b/bench/whole/observation.go
@@ -59,8 +59,9 @@
 	Known bool
 	// Starts counts executions by workers.
 	Starts int
-	// Done is whether it ran to its end.
-	Done bool
+	// Done is whether it ran to its end, State what the system says of it.
+	Done  bool
+	State string
 }
 
 // Bill is what the entry hosts computed and what was there to be shared.
@@ -77,8 +78,11 @@
 	// Executions counts by key what backend servers executed.
 	Executions map[string]int
 	Pools      []PoolSample
-	Ownership  []OwnershipSample
-	Versions   []VersionSample
+	// Ownership has the hosts that were seen in no pool or in several; HostLooks
+	// counts all looks at hosts.
+	Ownership []OwnershipSample
+	HostLooks int
+	Versions  []VersionSample
 	// Accepted are the versions of the changes that were accepted.
 	Accepted []configuration.Version
 	Jobs     []JobSample
--- a/bench/whole/run.go
+++ b/bench/whole/run.go
@@ -26,9 +26,11 @@
 // Shape of a run.
 const (
 	entryHostsPerDataCentre = 3
-	meanRate                = 200.0
-	burstFactor             = 5.0
-	quietFactor             = 0.05
+	// operatedHost is the entry host that operators use; it stays to the end.
+	operatedHost = 2
+	meanRate     = 200.0
+	burstFactor  = 5.0
+	quietFactor  = 0.05
 	// settleTime bounds the wait for everything to end after the last request.
 	settleTime  = 15 * time.Second
 	changeEvery = 500 * time.Millisecond
@@ -55,6 +57,8 @@
 	d        *deployment.Deployment
 	balancer *ReadyHosts
 	observer *Observer
+	jobs     *Submitter
+	operator *client.Client
 	mu       sync.Mutex
 	// accepted are the versions of accepted changes; guarded by mu.
 	accepted []configuration.Version
@@ -66,9 +70,12 @@
 	// Dropped requests were never sent.
 	Dropped int
 	Changes int
-	// Samples counts looks at versions.
-	Samples    int
-	Violations []Violation
+	// Samples, HostLooks and PoolLooks count looks at versions, at hosts' pools and
+	// at the watched pool's budget.
+	Samples, HostLooks, PoolLooks int
+	// Jobs were accepted; Rebooted hosts are those of the wave.
+	Jobs, Rebooted int
+	Violations     []Violation
 }
 
 // Check runs the whole product for the options' duration and judges it.
@@ -80,7 +87,10 @@
 		return Report{}, err
 	}
 	defer d.Stop()
-	r := &Run{o: o, d: d, balancer: NewReadyHosts(d.Entries), observer: NewObserver(d, watchedPool)}
+	r := &Run{
+		o: o, d: d, operator: newOperator(d), balancer: NewReadyHosts(d.Entries), observer: NewObserver(d, watchedPool),
+		jobs: NewSubmitter(newOperator(d)),
+	}
 	return r.check()
 }
 
@@ -100,8 +110,9 @@
 		return Report{}, err
 	}
 	r.settle()
+	jobs := r.jobs.Samples(time.Now().Add(settleTime), r.taskStarts)
 	stop()
-	return r.report(requests, dropped), nil
+	return r.report(requests, dropped, jobs), nil
 }
 
 func (r *Run) awaitReady() error {
@@ -117,7 +128,7 @@
 func (r *Run) drive() ([]Request, int, error) {
 	callers := NewCallers(r.balancer, r.o.Seed, callTraffic)
 	began := time.Now()
-	next, sent, changed := 0, 0, 0
+	next, sent, changed, submitted := 0, 0, 0, 0
 	due := 0.0
 	last := began
 	for {
@@ -137,6 +148,10 @@
 			changed++
 			go r.change(changed)
 		}
+		if int(now.Sub(began)/jobEvery) > submitted {
+			submitted++
+			r.jobs.Submit(submitted)
+		}
 		due += rate(share) * now.Sub(last).Seconds()
 		last = now
 		for ; due >= 1; due-- {
@@ -162,12 +177,14 @@
 	return meanRate
 }
 
-// settle waits until all live hosts have the newest accepted version.
+// settle waits until all live hosts have the newest accepted version and the
+// wave has rebooted its hosts.
 func (r *Run) settle() {
-	r.o.Progress("waiting for all hosts to agree")
+	r.o.Progress("waiting for all hosts to agree and for the wave's end")
 	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(observeEvery) {
-		versions, _ := r.observer.Samples()
-		if len(judgeVersions(Observation{Versions: versions, Accepted: r.acceptedVersions()})) == 0 {
+		o := Observation{Accepted: r.acceptedVersions()}
+		r.observer.Fill(&o)
+		if len(judgeVersions(o)) == 0 && len(judgeReboots(o)) == 0 {
 			return
 		}
 	}
@@ -196,12 +213,15 @@
 	return slices.Clone(r.accepted)
 }
 
+// newOperator returns the client of an operator of Campanella.
+func newOperator(d *deployment.Deployment) *client.Client {
+	return client.New(d.Entries[operatedHost].Settings.OperatorAddress, "campanella-operator")
+}
+
 // publish makes a change through the last host, which is never cut off or stopped
 // before its end.
 func (r *Run) publish(id journal.RecordID, set configuration.Objects) error {
-	entries := r.entries()
-	e := entries[2]
-	c := client.New(e.Settings.OperatorAddress, "campanella-operator")
+	c := r.operator
 	var cfg configuration.Configuration
 	if err := c.Get("/configuration", &cfg); err != nil {
 		return err
@@ -216,10 +236,13 @@
 	return nil
 }
 
-func (r *Run) report(requests []Request, dropped int) Report {
-	o := Observation{Requests: requests, Executions: r.d.Executions(), Accepted: r.acceptedVersions()}
-	o.Versions, o.Pools = r.observer.Samples()
-	out := Report{Requests: len(requests), Dropped: dropped, Changes: len(o.Accepted), Samples: len(o.Versions), Violations: Judge(o)}
+func (r *Run) report(requests []Request, dropped int, jobs []JobSample) Report {
+	o := Observation{Requests: requests, Executions: r.d.Executions(), Accepted: r.acceptedVersions(), Jobs: jobs}
+	r.observer.Fill(&o)
+	out := Report{
+		Requests: len(requests), Dropped: dropped, Changes: len(o.Accepted), Samples: len(o.Versions),
+		HostLooks: o.HostLooks, PoolLooks: len(o.Pools), Jobs: len(jobs), Rebooted: len(o.Reboots), Violations: Judge(o),
+	}
 	for _, q := range requests {
 		switch q.Attempts[len(q.Attempts)-1].Outcome {
 		case retry.Answered:
@@ -240,6 +263,8 @@
 	lines := []string{
 		fmt.Sprintf("requests %d: answered %d, not run %d, unknown %d, connection broken %d; never sent %d", p.Requests, p.Answered, p.NotRun, p.Unknown, p.Broken, p.Dropped),
 		fmt.Sprintf("configuration changes accepted %d, looks at versions %d", p.Changes, p.Samples),
+		fmt.Sprintf("hosts of the wave %d, looks at its pool's budget %d, looks at hosts' pools %d", p.Rebooted, p.PoolLooks, p.HostLooks),
+		fmt.Sprintf("jobs accepted %d", p.Jobs),
 	}
 	for _, v := range p.Violations {
 		lines = append(lines, fmt.Sprintf("BROKEN %s: %s", v.Rule, v.What))
