--- /dev/null
+++ b/bench/capacity/fold.go
@@ -0,0 +1,158 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/godwitcross/godwitcross/bench/measure"
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/label"
+	"github.com/godwitcross/godwitcross/fleet/lease"
+	"github.com/godwitcross/godwitcross/fleet/state"
+)
+
+// fleetSizes are the sizes at which slopes over hosts are measured.
+var fleetSizes = []size{{1000, Pools, Teams}, {4300, Pools, Teams}, letter}
+
+// changesMeasured is how many changes are folded at each size.
+const changesMeasured = 10
+
+// measureFold measures the time and the bytes of one change of configuration.
+func measureFold(o measure.Options) ([]measure.Figure, error) {
+	var figures []measure.Figure
+	var times []point
+	for _, s := range fleetSizes {
+		o.Progress(fmt.Sprintf("folding changes at %d hosts", s.hosts))
+		t, bytes, err := foldChange(s)
+		if err != nil {
+			return nil, err
+		}
+		times = append(times, point{float64(s.hosts), float64(t.Microseconds())})
+		figures = append(figures,
+			measure.Figure{Name: fmt.Sprintf("fold.change_time_at_%d", s.hosts), Value: float64(t.Microseconds()), Unit: measure.Microseconds},
+			measure.Figure{Name: fmt.Sprintf("fold.change_bytes_at_%d", s.hosts), Value: bytes, Unit: measure.Bytes, Deterministic: true})
+	}
+	figures = append(figures, measure.Figure{Name: "fold.change_time_per_host", Value: slope(times) * 1000, Unit: measure.Nanoseconds})
+	share := times[len(times)-1].value / 1e6 * ChangesPerDay / secondsPerDay
+	return append(figures, measure.Figure{Name: "fold.share_of_core", Value: share, Unit: measure.Ratio}), nil
+}
+
+func foldChange(s size) (time.Duration, float64, error) {
+	f, err := folded(s)
+	if err != nil {
+		return 0, 0, err
+	}
+	n, bytes := 0, 0
+	t, err := processorTime(changesMeasured, func() error {
+		raw, err := change(n, s, f.Configuration.Current().Version)
+		if err != nil {
+			return err
+		}
+		n, bytes = n+1, len(raw)
+		return apply(f, raw)
+	})
+	return t, float64(bytes), err
+}
+
+// measureState measures what hosts, pools and teams take in the marshalled state
+// and on the heap.
+func measureState(o measure.Options) ([]measure.Figure, error) {
+	kinds := []struct {
+		name  string
+		sizes []size
+		of    func(s size) int
+	}{
+		{"host", fleetSizes, func(s size) int { return s.hosts }},
+		{"pool", []size{{1000, 28, Teams}, {1000, 56, Teams}, {1000, Pools, Teams}}, func(s size) int { return s.pools }},
+		{"team", []size{{1000, Pools, 80}, {1000, Pools, 800}, {1000, Pools, 8000}}, func(s size) int { return s.teams }},
+	}
+	var figures []measure.Figure
+	for _, k := range kinds {
+		o.Progress("state per " + k.name)
+		var marshalled, heap []point
+		for _, s := range k.sizes {
+			b, h, err := stateBytes(s)
+			if err != nil {
+				return nil, err
+			}
+			marshalled = append(marshalled, point{float64(k.of(s)), b})
+			heap = append(heap, point{float64(k.of(s)), h})
+		}
+		figures = append(figures,
+			measure.Figure{Name: "state.bytes_per_" + k.name, Value: slope(marshalled), Unit: measure.Bytes, Deterministic: true},
+			measure.Figure{Name: "state.heap_per_" + k.name, Value: slope(heap), Unit: measure.Bytes})
+	}
+	w, err := windowHeap()
+	if err != nil {
+		return nil, err
+	}
+	j, err := jobBytes()
+	return append(figures,
+		measure.Figure{Name: "state.heap_of_full_window", Value: w, Unit: measure.Bytes},
+		measure.Figure{Name: "state.bytes_per_job_record", Value: j, Unit: measure.Bytes, Deterministic: true}), err
+}
+
+func stateBytes(s size) (marshalled, heap float64, err error) {
+	heap, err = heapOf(func() (*state.Fleet, error) { return folded(s) })
+	if err != nil {
+		return 0, 0, err
+	}
+	f, err := folded(s)
+	if err != nil {
+		return 0, 0, err
+	}
+	b, err := f.Configuration.MarshalState()
+	return float64(len(b)), heap, err
+}
+
+// windowHeap returns what the remembered identities take when the window is full.
+func windowHeap() (float64, error) {
+	return heapOf(func() (*journal.Fold, error) { return fullFold(journal.WindowSize) })
+}
+
+// fullFold returns a fold over n renewals of a lease.
+func fullFold(n int) (*journal.Fold, error) {
+	f := journal.NewFold(nil, lease.NewReducer())
+	for i := range n {
+		raw, err := record(fmt.Sprint("renewal-", i), lease.KindRenew, lease.Renew{})
+		if err != nil {
+			return nil, err
+		}
+		if _, err := f.Apply(journal.Offset(i), raw); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func jobBytes() (float64, error) {
+	raw, err := record("submit-00000000-0000-4000-8000-000000000000", "Job.Submit", configuration.Job{
+		ID: "rendering-2027-01-13-school-0123", Owner: "Campanella", Team: "team-07", Labels: label.Set{"Pool": "pool-017"},
+		Declared: inventory.Size{Cores: 4000, Memory: 8 * inventory.Gibibyte}, DeclaredTime: configuration.Duration(time.Hour),
+		Template: "render-bell", Command: "render --school 0123 --schedule 2027-01-13",
+	})
+	return float64(len(raw)), err
+}
+
+// measureLease measures the bytes of a renewal by the duties that it renews.
+func measureLease(measure.Options) ([]measure.Figure, error) {
+	var points []point
+	for _, n := range []int{1, 4, 16} {
+		held := make(map[lease.Duty]journal.Epoch, n)
+		for i := range n {
+			held[lease.Duty(fmt.Sprintf("Placement.DataCentre-%02d", i))] = 1234
+		}
+		raw, err := record("00000000-0000-4000-8000-000000000000", lease.KindRenew, lease.Renew{Holder: "DataCentre-1-entry-1", Held: held})
+		if err != nil {
+			return nil, err
+		}
+		points = append(points, point{float64(n), float64(len(raw))})
+	}
+	perDuty := slope(points)
+	return []measure.Figure{
+		{Name: "lease.renewal_bytes", Value: points[0].value - perDuty, Unit: measure.Bytes, Deterministic: true},
+		{Name: "lease.renewal_bytes_per_duty", Value: perDuty, Unit: measure.Bytes, Deterministic: true},
+	}, nil
+}
--- /dev/null
+++ b/bench/capacity/snapshot.go
@@ -0,0 +1,82 @@
+package capacity
+
+import (
+	"fmt"
+
+	"github.com/godwitcross/godwitcross/bench/measure"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/state"
+)
+
+// measureSnapshot measures the size of a packed snapshot and the time to make it
+// and to be ready from it.
+func measureSnapshot(o measure.Options) ([]measure.Figure, error) {
+	var figures []measure.Figure
+	var sizes []point
+	for _, s := range fleetSizes {
+		o.Progress(fmt.Sprintf("snapshot at %d hosts", s.hosts))
+		f, err := folded(s)
+		if err != nil {
+			return nil, err
+		}
+		var chunks []journal.Chunk
+		made, err := processorTime(3, func() (err error) {
+			snap, err := f.Fold().Snapshot(journal.StreamFleet)
+			if err != nil {
+				return err
+			}
+			chunks, err = journal.Split(snap, "s")
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+		restored, err := processorTime(3, func() error { return restore(chunks) })
+		if err != nil {
+			return nil, err
+		}
+		bytes := 0
+		for _, c := range chunks {
+			bytes += len(c.Data)
+		}
+		sizes = append(sizes, point{float64(s.hosts), float64(bytes)})
+		at := func(name string, v float64, u measure.Unit, same bool) measure.Figure {
+			return measure.Figure{Name: fmt.Sprintf("snapshot.%s_at_%d", name, s.hosts), Value: v, Unit: u, Deterministic: same}
+		}
+		figures = append(figures, at("bytes", float64(bytes), measure.Bytes, true),
+			at("time_to_make", float64(made.Microseconds()), measure.Microseconds, false),
+			at("time_to_restore", float64(restored.Microseconds()), measure.Microseconds, false))
+	}
+	w, err := windowBytes()
+	return append(figures,
+		measure.Figure{Name: "snapshot.bytes_per_host", Value: slope(sizes), Unit: measure.Bytes, Deterministic: true},
+		measure.Figure{Name: "snapshot.bytes_of_full_window", Value: w, Unit: measure.Bytes, Deterministic: true}), err
+}
+
+func restore(chunks []journal.Chunk) error {
+	a := journal.NewAssembler(journal.StreamFleet)
+	for _, c := range chunks {
+		if err := a.Add(c); err != nil {
+			return err
+		}
+	}
+	s, ok := a.Newest()
+	if !ok {
+		return journal.ErrSnapshot
+	}
+	return state.NewFleet().Fold().Restore(s)
+}
+
+// windowBytes returns what a full window of identities adds to a snapshot.
+func windowBytes() (float64, error) {
+	f, err := fullFold(journal.WindowSize)
+	if err != nil {
+		return 0, err
+	}
+	s, err := f.Snapshot(journal.StreamFleet)
+	if err != nil {
+		return 0, err
+	}
+	packed, err := s.Pack()
+	return float64(len(packed)), err
+}
--- /dev/null
+++ b/bench/capacity/wire.go
@@ -0,0 +1,96 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/godwitcross/godwitcross/bench/measure"
+	"github.com/godwitcross/godwitcross/entry/peer"
+	"github.com/godwitcross/godwitcross/entry/peer/wire"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/membership"
+)
+
+// echo answers an exchange with what it got.
+type echo struct{ wire.Peer }
+
+func (echo) Exchange(_ context.Context, in *wire.Heartbeats) (*wire.Heartbeats, error) {
+	return in, nil
+}
+
+// countingConn counts the bytes of both directions.
+type countingConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// Beat returns a heartbeat of ordinary size.
+func Beat(i int, dc inventory.DataCentreID) membership.Heartbeat {
+	return membership.Heartbeat{
+		Name: inventory.EntryID(fmt.Sprintf("%s-entry-%d", dc, i)), DataCentre: dc, Address: fmt.Sprintf("10.0.%d.%d:8082", i/250, i%250),
+		Incarnation: 1_800_000_000_000, Sequence: 100_000, Applied: 10_000_000, Digest: 1 << 63, History: 1 << 62, KnownKinds: 1 << 31,
+		Load: membership.Load{InFlight: 200, Queued: 20}, Platform: true, View: 1 << 30,
+	}
+}
+
+// ExchangeOverhead returns the bytes of one exchange of heartbeats beyond the two
+// messages themselves: request line, headers and status line, as a real client
+// and a real server write them on an open connection.
+func ExchangeOverhead() (int, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	s := &http.Server{Handler: wire.NewPeerServer(echo{})}
+	defer s.Close()
+	go func() { _ = s.Serve(l) }()
+	var bytes atomic.Int64
+	c := peer.NewClient(func(ctx context.Context, _ string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", l.Addr().String())
+		return countingConn{conn, &bytes}, err
+	})
+	defer c.Close()
+	told := peer.Encode([]membership.Heartbeat{Beat(1, "DataCentre-1")})
+	for range 2 {
+		bytes.Store(0)
+		if _, err := c.At("10.0.100.100:8082").Exchange(context.Background(), told); err != nil {
+			return 0, err
+		}
+	}
+	return int(bytes.Load()) - 2*proto.Size(told), nil
+}
+
+// measureWire measures the bytes of an exchange by the heartbeats in a message.
+func measureWire(measure.Options) ([]measure.Figure, error) {
+	var points []point
+	for _, n := range []int{1, 8, 64} {
+		beats := make([]membership.Heartbeat, n)
+		for i := range beats {
+			beats[i] = Beat(i, "DataCentre-1")
+		}
+		points = append(points, point{float64(n), float64(proto.Size(peer.Encode(beats)))})
+	}
+	overhead, err := ExchangeOverhead()
+	return []measure.Figure{
+		{Name: "wire.heartbeat_bytes", Value: slope(points), Unit: measure.Bytes, Deterministic: true},
+		{Name: "wire.exchange_overhead", Value: float64(overhead), Unit: measure.Bytes, Deterministic: true},
+	}, err
+}
--- a/entry/peer/exchanger.go
+++ b/entry/peer/exchanger.go
@@ -85,7 +85,7 @@
 	defer close(e.ended)
 	t := time.NewTicker(membership.HeartbeatEvery)
 	defer t.Stop()
-	e.begin(ctx, time.Now(), e.cfg.Seeds)
+	e.begin(ctx, time.Now(), e.seeds())
 	for {
 		select {
 		case <-ctx.Done():
@@ -96,7 +96,7 @@
 		case m := <-e.messages:
 			now := time.Now()
 			e.cfg.Table.Hear(now, m.beats)
-			m.answer <- e.cfg.Table.Tell(now, e.own(now))
+			m.answer <- e.cfg.Table.Tell(now, e.own(now), sender(m.beats))
 		case o := <-e.outcomes:
 			e.finish(o, time.Now())
 		}
@@ -116,21 +116,38 @@
 	e.cfg.Table.Forget(now)
 	targets := e.cfg.Table.Targets(now, e.cfg.Own(now).Platform)
 	if len(targets) == 0 || len(e.unasked) > 0 {
-		targets = append(targets, e.cfg.Seeds...)
+		targets = append(targets, e.seeds()...)
 	}
 	e.begin(ctx, now, targets)
 	e.publish(now)
 }
 
-func (e *Exchanger) begin(ctx context.Context, now time.Time, targets []string) {
-	for _, address := range targets {
-		told := Encode(e.cfg.Table.Tell(now, e.own(now)))
+// sender returns the data centre of the host that sent a message.
+func sender(beats []membership.Heartbeat) inventory.DataCentreID {
+	if len(beats) == 0 {
+		return ""
+	}
+	return beats[0].DataCentre
+}
+
+// seeds returns the hosts of the settings, whose data centres are not known.
+func (e *Exchanger) seeds() []membership.Target {
+	targets := make([]membership.Target, len(e.cfg.Seeds))
+	for i, s := range e.cfg.Seeds {
+		targets[i].Address = s
+	}
+	return targets
+}
+
+func (e *Exchanger) begin(ctx context.Context, now time.Time, targets []membership.Target) {
+	for _, t := range targets {
+		told := Encode(e.cfg.Table.Tell(now, e.own(now), t.DataCentre))
 		go func() {
 			c, cancel := context.WithTimeout(ctx, CallTimeout)
 			defer cancel()
-			heard, err := e.cfg.Client.At(address).Exchange(c, told)
+			heard, err := e.cfg.Client.At(t.Address).Exchange(c, told)
 			select {
-			case e.outcomes <- outcome{address: address, beats: Decode(heard), err: err}:
+			case e.outcomes <- outcome{address: t.Address, beats: Decode(heard), err: err}:
 			case <-ctx.Done():
 			}
 		}()
@@ -179,8 +196,8 @@
 	told := Encode([]membership.Heartbeat{h})
 	ctx, cancel := context.WithTimeout(context.Background(), CallTimeout)
 	defer cancel()
-	for _, address := range e.cfg.Table.Targets(now, false) {
-		_, _ = e.cfg.Client.At(address).Exchange(ctx, told)
+	for _, t := range e.cfg.Table.Targets(now, false) {
+		_, _ = e.cfg.Client.At(t.Address).Exchange(ctx, told)
 	}
 }
 
--- a/entry/peer/relay.go
+++ b/entry/peer/relay.go
@@ -23,11 +23,11 @@
 
 // Pace of relaying.
 const (
-	// relayEvery is the time between two looks at the peers.
-	relayEvery = 250 * time.Millisecond
-	// relayAfter is how long a peer must have been ahead before its records are
+	// RelayEvery is the time between two looks at the peers.
+	RelayEvery = 250 * time.Millisecond
+	// RelayAfter is how long a peer must have been ahead before its records are
 	// asked for: the log itself is the usual way.
-	relayAfter = 500 * time.Millisecond
+	RelayAfter = 500 * time.Millisecond
 	relayLimit = 500
 )
 
@@ -70,7 +70,7 @@
 
 // Run relays until the context ends.
 func (r *Relay) Run(ctx context.Context) error {
-	t := time.NewTicker(relayEvery)
+	t := time.NewTicker(RelayEvery)
 	defer t.Stop()
 	for {
 		select {
@@ -94,7 +94,7 @@
 	if r.behind.IsZero() {
 		r.behind = now
 	}
-	if now.Sub(r.behind) < relayAfter {
+	if now.Sub(r.behind) < RelayAfter {
 		return
 	}
 	r.fetch(ctx, best, st)
--- a/fleet/membership/heartbeat.go
+++ b/fleet/membership/heartbeat.go
@@ -68,14 +68,21 @@
 const (
 	// HeartbeatEvery is the time between two heartbeats of a host.
 	HeartbeatEvery = time.Second
-	// SuspectAfter is the silence after which a peer is a suspect.
+	// SuspectAfter is the silence after which a peer is a suspect, among up to
+	// OrdinaryLocal hosts in a data centre.
 	SuspectAfter = 8 * time.Second
-	// GoneAfter is the silence after which a peer is gone.
+	// GoneAfter is the silence after which a peer is gone, among as many.
 	GoneAfter = 20 * time.Second
-	// ForgetAfter is the silence after which nothing is kept of a peer.
-	ForgetAfter = 5 * time.Minute
+	// ForgetAfter is the silence after which nothing is kept of a peer. It is
+	// above every GoneAfter, so that nobody is told of a forgotten peer.
+	ForgetAfter = 10 * time.Minute
 )
 
+// OrdinaryLocal is the number of hosts in a data centre up to which the times of
+// silence hold. Beyond it they grow in proportion, so that the bytes of
+// heartbeats do not.
+const OrdinaryLocal = 16
+
 // Bounds of what a host keeps and tells.
 const (
 	// MaxLocal is how many hosts of the own data centre are kept.
@@ -84,8 +91,11 @@
 	MaxContacts = 8
 	// MaxDataCentres is how many data centres are kept.
 	MaxDataCentres = 64
-	// TellLocal and TellContacts are how many others one message tells of.
-	TellLocal    = 10
+	// TellLocal is how many hosts of their data centre one message between two
+	// hosts of it tells of.
+	TellLocal = 10
+	// TellContacts is how many others a message tells of besides; between two
+	// data centres it counts for each of them.
 	TellContacts = 2
 	// CrossEvery is the number of rounds between two exchanges with another
 	// data centre while the platform is in reach.
--- a/fleet/membership/table.go
+++ b/fleet/membership/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -30,8 +29,10 @@
 	reachable bool
 }
 
-func (e *entry) state(now time.Time) State {
-	silence := now.Sub(e.heardAt)
+// state returns what a silence means where the times of silence are stretched by
+// the factor.
+func (e *entry) state(now time.Time, stretch float64) State {
+	silence := time.Duration(float64(now.Sub(e.heardAt)) / stretch)
 	switch {
 	case e.beat.Leaving || silence >= GoneAfter:
 		return Gone
@@ -55,6 +56,14 @@
 	peers map[inventory.EntryID]*entry
 	// rounds counts calls of Targets.
 	rounds int
+	// local is how many peers of the own data centre are kept.
+	local int
+}
+
+// Target is a host to exchange with.
+type Target struct {
+	Address    string
+	DataCentre inventory.DataCentreID
 }
 
 // NewTable returns a table that knows nobody.
@@ -74,6 +83,15 @@
 	return news
 }
 
+// stretch returns the factor of the times of silence.
+func (t *Table) stretch() float64 {
+	return max(1, float64(t.local)/OrdinaryLocal)
+}
+
+func (t *Table) state(e *entry, now time.Time) State {
+	return e.state(now, t.stretch())
+}
+
 func (t *Table) hear(now time.Time, b Heartbeat) bool {
 	if b.Name == t.cfg.Name || b.Name == "" || b.DataCentre == "" || b.Address == "" {
 		return false
@@ -85,6 +103,9 @@
 	if !ok && (b.Leaving || !t.hasRoom(now, b.DataCentre)) {
 		return false
 	}
+	if !ok && b.DataCentre == t.cfg.DataCentre {
+		t.local++
+	}
 	if !ok || e.beat.Address != b.Address {
 		e = &entry{}
 		t.peers[b.Name] = e
@@ -108,7 +129,7 @@
 			continue
 		}
 		count++
-		if e.state(now) == Gone && name > gone {
+		if t.state(e, now) == Gone && name > gone {
 			gone = name
 		}
 	}
@@ -118,7 +139,9 @@
 	if count < limit {
 		return true
 	}
-	delete(t.peers, gone)
+	if gone != "" {
+		t.drop(gone)
+	}
 	return gone != ""
 }
 
@@ -133,14 +156,25 @@
 
 // Forget drops peers that were silent for ForgetAfter.
 func (t *Table) Forget(now time.Time) {
-	maps.DeleteFunc(t.peers, func(_ inventory.EntryID, e *entry) bool { return now.Sub(e.heardAt) >= ForgetAfter })
+	for name, e := range t.peers {
+		if now.Sub(e.heardAt) >= ForgetAfter {
+			t.drop(name)
+		}
+	}
+}
+
+func (t *Table) drop(name inventory.EntryID) {
+	if t.peers[name].beat.DataCentre == t.cfg.DataCentre {
+		t.local--
+	}
+	delete(t.peers, name)
 }
 
 // Peers returns all known peers in order of their names.
 func (t *Table) Peers(now time.Time) []Peer {
 	peers := make([]Peer, 0, len(t.peers))
 	for _, e := range t.peers {
-		peers = append(peers, Peer{Heartbeat: e.beat, State: e.state(now), Reachable: e.reachable})
+		peers = append(peers, Peer{Heartbeat: e.beat, State: t.state(e, now), Reachable: e.reachable})
 	}
 	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
 	return peers
@@ -151,7 +185,7 @@
 func (t *Table) ViewDigest(now time.Time) uint32 {
 	names := []inventory.EntryID{t.cfg.Name}
 	for name, e := range t.peers {
-		if e.beat.DataCentre == t.cfg.DataCentre && e.state(now) == Alive {
+		if e.beat.DataCentre == t.cfg.DataCentre && t.state(e, now) == Alive {
 			names = append(names, name)
 		}
 	}
@@ -163,24 +197,24 @@
 	return uint32(d.Sum64())
 }
 
-// Targets returns the addresses to exchange with in this round: one host of the
-// own data centre; one of another every CrossEvery rounds, or each round while
-// the host does not reach the platform. Gone peers are tried as well, a tenth as
-// often, so that a healed cut is noticed.
-func (t *Table) Targets(now time.Time, reachesPlatform bool) []string {
+// Targets returns whom to exchange with in this round: one host of the own data
+// centre; one of another every CrossEvery rounds, or each round while the host
+// does not reach the platform. Gone peers are tried as well, a tenth as often, so
+// that a healed cut is noticed.
+func (t *Table) Targets(now time.Time, reachesPlatform bool) []Target {
 	t.rounds++
-	var local, cross []string
+	var local, cross []Target
 	for _, p := range t.Peers(now) {
 		if p.State == Gone && (p.Leaving || t.cfg.Rand.IntN(10) > 0) {
 			continue
 		}
 		if p.DataCentre == t.cfg.DataCentre {
-			local = append(local, p.Address)
+			local = append(local, Target{p.Address, p.DataCentre})
 		} else {
-			cross = append(cross, p.Address)
+			cross = append(cross, Target{p.Address, p.DataCentre})
 		}
 	}
-	var targets []string
+	var targets []Target
 	if len(local) > 0 {
 		targets = append(targets, local[t.cfg.Rand.IntN(len(local))])
 	}
@@ -190,24 +224,35 @@
 	return targets
 }
 
-// Tell returns what one message says: the own heartbeat first, then those of
-// others that were passed on least, never of one that is gone.
-func (t *Table) Tell(now time.Time, own Heartbeat) []Heartbeat {
-	var local, contacts []*entry
+// Tell returns what one message to a host of the data centre says: the own
+// heartbeat first, then those of others that were passed on least, never of one
+// that is gone. An unknown data centre is given as an empty name.
+func (t *Table) Tell(now time.Time, own Heartbeat, to inventory.DataCentreID) []Heartbeat {
+	var local, theirs, others []*entry
 	for _, e := range t.peers {
-		if e.state(now) == Gone && !e.beat.Leaving {
-			continue
-		}
-		if e.beat.DataCentre == t.cfg.DataCentre {
+		switch {
+		case t.state(e, now) == Gone && !e.beat.Leaving:
+		case e.beat.DataCentre == t.cfg.DataCentre:
 			local = append(local, e)
-		} else {
-			contacts = append(contacts, e)
+		case e.beat.DataCentre == to:
+			theirs = append(theirs, e)
+		default:
+			others = append(others, e)
 		}
 	}
+	if to == t.cfg.DataCentre {
+		return t.told(own, leastTold(local, TellLocal), leastTold(others, TellContacts))
+	}
+	return t.told(own, leastTold(local, TellContacts), leastTold(theirs, TellContacts), leastTold(others, TellContacts))
+}
+
+func (t *Table) told(own Heartbeat, groups ...[]*entry) []Heartbeat {
 	told := []Heartbeat{own}
-	for _, e := range append(leastTold(local, TellLocal), leastTold(contacts, TellContacts)...) {
-		e.told++
-		told = append(told, e.beat)
+	for _, group := range groups {
+		for _, e := range group {
+			e.told++
+			told = append(told, e.beat)
+		}
 	}
 	return told
 }
