fix: a term counts only once its record was read back, and a slow tick holds up no renewal

Cause: a claim that was merely sent prolonged the term under the old epoch, a renewal counted once it was appended although a claim may have come before it, a paused claimant could take a duty from a holder that renews, and a tick that took long kept all other duties of the host from being renewed. Change: lease.Tracker decides with now as an argument; claims and renewals have numbers, the fold says which number holds, and the term counts from when that one was sent. A claim names the last renewal that it saw. Ticks run beside the runner, one of each duty at a time.

--- a/entry/duty/runner.go
+++ b/entry/duty/runner.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
@@ -19,8 +19,8 @@
 type Work interface {
 	// Duty returns the duty that guards the work.
 	Duty() lease.Duty
-	// Tick does what is due now. Its records and commands carry the epoch. It
-	// returns early when the context ends, which is before the term ends.
+	// Tick does what is due now. Its records and commands carry the epoch. The
+	// context ends when the term does; a tick that is slow holds no other up.
 	Tick(ctx context.Context, now time.Time, epoch journal.Epoch) error
 }
 
@@ -32,8 +32,14 @@
 // Holdings is who holds the duties of a stream.
 type Holdings map[lease.Duty]lease.Holding
 
-// tickEvery is the time between two ticks of held work.
-const tickEvery = 250 * time.Millisecond
+// Pace of the runner.
+const (
+	// stepEvery is the time between two looks at the duties, and between two
+	// ticks of one duty's work.
+	stepEvery = 250 * time.Millisecond
+	// stopEarly is how long before the end of its term the work is stopped.
+	stopEarly = 500 * time.Millisecond
+)
 
 // Config is what a runner is built from.
 type Config struct {
@@ -48,26 +54,38 @@
 	Work    []Work
 }
 
-// watch is what this host saw of a duty on its own clock.
-type watch struct {
-	holding lease.Holding
-	// seen is when holding was first seen.
-	seen time.Time
-	// until ends this host's own term; it counts from before the append.
-	until time.Time
+// running is one tick that is under way.
+type running struct {
+	cancel context.CancelFunc
+	epoch  journal.Epoch
 }
 
-// Runner claims and renews duties of one stream.
+// Runner claims and renews duties of one stream. It decides on its own goroutine
+// only; ticks and appends run beside it, at most one tick of each duty and one
+// append of leases at a time.
 type Runner struct {
 	cfg     Config
-	watched map[lease.Duty]*watch
-	// renewed is when the last renewal was sent.
-	renewed time.Time
+	tracker *lease.Tracker
+	duties  []lease.Duty
+	ticks   map[lease.Duty]running
+	// ended takes the duty of each tick that has ended.
+	ended chan lease.Duty
+	// appended takes a value when the append under way has ended.
+	appended  chan struct{}
+	appending bool
+	g         errgroup.Group
 }
 
 // NewRunner returns a task that holds nothing yet.
 func NewRunner(cfg Config) *Runner {
-	return &Runner{cfg: cfg, watched: make(map[lease.Duty]*watch)}
+	r := &Runner{
+		cfg: cfg, tracker: lease.NewTracker(cfg.Name, time.Now()), ticks: make(map[lease.Duty]running),
+		ended: make(chan lease.Duty, len(cfg.Work)), appended: make(chan struct{}, 1),
+	}
+	for _, w := range cfg.Work {
+		r.duties = append(r.duties, w.Duty())
+	}
+	return r
 }
 
 // Name returns the task's name.
@@ -75,15 +93,21 @@
 	return "duties of " + string(r.cfg.Stream)
 }
 
-// Run holds duties until the context ends and gives them back then.
+// Run holds duties until the context ends and gives them back then, after their
+// work has stopped.
 func (r *Runner) Run(ctx context.Context) error {
-	t := time.NewTicker(tickEvery)
+	t := time.NewTicker(stepEvery)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			r.releaseAll(time.Now())
+			r.stop(time.Now())
 			return nil
+		case d := <-r.ended:
+			r.ticks[d].cancel()
+			delete(r.ticks, d)
+		case <-r.appended:
+			r.appending = false
 		case <-t.C:
 			r.step(ctx, time.Now())
 		}
@@ -91,103 +115,74 @@
 }
 
 func (r *Runner) step(ctx context.Context, now time.Time) {
-	holdings := r.cfg.Holdings()
-	r.renew(ctx, now)
+	r.tracker.Observe(now, r.duties, r.cfg.Holdings())
+	if n, due := r.tracker.Renewal(now); due {
+		r.append(ctx, lease.KindRenew, n, now)
+	}
 	for _, w := range r.cfg.Work {
 		d := w.Duty()
-		r.observe(d, holdings[d], now)
-		if r.holds(d, now) {
-			r.tick(ctx, w, now)
+		epoch, until, holds := r.tracker.Holds(d, now.Add(stopEarly))
+		if run, ticking := r.ticks[d]; ticking {
+			if !holds || run.epoch != epoch {
+				run.cancel()
+			}
 			continue
 		}
-		if r.mayClaim(d, now) {
-			r.claim(ctx, d, now)
+		if holds {
+			r.tick(ctx, w, now, epoch, until)
+			continue
+		}
+		if !r.appending && r.tracker.MayClaim(d, r.cfg.Hosts(), now) {
+			r.append(ctx, lease.KindClaim, r.tracker.Claim(d, now), now)
 		}
 	}
 }
 
-func (r *Runner) observe(d lease.Duty, h lease.Holding, now time.Time) {
-	w, ok := r.watched[d]
-	if !ok {
-		w = &watch{seen: now}
-		r.watched[d] = w
-	}
-	if h != w.holding {
-		w.holding, w.seen = h, now
-	}
-}
-
-func (r *Runner) holds(d lease.Duty, now time.Time) bool {
-	w := r.watched[d]
-	return w.holding.Holder == r.cfg.Name && now.Before(w.until)
-}
-
-// mayClaim reports whether the duty is free on this host's clock and this host
-// is the first in rank, or the ranks before it had a further term to claim.
-func (r *Runner) mayClaim(d lease.Duty, now time.Time) bool {
-	w := r.watched[d]
-	wait := time.Duration(0)
-	if w.holding.Holder != "" {
-		wait = lease.Term + lease.Grace
-	}
-	rank := slices.Index(lease.Rank(d, r.cfg.Hosts()), r.cfg.Name)
-	if rank < 0 {
-		return false
-	}
-	return now.Sub(w.seen) >= wait+time.Duration(rank)*lease.Grace
-}
-
-func (r *Runner) claim(ctx context.Context, d lease.Duty, now time.Time) {
-	w := r.watched[d]
-	w.until = now.Add(lease.Term)
-	w.seen = now
-	r.append(ctx, lease.KindClaim, lease.Claim{Duty: d, Holder: r.cfg.Name, From: w.holding.Epoch}, now)
-}
-
-func (r *Runner) renew(ctx context.Context, now time.Time) {
-	if now.Sub(r.renewed) < lease.RenewEvery {
-		return
-	}
-	held := make(map[lease.Duty]journal.Epoch)
-	for d, w := range r.watched {
-		if r.holds(d, now) {
-			held[d] = w.holding.Epoch
+// tick starts one tick beside the runner; step ends its context when the term is
+// about to end.
+func (r *Runner) tick(ctx context.Context, w Work, now time.Time, epoch journal.Epoch, until time.Time) {
+	c, cancel := context.WithCancel(ctx)
+	r.ticks[w.Duty()] = running{cancel: cancel, epoch: epoch}
+	log := r.cfg.Log.WithField("Duty", w.Duty()).WithField("Until", until)
+	r.g.Go(func() error {
+		if err := w.Tick(c, now, epoch); err != nil {
+			log.WithError(err).Warn("work of a duty failed")
 		}
-	}
-	if len(held) == 0 {
-		return
-	}
-	r.renewed = now
-	if !r.append(ctx, lease.KindRenew, lease.Renew{Holder: r.cfg.Name, Held: held}, now) {
-		return
-	}
-	for d := range held {
-		r.watched[d].until = now.Add(lease.Term)
-	}
+		r.ended <- w.Duty()
+		return nil
+	})
 }
 
-func (r *Runner) tick(ctx context.Context, w Work, now time.Time) {
-	seen := r.watched[w.Duty()]
-	ctx, cancel := context.WithTimeout(ctx, seen.until.Sub(now))
+// stop ends all ticks, waits for them, and releases what is held.
+func (r *Runner) stop(now time.Time) {
+	for _, run := range r.ticks {
+		run.cancel()
+	}
+	_ = r.g.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), lease.RenewEvery)
 	defer cancel()
-	if err := w.Tick(ctx, now, seen.holding.Epoch); err != nil {
-		r.cfg.Log.WithError(err).WithField("Duty", w.Duty()).Warn("work of a duty failed")
+	for _, l := range r.tracker.GiveBack(now) {
+		r.appendNow(ctx, lease.KindRelease, l, now)
 	}
 }
 
-func (r *Runner) releaseAll(now time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), lease.RenewEvery)
-	defer cancel()
-	for d, w := range r.watched {
-		if r.holds(d, now) {
-			r.append(ctx, lease.KindRelease, lease.Release{Duty: d, Holder: r.cfg.Name, Epoch: w.holding.Epoch}, now)
+// append sends one record of leases beside the runner. While one is under way
+// another renewal is sent all the same: it must not wait for a slow log.
+func (r *Runner) append(ctx context.Context, kind journal.Kind, body any, now time.Time) {
+	r.appending = true
+	r.g.Go(func() error {
+		c, cancel := context.WithTimeout(ctx, lease.RenewEvery)
+		defer cancel()
+		r.appendNow(c, kind, body, now)
+		select {
+		case r.appended <- struct{}{}:
+		default:
 		}
-	}
+		return nil
+	})
 }
 
-func (r *Runner) append(ctx context.Context, kind journal.Kind, body any, now time.Time) bool {
-	ctx, cancel := context.WithTimeout(ctx, lease.RenewEvery)
-	defer cancel()
+func (r *Runner) appendNow(ctx context.Context, kind journal.Kind, body any, now time.Time) {
 	rec, err := journal.NewRecord(journal.RecordID(uuid.NewString()), kind, now, string(r.cfg.Name), body)
 	if err == nil {
 		err = r.cfg.Records.Append(ctx, r.cfg.Stream, rec)
@@ -195,5 +190,4 @@
 	if err != nil {
 		r.cfg.Log.WithError(err).WithField("Kind", kind).Warn("append of a lease record failed")
 	}
-	return err == nil
 }
--- a/fleet/lease/reducer.go
+++ b/fleet/lease/reducer.go
@@ -35,10 +35,14 @@
 
 // Errors of claims.
 var (
-	ErrLost  = eris.New("the duty was claimed by another")
-	ErrNoOne = eris.New("the duty is not held by this host")
+	ErrLost    = eris.New("the duty was claimed by another")
+	ErrRenewed = eris.New("the duty was renewed by its holder")
+	ErrNoOne   = eris.New("the duty is not held by this host")
 )
 
+// Number counts the claims and renewals of a holder. It rises across restarts.
+type Number int64
+
 // Claim takes a duty over from the holder of an epoch.
 type Claim struct {
 	Duty   Duty
@@ -46,11 +50,18 @@
 	// From is the epoch that the claimant saw; the claim is rejected if it is
 	// not the current one.
 	From journal.Epoch
+	// Seen is the offset of the last renewal that the claimant saw; the claim is
+	// rejected if the holder renewed since, so that a claimant that was paused
+	// takes no duty from a holder that is there.
+	Seen journal.Offset
+	// Number tells the holder which of its records began or prolonged a term.
+	Number Number
 }
 
 // Renew prolongs all duties that a host holds.
 type Renew struct {
 	Holder inventory.EntryID
+	Number Number
 	// Held has the epoch of each duty that the host goes on holding.
 	Held map[Duty]journal.Epoch
 }
@@ -68,8 +79,10 @@
 	Holder inventory.EntryID
 	// Epoch counts accepted claims and never falls.
 	Epoch journal.Epoch
-	// Renewed is the offset of the last accepted claim or renewal.
+	// Renewed is the offset of the last accepted claim or renewal, Number that of
+	// the record.
 	Renewed journal.Offset
+	Number  Number
 }
 
 // Reducer folds claims. It reads no clock: a claim is valid at any time if it
@@ -134,7 +147,10 @@
 	if c.From != h.Epoch {
 		return eris.Wrapf(ErrLost, "duty %s is at epoch %d, the claim saw %d", c.Duty, h.Epoch, c.From)
 	}
-	r.duties[c.Duty] = Holding{Holder: c.Holder, Epoch: h.Epoch + 1, Renewed: e.Offset}
+	if c.Seen != h.Renewed {
+		return eris.Wrapf(ErrRenewed, "duty %s was renewed at %d, the claim saw %d", c.Duty, h.Renewed, c.Seen)
+	}
+	r.duties[c.Duty] = Holding{Holder: c.Holder, Epoch: h.Epoch + 1, Renewed: e.Offset, Number: c.Number}
 	return nil
 }
 
@@ -149,7 +165,7 @@
 		if h.Holder != n.Holder || h.Epoch != epoch {
 			continue
 		}
-		h.Renewed = e.Offset
+		h.Renewed, h.Number = e.Offset, n.Number
 		r.duties[d] = h
 		renewed++
 	}
