--- a/bench/policy/state.go
+++ b/bench/policy/state.go
@@ -13,8 +13,8 @@
 	logReturn   = measure.Measurement{Name: "return", Usage: "calls at the log when it returns after an outage", Run: measureReturn}
 )
 
-// entryHosts are the numbers of entry hosts, with their data centres.
-var entryHosts = []struct{ hosts, dataCentres int }{{9, 3}, {72, 8}, {500, 8}}
+// crowds are the numbers of entry hosts, with their data centres.
+var crowds = []struct{ hosts, dataCentres int }{{9, 3}, {72, 8}, {500, 8}}
 
 // at names a figure at a number of entry hosts.
 func at(name string, hosts int, v float64, u measure.Unit) measure.Figure {
--- a/bench/policy/state_heartbeats.go
+++ b/bench/policy/state_heartbeats.go
@@ -152,7 +152,7 @@
 
 func measureHeartbeats(o measure.Options) ([]measure.Figure, error) {
 	var figures []measure.Figure
-	for _, n := range entryHosts {
+	for _, n := range crowds {
 		o.Progress(fmt.Sprintf("heartbeats of %d hosts", n.hosts))
 		c, err := newCrowd(n.hosts, n.dataCentres, o.Seed)
 		if err != nil {
--- a/bench/policy/state_propagation.go
+++ b/bench/policy/state_propagation.go
@@ -34,7 +34,7 @@
 		return nil, err
 	}
 	var figures []measure.Figure
-	for _, n := range entryHosts {
+	for _, n := range crowds {
 		o.Progress(fmt.Sprintf("a change at %d hosts", n.hosts))
 		waited, fetched, err := relayedChange(n.hosts, n.dataCentres, o.Seed)
 		if err != nil {
@@ -167,7 +167,7 @@
 func measureReturn(o measure.Options) ([]measure.Figure, error) {
 	const streams, outage, grown = 4, time.Minute, 20 * time.Second
 	var figures []measure.Figure
-	for _, n := range entryHosts {
+	for _, n := range crowds {
 		calls := make(map[time.Duration]int)
 		for lane := range n.hosts * streams {
 			rnd := rand.New(rand.NewPCG(o.Seed, uint64(lane)))
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -42,6 +42,11 @@
 // reader back.
 const batchQueue = 16
 
+// readPace is the time between two reads of the global stream while records keep
+// coming. It bounds the bytes of reading, and is small against the 5 s in which a
+// change is in force.
+const readPace = 250 * time.Millisecond
+
 // Task is one task of an entry host. It owns its sockets and its state.
 type Task interface {
 	// Name returns what the task is called in logs.
@@ -127,7 +132,7 @@
 	h.tasks = []Task{
 		dispatcher,
 		claims,
-		platform.NewReader(h.log, client, journal.StreamFleet, 0, batches).RestoreWith(h.loader.Restore),
+		platform.NewReader(h.log, client, journal.StreamFleet, 0, batches).RestoreWith(h.loader.Restore).Pace(readPace),
 		h.follower,
 		h.exchanger,
 		h.relay,
--- a/entry/platform/reader.go
+++ b/entry/platform/reader.go
@@ -45,7 +45,9 @@
 	// checks is set while the last record has to be read again.
 	checks   bool
 	failures int
-	out      chan<- Batch
+	// pace is the least time between the ends of two reads with records.
+	pace time.Duration
+	out  chan<- Batch
 }
 
 // NewReader returns a task that reads the stream from the offset on into out.
@@ -63,6 +65,13 @@
 	return r
 }
 
+// Pace makes the reader wait after each read with records, so that records which
+// come one by one are read in groups. It returns the reader.
+func (r *Reader) Pace(d time.Duration) *Reader {
+	r.pace = d
+	return r
+}
+
 // Name returns the task's name.
 func (r *Reader) Name() string {
 	return "platform reader of " + string(r.stream)
@@ -147,8 +156,11 @@
 		r.next = max(r.next, b.First+journal.Offset(len(b.Records)))
 	case <-ctx.Done():
 	}
-	if b.Fault != nil {
+	switch {
+	case b.Fault != nil:
 		pause(ctx, maxReadPause)
+	case r.pace > 0 && len(b.Records) > 0:
+		pause(ctx, r.pace)
 	}
 }
 
