perf: the host list is read as updates

Cause: every entry host read the whole list twice a second. Change: the client names the version it has and gets what changed since, or the whole list if the version is unknown.

--- a/entry/platform/client.go
+++ b/entry/platform/client.go
@@ -109,11 +109,12 @@
 	return b, err
 }
 
-// Hosts returns the host list.
-func (c *Client) Hosts() (inventory.HostList, error) {
-	var l inventory.HostList
-	err := c.call(fasthttp.MethodGet, "/hosts", nil, &l, CallTimeout)
-	return l, err
+// Hosts returns what changed in the host list since the known version, or the
+// whole list.
+func (c *Client) Hosts(known int64) (inventory.HostListUpdate, error) {
+	var u inventory.HostListUpdate
+	err := c.call(fasthttp.MethodGet, "/hosts?Known="+strconv.FormatInt(known, 10), nil, &u, CallTimeout)
+	return u, err
 }
 
 // call sends one request and decodes the answer. The error tells whether the
--- a/entry/platform/hostlist.go
+++ b/entry/platform/hostlist.go
@@ -15,7 +15,7 @@
 
 // HostLister is the part of the platform that a HostListReader needs.
 type HostLister interface {
-	Hosts() (inventory.HostList, error)
+	Hosts(known int64) (inventory.HostListUpdate, error)
 }
 
 // HostListReader polls the host list.
@@ -39,13 +39,14 @@
 func (r *HostListReader) Run(ctx context.Context) error {
 	failed := false
 	for ctx.Err() == nil {
-		l, err := r.source.Hosts()
+		known := r.out.Latest()
+		u, err := r.source.Hosts(known.Version)
 		if err != nil && !failed {
 			r.log.WithError(err).Warn("reading the host list failed")
 		}
 		failed = err != nil
-		if err == nil && l.At.After(r.out.Latest().At) {
-			r.out.Publish(l)
+		if err == nil && u.At.After(known.At) {
+			r.out.Publish(known.With(u))
 		}
 		pause(ctx, hostListPause)
 	}
--- a/standin/platform/hostlist.go
+++ b/standin/platform/hostlist.go
@@ -17,8 +17,14 @@
 	// once they are delay old.
 	told    inventory.HostList
 	pending []inventory.HostList
+	// past are the last lists that were told, oldest first.
+	past    []inventory.HostList
+	version int64
 }
 
+// maxPast is how many lists back an update can be told.
+const maxPast = 64
+
 // NewHostList returns an empty list.
 func NewHostList(delay time.Duration) *HostList {
 	return &HostList{delay: delay, hosts: make(map[inventory.HostID]inventory.ListedHost)}
@@ -56,7 +62,8 @@
 }
 
 func (l *HostList) record(now time.Time) {
-	list := inventory.HostList{At: now}
+	l.version++
+	list := inventory.HostList{At: now, Version: l.version}
 	for _, h := range l.hosts {
 		list.Hosts = append(list.Hosts, h)
 	}
@@ -71,6 +78,8 @@
 		return l.told
 	}
 	for len(l.pending) > 0 && now.Sub(l.pending[0].At) >= l.delay {
+		l.past = append(l.past, l.told)
+		l.past = l.past[max(0, len(l.past)-maxPast):]
 		l.told = l.pending[0]
 		l.pending = l.pending[1:]
 	}
@@ -80,3 +89,20 @@
 	}
 	return told
 }
+
+// Update returns what brings somebody with the version up to date: the whole list
+// if the version is unknown.
+func (l *HostList) Update(now time.Time, frozen bool, version int64) inventory.HostListUpdate {
+	told := l.List(now, frozen)
+	if told.Version == version {
+		return inventory.HostListUpdate{At: told.At, Version: version}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.past {
+		if p.Version == version && version > 0 {
+			return told.Update(p)
+		}
+	}
+	return inventory.HostListUpdate{At: told.At, Version: told.Version, Whole: true, Hosts: told.Hosts}
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -98,7 +98,8 @@
 		p.handleLog(ctx, rest)
 	case "hosts":
 		_, frozen := p.Faults.Take(fault.StaleList, target)
-		answer(ctx, fasthttp.StatusOK, p.Hosts.List(p.now(), frozen))
+		known, _ := strconv.ParseInt(string(ctx.QueryArgs().Peek("Known")), 10, 64)
+		answer(ctx, fasthttp.StatusOK, p.Hosts.Update(p.now(), frozen, known))
 	case "workers":
 		p.handleWorkers(ctx, rest)
 	case "pools":
