--- a/fleet/routing/server.go
+++ b/fleet/routing/server.go
@@ -37,7 +37,8 @@
 	condition condition
 	// until ends resting, ejection and a sign of leaving.
 	until time.Time
-	// own is the number of slots that are this host's share.
+	// slots is the server's limit, own the part that is this host's share.
+	slots inventory.Slots
 	own inventory.Slots
 	// inFlight counts this host's requests at the server; never negative.
 	inFlight inventory.Slots
@@ -69,10 +70,18 @@
 	return min(s.own, s.limit) - s.inFlight
 }
 
-// goesBefore is the order of choice: most free slots first, then the one that
-// has waited longest for its turn.
+// left returns how many more requests the server takes, own slots or not.
+func (s *server) left() inventory.Slots {
+	return min(s.slots, s.limit) - s.inFlight
+}
+
+// goesBefore is the order of choice: most free own slots first, then most slots
+// left, then the one that has waited longest for its turn.
 func (s *server) goesBefore(o *server) bool {
-	if a, b := s.free(), o.free(); a != b {
+	if a, b := max(s.free(), 0), max(o.free(), 0); a != b {
+		return a > b
+	}
+	if a, b := s.left(), o.left(); a != b {
 		return a > b
 	}
 	return s.turn < o.turn
--- a/fleet/routing/table.go
+++ b/fleet/routing/table.go
@@ -89,7 +89,7 @@
 	}
 	t.cfg.Slots = n
 	for _, s := range t.servers {
-		s.limit = n
+		s.slots, s.limit = n, n
 		if s.condition == inUse {
 			t.queue(s).Fix(s.entry)
 		}
@@ -100,7 +100,7 @@
 func (t *Table) note(i Instance, now time.Time) {
 	s, ok := t.servers[i.ID]
 	if !ok {
-		s = &server{limit: t.cfg.Slots, local: i.DataCentre == t.cfg.DataCentre}
+		s = &server{slots: t.cfg.Slots, limit: t.cfg.Slots, local: i.DataCentre == t.cfg.DataCentre}
 		s.Instance = i
 		t.servers[i.ID] = s
 		t.enter(s)
@@ -173,7 +173,7 @@
 		return nil
 	}
 	for _, s := range [...]*server{near, far} {
-		if s != nil && s.inFlight < min(t.cfg.Slots, s.limit) {
+		if s != nil && s.left() > 0 {
 			return s
 		}
 	}
--- /dev/null
+++ b/fleet/routing/table_test.go
@@ -0,0 +1,230 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/retry"
+)
+
+var start = time.Unix(0, 0)
+
+func instances(n int, dcs ...inventory.DataCentreID) []Instance {
+	out := make([]Instance, n)
+	for i := range out {
+		out[i] = Instance{ID: inventory.InstanceID(fmt.Sprintf("%04d", i)), DataCentre: dcs[i%len(dcs)]}
+	}
+	return out
+}
+
+// newTable returns a table of one entry host that owns all 8 slots of n servers.
+func newTable(n int, dcs ...inventory.DataCentreID) *Table {
+	t := NewTable(Config{DataCentre: "a", Slots: 8, Random: rand.New(rand.NewPCG(1, 1))})
+	t.Update(instances(n, dcs...), 0, 1, start)
+	return t
+}
+
+// take chooses n servers and returns how often each was chosen.
+func take(t *testing.T, table *Table, n int, now time.Time) map[inventory.InstanceID]int {
+	t.Helper()
+	got := make(map[inventory.InstanceID]int)
+	for range n {
+		i, err := table.Choose(nil, false, now)
+		require.NoError(t, err)
+		got[i.ID]++
+	}
+	return got
+}
+
+func TestShares(t *testing.T) {
+	for _, hosts := range []int{1, 2, 7, 8, 9, 72, 500} {
+		for _, servers := range []int{1, 2, 10, 50} {
+			least, most, total := 1<<30, 0, 0
+			for place := range servers {
+				sum := 0
+				for rank := range hosts {
+					sum += int(Share(8, place, rank, hosts))
+				}
+				require.Equal(t, 8, sum, "the slots of a server are dealt whole")
+			}
+			for rank := range hosts {
+				own := 0
+				for place := range servers {
+					own += int(Share(8, place, rank, hosts))
+				}
+				least, most, total = min(least, own), max(most, own), total+own
+			}
+			require.Equal(t, 8*servers, total)
+			require.LessOrEqual(t, most-least, 1, "no host has much more than another")
+		}
+	}
+}
+
+func TestChoiceSpreadsAndOverflows(t *testing.T) {
+	table := newTable(4, "a", "b")
+	got := take(t, table, 16, start)
+	require.Equal(t, map[inventory.InstanceID]int{"0000": 8, "0002": 8}, got, "servers of the own data centre go first")
+	got = take(t, table, 16, start)
+	require.Equal(t, map[inventory.InstanceID]int{"0001": 8, "0003": 8}, got, "others take the overflow")
+	_, err := table.Choose(nil, true, start)
+	require.ErrorIs(t, err, ErrBusy)
+}
+
+func TestServerThatWasTriedIsTheLastResort(t *testing.T) {
+	table := newTable(2, "a")
+	i, err := table.Choose([]inventory.InstanceID{"0000"}, false, start)
+	require.NoError(t, err)
+	require.Equal(t, inventory.InstanceID("0001"), i.ID)
+	i, err = table.Choose([]inventory.InstanceID{"0000", "0001"}, false, start)
+	require.NoError(t, err)
+	require.NotEmpty(t, i.ID)
+}
+
+func TestBorrowing(t *testing.T) {
+	table := NewTable(Config{DataCentre: "a", Slots: 8, Random: rand.New(rand.NewPCG(1, 1))})
+	table.Update(instances(9, "a"), 0, 9, start)
+	take(t, table, 8, start)
+	_, err := table.Choose(nil, false, start)
+	require.ErrorIs(t, err, ErrBusy, "only own slots without leave to borrow")
+	// Others use nothing: each borrowed slot that works allows more.
+	now := start
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		if i, err := table.Choose(nil, true, now); err == nil {
+			table.Ended(i.ID, retry.ResultAnswered, time.Millisecond, now)
+		}
+	}
+	free := 0
+	for ; ; free++ {
+		if _, err := table.Choose(nil, true, now); err != nil {
+			break
+		}
+	}
+	require.Equal(t, 64, free, "a host that is alone comes to use every slot")
+}
+
+func TestRefusedBorrowingHalves(t *testing.T) {
+	l := newLoan()
+	for range 10 {
+		l.granted()
+	}
+	require.True(t, l.allows(6, start))
+	l.denied()
+	require.False(t, l.allows(6, start))
+	for range 10 {
+		l.denied()
+	}
+	require.True(t, l.allows(0, start.Add(loanProbe)), "one probe now and then")
+	l.asked(start)
+	require.False(t, l.allows(0, start.Add(loanProbe/2)))
+}
+
+// fail lets the server fail until it is ejected.
+func fail(table *Table, id inventory.InstanceID, now time.Time) {
+	for range maxFailures {
+		table.Ended(id, retry.ResultNotSent, 0, now)
+	}
+}
+
+func TestEjectionNeverEmptiesAService(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 10, 50} {
+		table := newTable(n, "a")
+		for _, i := range instances(n, "a") {
+			fail(table, i.ID, start)
+		}
+		require.Equal(t, n-n/2, table.Len(), "of %d", n)
+		for _, i := range instances(n, "a") {
+			table.SignLeaving(i.ID, SignHeader, start)
+		}
+		require.Equal(t, n-n/2, table.Len(), "signs of leaving count too")
+	}
+}
+
+func TestSlowReturn(t *testing.T) {
+	table := newTable(2, "a")
+	fail(table, "0000", start)
+	require.Equal(t, 1, table.Len())
+	now := start.Add(awayAfterFailure.First * 2)
+	s := table.servers["0000"]
+	for _, want := range []inventory.Slots{1, 2, 4, 8, 8} {
+		table.wake(now)
+		require.Equal(t, want, s.limit)
+		table.answered(s, time.Millisecond)
+	}
+}
+
+func TestSlowServerIsEjected(t *testing.T) {
+	table := newTable(4, "a")
+	for _, i := range instances(4, "a") {
+		for range slowSamples {
+			took := 10 * time.Millisecond
+			if i.ID == "0002" {
+				took = time.Second
+			}
+			table.Ended(i.ID, retry.ResultAnswered, took, start)
+		}
+	}
+	table.Review(start)
+	require.Equal(t, 3, table.Len())
+	require.NotContains(t, take(t, table, 24, start), inventory.InstanceID("0002"))
+}
+
+func TestLeaving(t *testing.T) {
+	leaving := func(list []Instance, i int) []Instance {
+		list[i].Leaving = true
+		return list
+	}
+	t.Run("the host list counts whatever the number", func(t *testing.T) {
+		table := newTable(2, "a")
+		table.Update(leaving(leaving(instances(2, "a"), 0), 1), 0, 1, start)
+		_, err := table.Choose(nil, true, start.Add(time.Hour))
+		require.ErrorIs(t, err, ErrNoServer)
+	})
+	t.Run("a server that stays after all returns slowly", func(t *testing.T) {
+		table := newTable(2, "a")
+		table.Update(leaving(instances(2, "a"), 0), 0, 1, start)
+		require.Equal(t, 1, table.Len())
+		table.Update(instances(2, "a"), 0, 1, start)
+		require.Equal(t, inventory.Slots(1), table.servers["0000"].limit)
+	})
+	t.Run("a server that only recycles connections is found out", func(t *testing.T) {
+		table := newTable(2, "a")
+		table.SignLeaving("0000", SignHeader, start)
+		require.Equal(t, 1, table.Len())
+		now := start.Add(signHold)
+		table.wake(now)
+		table.Ended("0000", retry.ResultAnswered, time.Millisecond, now)
+		table.SignLeaving("0000", SignHeader, now)
+		require.Equal(t, 2, table.Len())
+	})
+	t.Run("an empty list is passed over", func(t *testing.T) {
+		table := newTable(2, "a")
+		table.Update(nil, 0, 1, start)
+		require.Equal(t, 2, table.Len())
+	})
+	t.Run("load at a server that is gone is forgotten", func(t *testing.T) {
+		table := newTable(2, "a")
+		take(t, table, 16, start)
+		table.Update(instances(1, "a"), 0, 1, start)
+		table.Ended("0001", retry.ResultAnswered, time.Millisecond, start)
+		require.Equal(t, inventory.Slots(8), table.InFlight())
+	})
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 8600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := newTable(n, "a", "b")
+			b.ReportAllocs()
+			for b.Loop() {
+				i, _ := table.Choose(nil, true, start)
+				table.Ended(i.ID, retry.ResultAnswered, time.Millisecond, start)
+			}
+		})
+	}
+}
