perf: other requests wait behind a burst of urgent ones, not behind all time

Cause: the gate thought that urgent requests would keep their share of the slots for as long as a request would wait, and refused others that the slots could have answered after the burst.

Change: the share holds for 3 s, the length of a burst; behind it the class has the slots to itself.

--- a/fleet/admission/gate.go
+++ b/fleet/admission/gate.go
@@ -13,6 +13,8 @@
 	// minOtherShare is the share of capacity that classes which are not urgent
 	// are thought to get at least.
 	minOtherShare = 0.05
+	// burstTime is how long urgent requests are expected to go on as they do now.
+	burstTime = 3 * time.Second
 	// MinReturn is the shortest pause that a refused caller is told to make.
 	MinReturn = time.Second
 	// expectedFirst is the time at a server that is expected before any was seen.
@@ -71,11 +73,22 @@
 			others += c.weight
 		}
 	}
-	share := own.weight / (own.weight + others)
-	if own.level != levelUrgent {
-		share *= max(1-g.urgentShare, minOtherShare)
+	slotRate := own.weight / (own.weight + others) * float64(max(slots, 1)) / float64(g.all)
+	ahead := own.ahead(r.Tenant)
+	if own.level == levelUrgent {
+		return time.Duration(ahead / slotRate)
 	}
-	return time.Duration(own.ahead(r.Tenant) * float64(g.all) / (share * float64(max(slots, 1))))
+	return waitBehindBurst(ahead, slotRate*max(1-g.urgentShare, minOtherShare), slotRate)
+}
+
+// waitBehindBurst returns the wait behind a number of requests when urgent ones
+// leave the rate now to others and, once the burst is over, the rate later.
+func waitBehindBurst(ahead, now, later float64) time.Duration {
+	inBurst := now * float64(burstTime)
+	if ahead <= inBurst {
+		return time.Duration(ahead / now)
+	}
+	return burstTime + time.Duration((ahead-inBurst)/later)
 }
 
 // Check returns a refusal if the request can't be answered by its deadline or
