--- a/bench/bound/requests.go
+++ b/bench/bound/requests.go
@@ -8,6 +8,7 @@
 	{Figure: "requests.doubles", Source: "brief, a non-idempotent request runs at most once"},
 	{Figure: "requests.false_not_run", Source: "brief, a refusal saying a request was not run is true"},
 	{Figure: "requests.sent_to_leaving", Source: "brief, a leaving server receives no new work"},
+	{Figure: "requests.faults.goodput", Low: 0.95, High: 1, Source: "goodput through the burst at least 95% of the slots' limit"},
 	{Figure: "requests.faults.urgent_wait_p99_of_deadline", Low: 0, High: 1, Source: "urgent p99 wait within its deadline"},
 	{Figure: "requests.faults.retries", Low: 0, High: 0.10, Source: "retries at most 10% of first sends"},
 	{Figure: "requests.faults.doubles", Source: "brief, a non-idempotent request runs at most once"},
