--- a/fleet/routing/server.go
+++ b/fleet/routing/server.go
@@ -39,7 +39,7 @@
 	until time.Time
 	// slots is the server's limit, own the part that is this host's share.
 	slots inventory.Slots
-	own inventory.Slots
+	own   inventory.Slots
 	// inFlight counts this host's requests at the server; never negative.
 	inFlight inventory.Slots
 	// limit bounds inFlight while the server returns slowly; at least 1.
