feat: operators see, verify and correct the bill; usage is collected

The bill had no source and no reader.

A follower of one stream, and the writer of a duty's records, are shared by jobs and usage. The property test found that a period which ends before it begins could be closed; it is refused now.

--- a/ctl/command/app.go
+++ b/ctl/command/app.go
@@ -76,6 +76,7 @@
 			newJobs(c),
 			newSubmit(c),
 			newCancel(c),
+			newBill(c),
 		},
 	}
 }
--- /dev/null
+++ b/entry/follower/stream.go
@@ -0,0 +1,147 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/godwitcross/godwitcross/entry/platform"
+	"github.com/godwitcross/godwitcross/entry/view"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/lease"
+)
+
+// questionQueue is how many questions wait for a stream's task. A full queue
+// makes askers wait.
+const questionQueue = 64
+
+// StreamState is the state folded from one stream.
+type StreamState interface {
+	Fold() *journal.Fold
+	Holdings() map[lease.Duty]lease.Holding
+}
+
+// Progress is how far a stream is folded.
+type Progress struct {
+	Holdings map[lease.Duty]lease.Holding
+	// Next is the offset of the first record that is not applied, End the end of
+	// the stream as last seen.
+	Next journal.Offset
+	End  journal.Offset
+	// Recent holds the last verdicts, oldest first.
+	Recent []journal.Verdict
+}
+
+// StreamConfig is what a stream's follower is built from.
+type StreamConfig[S StreamState] struct {
+	Log    logrus.FieldLogger
+	Stream journal.StreamID
+	State  S
+	In     <-chan platform.Batch
+	// Every and Tick run a function on the task again and again; Tick may be nil.
+	Every time.Duration
+	Tick  func()
+}
+
+// Stream owns the state of one stream that is too large to be copied. Others
+// ask it by functions that run on its task and must return quickly.
+type Stream[S StreamState] struct {
+	cfg       StreamConfig[S]
+	questions chan func()
+	out       *view.Box[Progress]
+}
+
+// NewStream returns a task that folds batches and answers questions.
+func NewStream[S StreamState](cfg StreamConfig[S]) *Stream[S] {
+	if cfg.Tick == nil {
+		cfg.Every, cfg.Tick = time.Hour, func() {}
+	}
+	return &Stream[S]{cfg: cfg, questions: make(chan func(), questionQueue), out: view.NewBox(Progress{})}
+}
+
+// Name returns the task's name.
+func (s *Stream[S]) Name() string {
+	return "follower of " + string(s.cfg.Stream)
+}
+
+// Run folds and answers until the context ends.
+func (s *Stream[S]) Run(ctx context.Context) error {
+	t := time.NewTicker(s.cfg.Every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case b := <-s.cfg.In:
+			s.apply(b)
+		case ask := <-s.questions:
+			ask()
+		case <-t.C:
+			s.cfg.Tick()
+		}
+	}
+}
+
+// Progress returns how far the stream is folded.
+func (s *Stream[S]) Progress() Progress {
+	return s.out.Latest()
+}
+
+// Do runs a function on the task and waits for its end. The function keeps
+// nothing of the state that it sees.
+func (s *Stream[S]) Do(ctx context.Context, ask func(S)) error {
+	done := make(chan struct{})
+	question := func() {
+		ask(s.cfg.State)
+		close(done)
+	}
+	select {
+	case s.questions <- question:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		// The function may still run; its caller gives up what it would have set.
+		return ctx.Err()
+	}
+}
+
+// Await waits until the record was folded and returns its verdict.
+func (s *Stream[S]) Await(ctx context.Context, id journal.RecordID) (journal.Verdict, error) {
+	for {
+		p, changed := s.out.Watch()
+		for _, v := range p.Recent {
+			if v.ID == id && v.Outcome != journal.Duplicate {
+				return v, nil
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return journal.Verdict{}, ctx.Err()
+		}
+	}
+}
+
+func (s *Stream[S]) apply(b platform.Batch) {
+	fold := s.cfg.State.Fold()
+	for i, raw := range b.Records {
+		o := b.First + journal.Offset(i)
+		if o < fold.Next() {
+			continue
+		}
+		v, err := fold.Apply(o, raw)
+		if err != nil {
+			s.cfg.Log.WithError(err).WithField("Stream", s.cfg.Stream).Error("the stream has a gap")
+			return
+		}
+		if v.Outcome != journal.Accepted {
+			s.cfg.Log.WithFields(logrus.Fields{"Stream": s.cfg.Stream, "Verdict": v}).Warn("record not accepted")
+		}
+	}
+	s.out.Publish(Progress{Holdings: s.cfg.State.Holdings(), Next: fold.Next(), End: max(b.End, fold.Next()), Recent: fold.Recent()})
+}
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -29,6 +29,7 @@
 	"github.com/godwitcross/godwitcross/entry/platform"
 	"github.com/godwitcross/godwitcross/entry/settings"
 	"github.com/godwitcross/godwitcross/entry/snapshot"
+	"github.com/godwitcross/godwitcross/entry/usage"
 	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/admission"
 	"github.com/godwitcross/godwitcross/fleet/dispatch"
@@ -118,10 +119,14 @@
 		Log: h.log, Name: cfg.Settings.Name, DataCentre: cfg.Settings.DataCentre, Metrics: h.metrics,
 		Records: records, Source: client, Workers: client, Fleet: h.state, Hosts: h.hosts, EntryHosts: h.siteHosts,
 	})
+	bills := usage.New(usage.Config{
+		Log: h.log, Name: cfg.Settings.Name, DataCentre: cfg.Settings.DataCentre,
+		Records: records, Source: client, Workers: client, Fleet: h.state, EntryHosts: h.siteHosts,
+	})
 	h.operators = operator.NewServer(operator.Config{
 		Log: h.log, Name: cfg.Settings.Name, Metrics: h.metrics, State: h.state,
 		Records: records, Ready: h.readiness.Reason,
-		Routes: slices.Concat(keeper.Routes(h.state), jobs.Routes()),
+		Routes: slices.Concat(keeper.Routes(h.state), jobs.Routes(), bills.Routes()),
 	}).HTTP()
 	h.checkClients()
 	h.tasks = []Task{
@@ -144,6 +149,9 @@
 	for _, t := range jobs.Tasks() {
 		h.tasks = append(h.tasks, t)
 	}
+	for _, t := range bills.Tasks() {
+		h.tasks = append(h.tasks, t)
+	}
 	return h
 }
 
--- a/entry/placement/board.go
+++ b/entry/placement/board.go
@@ -5,11 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"github.com/godwitcross/godwitcross/entry/duty"
 	"github.com/godwitcross/godwitcross/entry/follower"
 	"github.com/godwitcross/godwitcross/entry/platform"
 	"github.com/godwitcross/godwitcross/entry/view"
@@ -17,171 +15,70 @@
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/placement"
+	"github.com/godwitcross/godwitcross/fleet/pool"
 	"github.com/godwitcross/godwitcross/fleet/state"
 )
 
-// Queues of the board's task.
-const (
-	// batchQueue is how many batches wait; a full queue holds the reader back.
-	batchQueue = 16
-	// questionQueue is how many questions wait; a full queue makes askers wait.
-	questionQueue = 64
-)
+// batchQueue is how many batches wait; a full queue holds the reader back.
+const batchQueue = 16
 
-// layoutEvery is the time between two looks at the configuration and the host list.
+// layoutEvery is the time between two looks at the fleet and the host list.
 const layoutEvery = 200 * time.Millisecond
 
-// Progress is how far the job stream is folded.
-type Progress struct {
-	Holdings duty.Holdings
-	Next     journal.Offset
-	End      journal.Offset
-	// Recent holds the last verdicts, oldest first.
-	Recent []journal.Verdict
-}
-
-// Board owns the state of the job stream and its scheduler. Others ask it by
-// functions that run on its task and must return quickly.
+// Board owns the state of the job stream and its scheduler.
 type Board struct {
-	log        logrus.FieldLogger
+	*follower.Stream[*state.Jobs]
 	dataCentre inventory.DataCentreID
 	fleet      *view.Box[follower.State]
 	hosts      *view.Box[inventory.HostList]
-	in         <-chan platform.Batch
-	questions  chan func()
-	out        *view.Box[Progress]
-
-	jobs      *state.Jobs
-	scheduler *placement.Scheduler
-	// version and live are what the scheduler's layout was made from.
+	scheduler  *placement.Scheduler
+	// version, pools and live are what the scheduler's layout was made from.
 	version configuration.Version
+	pools   *pool.View
 	live    map[inventory.HostID]bool
 }
 
 // newBoard returns a board that folds the batches of in.
-func newBoard(cfg Config, in <-chan platform.Batch) *Board {
-	b := &Board{
-		log: cfg.Log, dataCentre: cfg.DataCentre, fleet: cfg.Fleet, hosts: cfg.Hosts, in: in,
-		questions: make(chan func(), questionQueue), out: view.NewBox(Progress{}), jobs: state.NewJobs(),
-	}
-	b.scheduler = placement.NewScheduler(b.jobs.Placement)
+func newBoard(cfg Config, stream journal.StreamID, in <-chan platform.Batch) *Board {
+	jobs := state.NewJobs()
+	b := &Board{dataCentre: cfg.DataCentre, fleet: cfg.Fleet, hosts: cfg.Hosts, scheduler: placement.NewScheduler(jobs.Placement)}
+	b.Stream = follower.NewStream(follower.StreamConfig[*state.Jobs]{
+		Log: cfg.Log, Stream: stream, State: jobs, In: in, Every: layoutEvery, Tick: b.refreshLayout,
+	})
 	return b
 }
 
-// Name returns the task's name.
-func (b *Board) Name() string {
-	return "follower of the job stream"
-}
-
-// Run folds and answers until the context ends.
-func (b *Board) Run(ctx context.Context) error {
-	t := time.NewTicker(layoutEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case batch := <-b.in:
-			b.apply(batch)
-		case ask := <-b.questions:
-			ask()
-		case <-t.C:
-			b.refreshLayout()
-		}
-	}
-}
-
-// Do runs a function on the board's task and waits for its end. The function
-// keeps nothing of what it sees.
+// Do runs a function on the board's task and waits for its end.
 func (b *Board) Do(ctx context.Context, ask func(*placement.Reducer, *placement.Scheduler)) error {
-	done := make(chan struct{})
-	question := func() {
-		ask(b.jobs.Placement, b.scheduler)
-		close(done)
-	}
-	select {
-	case b.questions <- question:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-func (b *Board) apply(batch platform.Batch) {
-	fold := b.jobs.Fold()
-	for i, raw := range batch.Records {
-		o := batch.First + journal.Offset(i)
-		if o < fold.Next() {
-			continue
-		}
-		v, err := fold.Apply(o, raw)
-		if err != nil {
-			b.log.WithError(err).Error("the job stream has a gap")
-			return
-		}
-		if v.Outcome != journal.Accepted {
-			b.log.WithField("Verdict", v).Warn("job record not accepted")
-		}
-	}
-	b.out.Publish(Progress{Holdings: b.jobs.Lease.Holdings(), Next: fold.Next(), End: max(batch.End, fold.Next()), Recent: fold.Recent()})
+	return b.Stream.Do(ctx, func(s *state.Jobs) { ask(s.Placement, b.scheduler) })
 }
 
 // refreshLayout gives the scheduler a new layout if the fleet has changed.
 func (b *Board) refreshLayout() {
-	cfg := b.fleet.Latest().Configuration
-	live := b.liveWorkers()
-	if cfg.Version == b.version && sameHosts(live, b.live) {
+	st := b.fleet.Latest()
+	if st.Pools == nil {
 		return
 	}
-	b.version, b.live = cfg.Version, live
-	pools := placement.SelectorPools(cfg)
+	live := b.liveWorkers(st.Pools)
+	if st.Configuration.Version == b.version && st.Pools == b.pools && maps.Equal(live, b.live) {
+		return
+	}
+	b.version, b.pools, b.live = st.Configuration.Version, st.Pools, live
 	poolOf := func(id inventory.HostID) (inventory.PoolID, bool) {
-		p, ok := pools[id]
-		return p, ok
+		h, ok := st.Pools.Hosts[id]
+		return h.Pool, ok
 	}
-	b.scheduler.SetLayout(placement.NewLayout(cfg, b.dataCentre, poolOf, func(id inventory.HostID) bool { return live[id] }))
+	b.scheduler.SetLayout(placement.NewLayout(st.Configuration, b.dataCentre, poolOf, func(id inventory.HostID) bool { return live[id] }))
 }
 
-func (b *Board) liveWorkers() map[inventory.HostID]bool {
+// liveWorkers returns the hosts of the data centre that are live and in service.
+func (b *Board) liveWorkers(pools *pool.View) map[inventory.HostID]bool {
 	live := make(map[inventory.HostID]bool)
 	for _, h := range b.hosts.Latest().Hosts {
-		if h.Role == inventory.RoleWorker && h.State == inventory.HostLive && h.DataCentre == b.dataCentre {
+		isHere := h.Role == inventory.RoleWorker && h.DataCentre == b.dataCentre
+		if isHere && h.State == inventory.HostLive && pools.Hosts[h.ID].Phase == pool.InService {
 			live[h.ID] = true
 		}
 	}
 	return live
 }
-
-func sameHosts(a, b map[inventory.HostID]bool) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for id := range a {
-		if !b[id] {
-			return false
-		}
-	}
-	return true
-}
-
-// await waits until the record was read back and returns its verdict.
-func (b *Board) await(ctx context.Context, id journal.RecordID) (journal.Verdict, error) {
-	for {
-		p, changed := b.out.Watch()
-		for _, v := range p.Recent {
-			if v.ID == id && v.Outcome != journal.Duplicate {
-				return v, nil
-			}
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return journal.Verdict{}, ctx.Err()
-		}
-	}
-}
--- a/entry/placement/config.go
+++ b/entry/placement/config.go
@@ -65,13 +65,14 @@
 // New returns the placement of a data centre.
 func New(cfg Config) *Placement {
 	batches := make(chan platform.Batch, batchQueue)
-	p := &Placement{cfg: cfg, stream: journal.StreamJobs(cfg.DataCentre), board: newBoard(cfg, batches)}
+	stream := journal.StreamJobs(cfg.DataCentre)
+	p := &Placement{cfg: cfg, stream: stream, board: newBoard(cfg, stream, batches)}
 	p.tasks = []Task{
 		platform.NewReader(cfg.Log, cfg.Source, p.stream, 0, batches),
 		p.board,
 		duty.NewRunner(duty.Config{
 			Log: cfg.Log, Name: cfg.Name, Stream: p.stream, Records: cfg.Records,
-			Holdings: func() duty.Holdings { return p.board.out.Latest().Holdings },
+			Holdings: func() duty.Holdings { return p.board.Progress().Holdings },
 			Hosts:    cfg.EntryHosts,
 			Work:     []duty.Work{newFiller(cfg, p.stream, p.board)},
 		}),
--- a/entry/placement/filler.go
+++ b/entry/placement/filler.go
@@ -5,9 +5,9 @@
 	"errors"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
+	"github.com/godwitcross/godwitcross/entry/duty"
 	"github.com/godwitcross/godwitcross/entry/platform"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
@@ -39,9 +39,6 @@
 	defaultStart = 1 * time.Minute
 )
 
-// errNotAccepted means that the fold rejected a record of the duty.
-var errNotAccepted = eris.New("record was not accepted")
-
 // look is when a worker is looked at.
 type look struct {
 	due time.Time
@@ -54,14 +51,12 @@
 // filler fills the workers while the host holds the duty. Its state is made
 // anew with each epoch.
 type filler struct {
-	cfg    Config
-	stream journal.StreamID
-	board  *Board
+	cfg      Config
+	board    *Board
+	recorder *duty.Recorder
 
+	// epoch is that of the state below; 0 before there is any.
 	epoch journal.Epoch
-	// pending is a record that may be in the log and was not read back. Nothing
-	// else is decided before it is.
-	pending *journal.Record
 	// boots is the number of restarts of each worker that answered.
 	boots map[inventory.WorkerID]int
 	looks map[inventory.WorkerID]*look
@@ -75,7 +70,9 @@
 }
 
 func newFiller(cfg Config, stream journal.StreamID, board *Board) *filler {
-	return &filler{cfg: cfg, stream: stream, board: board}
+	return &filler{cfg: cfg, board: board, recorder: duty.NewRecorder(duty.RecorderConfig{
+		Name: cfg.Name, Stream: stream, Duty: DutyPlacement, Records: cfg.Records, Await: board.Await,
+	})}
 }
 
 // Duty returns the duty that guards the work.
@@ -92,7 +89,10 @@
 			return err
 		}
 	}
-	for _, step := range []func(context.Context, time.Time) error{f.settle, f.adopt, f.watch, f.stop, f.fill, f.adopt, f.start} {
+	if err := f.recorder.Settle(ctx); err != nil {
+		return err
+	}
+	for _, step := range []func(context.Context, time.Time) error{f.adopt, f.watch, f.stop, f.fill, f.adopt, f.start} {
 		if err := step(ctx, now); err != nil {
 			return err
 		}
@@ -109,7 +109,8 @@
 	f.boots = make(map[inventory.WorkerID]int, len(all))
 	f.looks = make(map[inventory.WorkerID]*look)
 	f.unconfirmed = make(map[placement.TaskID]placement.Job)
-	f.pending, f.announced, f.planned = nil, nil, -1
+	f.announced, f.planned = nil, -1
+	f.recorder.Begin(epoch)
 	for _, w := range all {
 		f.boots[w.Facts.ID] = w.Reboots
 	}
@@ -124,45 +125,6 @@
 	return nil
 }
 
-// settle waits for the record of an earlier tick.
-func (f *filler) settle(ctx context.Context, _ time.Time) error {
-	if f.pending == nil {
-		return nil
-	}
-	return f.append(ctx, *f.pending)
-}
-
-// write appends a record and waits until it was read back.
-func (f *filler) write(ctx context.Context, now time.Time, kind journal.Kind, body any) error {
-	r, err := journal.NewRecord(journal.RecordID(uuid.NewString()), kind, now, string(f.cfg.Name), body)
-	if err != nil {
-		return err
-	}
-	r.Duty, r.Epoch = string(DutyPlacement), f.epoch
-	return f.append(ctx, r)
-}
-
-// append adds the record, under the same identity as before if it was tried
-// before, and waits for its verdict.
-func (f *filler) append(ctx context.Context, r journal.Record) error {
-	f.pending = &r
-	if err := f.cfg.Records.Append(ctx, f.stream, r); err != nil {
-		if errors.Is(err, platform.ErrNotAppended) {
-			f.pending, f.announced = nil, nil
-		}
-		return eris.Wrapf(err, "appending %s", r.Kind)
-	}
-	v, err := f.board.await(ctx, r.ID)
-	if err != nil {
-		return eris.Wrapf(err, "reading %s back", r.Kind)
-	}
-	f.pending = nil
-	if v.Outcome != journal.Accepted {
-		return eris.Wrapf(errNotAccepted, "%s: %s", r.Kind, v.Reason)
-	}
-	return nil
-}
-
 // fill decides what starts and what gives way.
 func (f *filler) fill(ctx context.Context, now time.Time) error {
 	var plan placement.Plan
@@ -192,7 +154,7 @@
 // record writes the starts and keeps them to be told to their workers.
 func (f *filler) record(ctx context.Context, now time.Time, plan placement.Plan) error {
 	if len(plan.GiveUps) > 0 {
-		if err := f.write(ctx, now, placement.KindGiveUp, placement.GiveUp{Jobs: plan.GiveUps}); err != nil {
+		if err := f.recorder.Write(ctx, now, placement.KindGiveUp, placement.GiveUp{Jobs: plan.GiveUps}); err != nil {
 			return err
 		}
 	}
@@ -212,7 +174,11 @@
 		f.lookSoon(s.Worker, now)
 	}
 	f.announced = starts
-	return f.write(ctx, now, placement.KindStart, placement.Starts{Starts: starts})
+	err := f.recorder.Write(ctx, now, placement.KindStart, placement.Starts{Starts: starts})
+	if errors.Is(err, platform.ErrNotAppended) {
+		f.announced = nil
+	}
+	return err
 }
 
 // lookSoon makes the worker be looked at within the first pause.
--- a/entry/placement/routes.go
+++ b/entry/placement/routes.go
@@ -82,7 +82,7 @@
 		operator.Refuse(ctx, status, err.Error())
 		return
 	}
-	v, err := p.board.await(c, id)
+	v, err := p.board.Await(c, id)
 	switch {
 	case err != nil:
 		operator.Refuse(ctx, fasthttp.StatusGatewayTimeout, "the record was appended but not read back yet")
--- a/entry/placement/start.go
+++ b/entry/placement/start.go
@@ -14,21 +14,27 @@
 // adopt takes over the starts that were read back as this holder's own. Only
 // these are told to workers.
 func (f *filler) adopt(ctx context.Context, _ time.Time) error {
-	if len(f.announced) == 0 || f.pending != nil {
+	if len(f.announced) == 0 || f.recorder.IsPending() {
 		return nil
 	}
+	announced, epoch := f.announced, f.epoch
+	var own []placement.Job
 	err := f.board.Do(ctx, func(r *placement.Reducer, _ *placement.Scheduler) {
-		for _, s := range f.announced {
+		for _, s := range announced {
 			j, ok := r.Job(s.Job)
-			if ok && j.State == placement.Started && j.Epoch == f.epoch && j.Start == s {
-				f.unconfirmed[j.Task()] = *j
+			if ok && j.State == placement.Started && j.Epoch == epoch && j.Start == s {
+				own = append(own, *j)
 			}
 		}
 	})
-	if err == nil {
-		f.announced = nil
+	if err != nil {
+		return err
 	}
-	return err
+	f.announced = nil
+	for _, j := range own {
+		f.unconfirmed[j.Task()] = j
+	}
+	return nil
 }
 
 // start tells workers to run the starts that none has confirmed. It is safe to
--- a/entry/placement/watch.go
+++ b/entry/placement/watch.go
@@ -180,14 +180,14 @@
 // report writes what was found.
 func (f *filler) report(ctx context.Context, now time.Time, found *findings) error {
 	if len(found.ends) > 0 {
-		if err := f.write(ctx, now, placement.KindEnd, placement.Ends{Ends: found.ends}); err != nil {
+		if err := f.recorder.Write(ctx, now, placement.KindEnd, placement.Ends{Ends: found.ends}); err != nil {
 			return err
 		}
 	}
 	if len(found.throttled) == 0 {
 		return nil
 	}
-	return f.write(ctx, now, placement.KindThrottle, placement.Throttle{Jobs: found.throttled})
+	return f.recorder.Write(ctx, now, placement.KindThrottle, placement.Throttle{Jobs: found.throttled})
 }
 
 // stop stops the tasks of cancelled jobs.
--- a/fleet/bill/reducer.go
+++ b/fleet/bill/reducer.go
@@ -29,9 +29,10 @@
 	hosts       map[inventory.HostID]*host
 	corrections []Correction
 	statements  []Statement
-	// closed is the end of the last closed period.
-	closed Moment
-	chain  Link
+	// began is the first moment of the first interval, closed the end of the last
+	// closed period; 0 before there is one.
+	began, closed Moment
+	chain         Link
 	// links are the last recentLinks links, oldest first.
 	links []Link
 	// refusals are the last refused reports and refused counts all.
@@ -102,6 +103,9 @@
 
 func (r *Reducer) transfer(t Transfers) error {
 	for _, one := range t.Transfers {
+		if r.began == 0 || one.At < r.began {
+			r.began = one.At
+		}
 		r.host(one.Host).transfer(one)
 	}
 	return nil
@@ -153,15 +157,15 @@
 }
 
 func (r *Reducer) close(to Moment) error {
-	if to <= r.closed {
-		return eris.Wrapf(ErrPeriod, "closed up to %s already", r.closed.Time())
+	if to <= r.Opened() {
+		return eris.Wrapf(ErrPeriod, "the period begins at %s only", r.Opened().Time())
 	}
 	for id, h := range r.hosts {
 		if h.Settled > to {
 			return eris.Wrapf(ErrPeriod, "host %s is settled up to %s", id, h.Settled.Time())
 		}
 	}
-	st := Statement{From: r.closed, To: to, Chain: r.chain}
+	st := Statement{From: r.Opened(), To: to, Chain: r.chain}
 	sum := make(shares)
 	for _, h := range r.hosts {
 		for k, v := range h.close(to) {
@@ -195,7 +199,7 @@
 		}
 		h.addUp(to, sum)
 	}
-	return Statement{From: r.closed, To: to, Lines: r.corrected(sum), Chain: r.chain}
+	return Statement{From: r.Opened(), To: to, Lines: r.corrected(sum), Chain: r.chain}
 }
 
 // settled is the latest moment up to which a host is settled.
@@ -224,6 +228,12 @@
 	return slices.Clone(r.statements)
 }
 
+// Opened returns the first moment of the period that lasts, or 0 if no host was
+// ever owned.
+func (r *Reducer) Opened() Moment {
+	return max(r.began, r.closed)
+}
+
 // Chain returns the last link.
 func (r *Reducer) Chain() Link {
 	return r.chain
@@ -269,6 +279,7 @@
 	Hosts       map[inventory.HostID]marshalledHost
 	Corrections []Correction
 	Statements  []Statement
+	Began       Moment
 	Closed      Moment
 	Chain       Link
 	Links       []Link
@@ -280,7 +291,7 @@
 func (r *Reducer) MarshalState() ([]byte, error) {
 	m := marshalled{
 		Hosts: make(map[inventory.HostID]marshalledHost, len(r.hosts)), Corrections: r.corrections, Statements: r.statements,
-		Closed: r.closed, Chain: r.chain, Links: r.links, Refusals: r.refusals, Refused: r.refused,
+		Began: r.began, Closed: r.closed, Chain: r.chain, Links: r.links, Refusals: r.refusals, Refused: r.refused,
 	}
 	for id, h := range r.hosts {
 		m.Hosts[id] = marshalledHost{h.Intervals, h.Points, h.Settled, h.Closed, h.Shares.lines()}
@@ -296,7 +307,7 @@
 	}
 	*r = Reducer{
 		hosts: make(map[inventory.HostID]*host, len(m.Hosts)), corrections: m.Corrections, statements: m.Statements,
-		closed: m.Closed, chain: m.Chain, links: m.Links, refusals: m.Refusals, refused: m.Refused,
+		began: m.Began, closed: m.Closed, chain: m.Chain, links: m.Links, refusals: m.Refusals, refused: m.Refused,
 	}
 	for id, h := range m.Hosts {
 		n := &host{Intervals: h.Intervals, Points: h.Points, Settled: h.Settled, Closed: h.Closed, Shares: make(shares)}
--- a/fleet/placement/layout.go
+++ b/fleet/placement/layout.go
@@ -93,31 +93,3 @@
 	}
 	return r
 }
-
-// SelectorPools returns the pool of each host by the selectors alone. A host
-// that no pool or more than one claims is in its owner's spare pool.
-func SelectorPools(cfg configuration.Configuration) map[inventory.HostID]inventory.PoolID {
-	pools := make([]inventory.PoolID, 0, len(cfg.Pools))
-	for id := range cfg.Pools {
-		pools = append(pools, id)
-	}
-	slices.Sort(pools)
-	out := make(map[inventory.HostID]inventory.PoolID, len(cfg.Hosts))
-	for id, h := range cfg.Hosts {
-		labels := h.AllLabels(id)
-		out[id] = cfg.Owners[h.Owner].SparePool
-		claims := 0
-		for _, p := range pools {
-			if !cfg.Pools[p].Hosts.Matches(labels) {
-				continue
-			}
-			if claims++; claims == 1 {
-				out[id] = p
-			}
-		}
-		if claims > 1 {
-			out[id] = cfg.Owners[h.Owner].SparePool
-		}
-	}
-	return out
-}
--- a/fleet/state/jobs.go
+++ b/fleet/state/jobs.go
@@ -26,6 +26,11 @@
 	return j.fold
 }
 
+// Holdings returns who holds the duties of the stream.
+func (j *Jobs) Holdings() map[lease.Duty]lease.Holding {
+	return j.Lease.Holdings()
+}
+
 // reducers lists the parts of the state.
 func (j *Jobs) reducers() []journal.Reducer {
 	return []journal.Reducer{
--- a/fleet/state/usage.go
+++ b/fleet/state/usage.go
@@ -26,6 +26,11 @@
 	return u.fold
 }
 
+// Holdings returns who holds the duties of the stream.
+func (u *Usage) Holdings() map[lease.Duty]lease.Holding {
+	return u.Lease.Holdings()
+}
+
 // reducers lists the parts of the state.
 func (u *Usage) reducers() []journal.Reducer {
 	return []journal.Reducer{
--- /dev/null
+++ b/standin/check/bill.go
@@ -0,0 +1,88 @@
+package check
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitcross/godwitcross/ctl/client"
+	"github.com/godwitcross/godwitcross/entry/placement"
+	"github.com/godwitcross/godwitcross/entry/usage"
+	"github.com/godwitcross/godwitcross/fleet/bill"
+	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/label"
+	"github.com/godwitcross/godwitcross/standin/deployment"
+	"github.com/godwitcross/godwitcross/standin/fault"
+)
+
+// billAddsUp runs a job in a data centre of each owner under late, repeated and
+// missing usage reports, and computes both bills again from their records.
+func billAddsUp(d *deployment.Deployment) error {
+	d.Platform.Faults.Set(fault.Fault{Kind: fault.UsageRepeated, Count: 40})
+	d.Platform.Faults.Set(fault.Fault{Kind: fault.UsageMissing, Count: 20})
+	for _, c := range []struct {
+		owner inventory.OwnerID
+		team  inventory.TeamID
+		pool  string
+		dc    inventory.DataCentreID
+	}{{"Corchos", "Pressing", "BatchPlans", "Montevideo-1"}, {"Campanella", "Rendering", "Recordings", "Palermo"}} {
+		host := client.New(operatorsOf(d, c.dc), "")
+		j := configuration.Job{
+			ID: inventory.JobID("bill-" + string(c.owner)), Owner: c.owner, Team: c.team, Labels: label.Set{"Pool": c.pool},
+			Template: "bill", Command: "run 1h", Declared: inventory.Size{Cores: 32_000, Memory: inventory.Gibibyte},
+		}
+		var v journal.Verdict
+		if err := host.Post("/jobs", placement.Submission{ID: journal.RecordID(j.ID), Jobs: []configuration.Job{j}}, &v); err != nil {
+			return err
+		}
+		if err := await(func() error { return checkBill(host, c.owner) }); err != nil {
+			return eris.Wrapf(err, "data centre %s", c.dc)
+		}
+		if err := host.Post("/jobs/cancel", placement.Cancellation{ID: "end-" + journal.RecordID(j.ID), Jobs: []inventory.JobID{j.ID}}, &v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func operatorsOf(d *deployment.Deployment, dc inventory.DataCentreID) string {
+	for _, e := range d.Entries {
+		if e.Settings.DataCentre == dc {
+			return e.Settings.OperatorAddress
+		}
+	}
+	return ""
+}
+
+// checkBill computes the bill again from its records alone and looks for use of
+// the owner and for time of every host.
+func checkBill(host *client.Client, owner inventory.OwnerID) error {
+	var a usage.Answer
+	if err := host.Get("/bill", &a); err != nil {
+		return err
+	}
+	audit := bill.NewAudit()
+	for last := a.Open.Chain.Offset; audit.Next() <= last; {
+		var r usage.Records
+		if err := host.Get(fmt.Sprintf("/bill/records?From=%d", audit.Next()), &r); err != nil {
+			return err
+		}
+		n := min(len(r.Records), int(last-audit.Next())+1)
+		if err := audit.Add(audit.Next(), append([]json.RawMessage(nil), r.Records[:n]...)); err != nil {
+			return err
+		}
+	}
+	if err := audit.CheckStatement(a.Open); err != nil {
+		return err
+	}
+	for _, l := range bill.ByOwner(a.Open.Lines) {
+		if l.Owner == owner && l.Used > 0 && int64(l.HostTime) > time.Second.Milliseconds() && a.Refused == 0 {
+			return nil
+		}
+	}
+	return eris.Wrapf(ErrWrong, "no use of %s in %+v, %d reports refused", owner, a.Open.Lines, a.Refused)
+}
--- a/standin/check/check.go
+++ b/standin/check/check.go
@@ -40,6 +40,7 @@
 	{"a changed label moves a host", moveHost},
 	{"a wave reboots each host once", runWave},
 	{"a job runs to its end", jobRuns},
+	{"the bill adds up for both owners", billAddsUp},
 	{"a stopped entry host cuts off no request", stopWithRequests},
 	{"no request was executed twice", noDoubles},
 }
