fix: only hosts that can claim have a rank among the holders of a duty

Cause: ranks were counted over the host list, which goes on naming a killed or cut-off host for long, and each rank waits two seconds for those before it; so a duty whose holder was killed could stay unheld for 8 s and 2 s more for each such host. And while no host list was read every host was its own first rank: nine claims came for one duty at the start. Ruled out: the budget (all grants were given), the log outage beside the kill. Change: hosts that peers know to be silent, leaving or without the platform have no rank, and without a host list nobody has one.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -35,6 +35,7 @@
 	"github.com/godwitcross/godwitcross/fleet/dispatch"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/membership"
 	"github.com/godwitcross/godwitcross/fleet/retry"
 	"github.com/godwitcross/godwitcross/fleet/state"
 )
@@ -170,28 +171,14 @@
 	}
 }
 
-// entryHosts returns the live entry hosts of the host list and this one.
+// entryHosts returns the entry hosts that may hold global duties.
 func (h *Host) entryHosts() []inventory.EntryID {
-	ids := []inventory.EntryID{h.cfg.Settings.Name}
-	for _, l := range h.hosts.Latest().Hosts {
-		id := inventory.EntryID(l.ID)
-		if l.Role == inventory.RoleEntry && l.State == inventory.HostLive && id != h.cfg.Settings.Name {
-			ids = append(ids, id)
-		}
-	}
-	return ids
+	return membership.Candidates(h.cfg.Settings.Name, "", h.hosts.Latest(), h.peers.Latest().Peers)
 }
 
-// siteHosts returns the live entry hosts of this host's data centre.
+// siteHosts returns the entry hosts that may hold duties of this host's data centre.
 func (h *Host) siteHosts() []inventory.EntryID {
-	ids := []inventory.EntryID{h.cfg.Settings.Name}
-	for _, l := range h.hosts.Latest().Hosts {
-		id := inventory.EntryID(l.ID)
-		if l.Role == inventory.RoleEntry && l.State == inventory.HostLive && l.DataCentre == h.cfg.Settings.DataCentre && id != h.cfg.Settings.Name {
-			ids = append(ids, id)
-		}
-	}
-	return ids
+	return membership.Candidates(h.cfg.Settings.Name, h.cfg.Settings.DataCentre, h.hosts.Latest(), h.peers.Latest().Peers)
 }
 
 // Run serves until the context ends, then stops without cutting off a request.
--- /dev/null
+++ b/fleet/membership/candidate.go
@@ -0,0 +1,29 @@
+package membership
+
+import "github.com/godwitcross/godwitcross/fleet/inventory"
+
+// Candidates returns the entry hosts that may hold duties of a data centre, or of
+// all if it is empty: this host and the listed ones, but for those that peers know
+// to be silent, leaving or without the platform. A host that nobody heard yet is a
+// candidate. There are none while no host list was read, since a rank among
+// unknown hosts would make every host the first.
+func Candidates(self inventory.EntryID, dc inventory.DataCentreID, l inventory.HostList, peers []Peer) []inventory.EntryID {
+	if l.At.IsZero() {
+		return nil
+	}
+	unable := make(map[inventory.EntryID]bool)
+	for _, p := range peers {
+		unable[p.Name] = p.State != Alive || p.Leaving || !p.Platform
+	}
+	ids := []inventory.EntryID{self}
+	for _, h := range l.Hosts {
+		id := inventory.EntryID(h.ID)
+		if h.Role != inventory.RoleEntry || h.State != inventory.HostLive || id == self || unable[id] {
+			continue
+		}
+		if dc == "" || h.DataCentre == dc {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/fleet/membership/candidate_test.go
@@ -0,0 +1,36 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+)
+
+func TestCandidatesAreThoseThatCanClaim(t *testing.T) {
+	host := func(id inventory.HostID, dc inventory.DataCentreID, state inventory.HostState, role inventory.HostRole) inventory.ListedHost {
+		return inventory.ListedHost{ID: id, DataCentre: dc, State: state, Role: role}
+	}
+	list := inventory.HostList{At: time.Unix(1, 0), Hosts: []inventory.ListedHost{
+		host("me", "A", inventory.HostLive, inventory.RoleEntry),
+		host("heard", "A", inventory.HostLive, inventory.RoleEntry),
+		host("unheard", "B", inventory.HostLive, inventory.RoleEntry),
+		host("silent", "A", inventory.HostLive, inventory.RoleEntry),
+		host("stopping", "A", inventory.HostLive, inventory.RoleEntry),
+		host("cut off", "A", inventory.HostLive, inventory.RoleEntry),
+		host("leaving", "A", inventory.HostLeaving, inventory.RoleEntry),
+		host("server", "A", inventory.HostLive, inventory.RoleBackend),
+	}}
+	peer := func(name inventory.EntryID, s State, leaving, platform bool) Peer {
+		return Peer{Heartbeat: Heartbeat{Name: name, Leaving: leaving, Platform: platform}, State: s}
+	}
+	peers := []Peer{
+		peer("heard", Alive, false, true), peer("silent", Suspect, false, true),
+		peer("stopping", Alive, true, true), peer("cut off", Alive, false, false),
+	}
+	require.Equal(t, []inventory.EntryID{"me", "heard", "unheard"}, Candidates("me", "", list, peers))
+	require.Equal(t, []inventory.EntryID{"me", "heard"}, Candidates("me", "A", list, peers))
+	require.Empty(t, Candidates("me", "", inventory.HostList{}, nil), "no list was read yet")
+}
