refactor: one package for the messages of the operators' interface

Publication, Status, Submission, Cancellation and the summary of jobs stood both in the entry host and in ctl.

--- a/bench/whole/observer.go
+++ b/bench/whole/observer.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/godwitcross/godwitcross/ctl/client"
-	"github.com/godwitcross/godwitcross/entry/operator"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 	"github.com/godwitcross/godwitcross/fleet/pool"
 	"github.com/godwitcross/godwitcross/standin/deployment"
 	"github.com/godwitcross/godwitcross/standin/platform"
@@ -87,7 +87,7 @@
 	if o.stopped[e.Settings.Name] {
 		return
 	}
-	var s operator.Status
+	var s operation.Status
 	c, ok := o.clients[e.Settings.Name]
 	if !ok {
 		c = client.New(e.Settings.OperatorAddress, "")
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 )
 
 // Errors of calls.
@@ -27,9 +28,6 @@
 // callTimeout bounds one call.
 const callTimeout = 15 * time.Second
 
-// HeaderOperator names the operator who asks, where the host believes names.
-const HeaderOperator = "Operator"
-
 // Config is what a client is built from.
 type Config struct {
 	Address string
@@ -96,7 +94,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
 	req.SetRequestURI(c.scheme + c.cfg.Address + path)
-	req.Header.Set(HeaderOperator, string(c.cfg.Operator))
+	req.Header.Set(operation.HeaderOperator, string(c.cfg.Operator))
 	if c.cfg.Token != "" {
 		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.cfg.Token)
 	}
--- a/ctl/command/app.go
+++ b/ctl/command/app.go
@@ -72,6 +72,7 @@
 			newHosts(c),
 			newPools(c),
 			newWaves(c),
+			newDuties(c),
 			newExplain(c),
 			newJobs(c),
 			newSubmit(c),
--- a/ctl/command/fleet.go
+++ b/ctl/command/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/godwitcross/godwitcross/fleet/operation"
 	"github.com/godwitcross/godwitcross/fleet/pool"
 )
 
@@ -76,6 +77,22 @@
 	}
 }
 
+func newDuties(c *Connection) *cli.Command {
+	return &cli.Command{
+		Name: "duties", Usage: "show which entry host holds each duty",
+		Description: "Example: ctl duties",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			var all []operation.Duty
+			if err := c.Get("/duties", &all); err != nil {
+				return exit(err)
+			}
+			return printAll(cmd.Root().Writer, c.Output, all, "DUTY\tHOLDER\tEPOCH\tRENEWED AT RECORD", func(d operation.Duty) string {
+				return fmt.Sprintf("%s\t%s\t%d\t%d", d.Duty, d.Holder, d.Epoch, d.Renewed)
+			})
+		},
+	}
+}
+
 func timeText(t time.Time) string {
 	if t.IsZero() {
 		return ""
--- a/ctl/command/jobs.go
+++ b/ctl/command/jobs.go
@@ -15,28 +15,10 @@
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 	"github.com/godwitcross/godwitcross/fleet/placement"
 )
 
-// Submission is the body of POST /jobs.
-type Submission struct {
-	ID   journal.RecordID
-	Jobs []configuration.Job
-}
-
-// Cancellation is the body of POST /jobs/cancel.
-type Cancellation struct {
-	ID   journal.RecordID
-	Jobs []inventory.JobID
-}
-
-// JobSummary is the answer to GET /jobs.
-type JobSummary struct {
-	DataCentre inventory.DataCentreID
-	Counts     map[placement.State]int
-	Jobs       []placement.Job
-}
-
 func newJobs(c *Connection) *cli.Command {
 	var team, explain string
 	return &cli.Command{
@@ -56,7 +38,7 @@
 }
 
 func listJobs(c *Connection, cmd *cli.Command, team string) error {
-	var s JobSummary
+	var s operation.JobSummary
 	if err := c.Get("/jobs?Team="+url.QueryEscape(team), &s); err != nil {
 		return exit(err)
 	}
@@ -88,7 +70,7 @@
 				return badInput(err)
 			}
 			var v journal.Verdict
-			if err := c.Post("/jobs", Submission{ID: recordID(id), Jobs: jobs}, &v); err != nil {
+			if err := c.Post("/jobs", operation.Submission{ID: recordID(id), Jobs: jobs}, &v); err != nil {
 				return exit(err)
 			}
 			fmt.Fprintf(cmd.Root().Writer, "accepted %d jobs\n", len(jobs))
@@ -125,7 +107,7 @@
 			if cmd.Args().Len() == 0 {
 				return badInput(eris.New("want at least one job"))
 			}
-			x := Cancellation{ID: recordID("")}
+			x := operation.Cancellation{ID: recordID("")}
 			for _, a := range cmd.Args().Slice() {
 				x.Jobs = append(x.Jobs, inventory.JobID(a))
 			}
--- a/ctl/command/propose.go
+++ b/ctl/command/propose.go
@@ -13,6 +13,7 @@
 
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 )
 
 // tokenBytes is the number of random bytes in a new token.
@@ -31,7 +32,7 @@
 			if err != nil {
 				return badInput(err)
 			}
-			p := Publication{ID: journal.RecordID(uuid.NewString()), Change: change}
+			p := operation.Publication{ID: journal.RecordID(uuid.NewString()), Change: change}
 			var v journal.Verdict
 			if err := c.Post("/proposals", p, &v); err != nil {
 				return exit(eris.Wrapf(err, "proposal %s", p.ID))
--- a/ctl/command/publish.go
+++ b/ctl/command/publish.go
@@ -13,6 +13,7 @@
 	"github.com/godwitcross/godwitcross/ctl/client"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 )
 
 // Waiting for a change to be in force.
@@ -21,12 +22,6 @@
 	inForcePause   = 100 * time.Millisecond
 )
 
-// Publication is the body of POST /changes.
-type Publication struct {
-	ID     journal.RecordID
-	Change configuration.Change
-}
-
 // changeFlags are the flags of the commands that make a change.
 type changeFlags struct {
 	base    int64
@@ -84,7 +79,7 @@
 }
 
 func publish(w io.Writer, c *Connection, change configuration.Change) error {
-	p := Publication{ID: journal.RecordID(uuid.NewString()), Change: change}
+	p := operation.Publication{ID: journal.RecordID(uuid.NewString()), Change: change}
 	var v journal.Verdict
 	if err := c.Post("/changes", p, &v); err != nil {
 		return eris.Wrapf(err, "publication %s", p.ID)
@@ -117,7 +112,7 @@
 func stillWaiting(w io.Writer, hosts []*client.Client, version configuration.Version, began time.Time) []*client.Client {
 	var rest []*client.Client
 	for _, h := range hosts {
-		var s Status
+		var s operation.Status
 		if err := h.Get("/status", &s); err != nil || s.Version < version {
 			rest = append(rest, h)
 			continue
--- a/ctl/command/status.go
+++ b/ctl/command/status.go
@@ -9,19 +9,14 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/godwitcross/godwitcross/fleet/configuration"
-	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 )
 
-// Status is what an entry host tells of itself.
-type Status struct {
-	Name     string
-	NotReady string `json:",omitempty"`
-	Version  configuration.Version
-	Next     journal.Offset
-	End      journal.Offset
-	Digest   uint64
-	Error    string `json:",omitempty"`
+// hostStatus is what a host told, or why it told nothing.
+type hostStatus struct {
+	Address string
+	operation.Status
+	Error string `json:",omitempty"`
 }
 
 func newStatus(c *Connection) *cli.Command {
@@ -29,20 +24,20 @@
 		Name: "status", Usage: "show how each entry host is",
 		Description: "Example: ctl --entry 127.0.0.1:8081 status",
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			var all []Status
+			var all []hostStatus
 			for _, h := range c.Clients() {
-				var s Status
-				if err := h.Get("/status", &s); err != nil {
-					s = Status{Name: h.Address(), Error: err.Error()}
+				s := hostStatus{Address: h.Address()}
+				if err := h.Get("/status", &s.Status); err != nil {
+					s.Error = err.Error()
 				}
 				all = append(all, s)
 			}
-			return printAll(cmd.Root().Writer, c.Output, all, "NAME\tREADY\tVERSION\tAPPLIED\tDIGEST", func(s Status) string {
+			return printAll(cmd.Root().Writer, c.Output, all, "ADDRESS\tNAME\tREADY\tVERSION\tAPPLIED\tDIGEST", func(s hostStatus) string {
 				ready := "yes"
 				if s.NotReady+s.Error != "" {
 					ready = s.NotReady + s.Error
 				}
-				return fmt.Sprintf("%s\t%s\t%d\t%d\t%016x", s.Name, ready, s.Version, s.Next, s.Digest)
+				return fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%016x", s.Address, s.Name, ready, s.Version, s.Next, s.Digest)
 			})
 		},
 	}
--- a/entry/operator/publication.go
+++ b/entry/operator/publication.go
@@ -13,22 +13,16 @@
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 )
 
 // ErrNoOperator is returned for a first configuration after which an owner
 // could change nothing.
 var ErrNoOperator = eris.New("owner without an operator")
 
-// Publication is the body of POST /changes and of POST /proposals.
-type Publication struct {
-	// ID is unique to the publication; a repeat under the same ID has no effect.
-	ID     journal.RecordID
-	Change configuration.Change
-}
-
 // By returns the operator who asks, as it was proved.
 func By(ctx *fasthttp.RequestCtx) inventory.OperatorID {
-	return inventory.OperatorID(ctx.Request.Header.Peek(HeaderOperator))
+	return inventory.OperatorID(ctx.Request.Header.Peek(operation.HeaderOperator))
 }
 
 // publish appends a change and answers with the verdict of the fold.
@@ -67,8 +61,8 @@
 	Answer(ctx, fasthttp.StatusOK, waiting)
 }
 
-func readPublication(ctx *fasthttp.RequestCtx) (Publication, bool) {
-	var p Publication
+func readPublication(ctx *fasthttp.RequestCtx) (operation.Publication, bool) {
+	var p operation.Publication
 	if err := json.Unmarshal(ctx.PostBody(), &p); err != nil || p.ID == "" {
 		Refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Change\":{...}}")
 		return p, false
@@ -111,7 +105,7 @@
 	return nil
 }
 
-func (s *Server) appendAndAnswer(ctx *fasthttp.RequestCtx, kind journal.Kind, p Publication, by inventory.OperatorID) {
+func (s *Server) appendAndAnswer(ctx *fasthttp.RequestCtx, kind journal.Kind, p operation.Publication, by inventory.OperatorID) {
 	r, err := journal.NewRecord(p.ID, kind, time.Now(), string(by), p.Change)
 	if err != nil {
 		Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -6,25 +6,24 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/godwitcross/godwitcross/entry/follower"
-	"github.com/godwitcross/godwitcross/entry/identity"
 	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/platform"
 	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 )
 
-// HeaderOperator names the operator who asks, as package identity proved it.
-const HeaderOperator = identity.HeaderOperator
-
 // publishTimeout bounds how long a publication waits for its verdict.
 const publishTimeout = 10 * time.Second
 
@@ -69,6 +68,7 @@
 		{fasthttp.MethodGet, "/metrics.json", s.metricsJSON},
 		{fasthttp.MethodGet, "/status", s.status},
 		{fasthttp.MethodGet, "/configuration", s.configuration},
+		{fasthttp.MethodGet, "/duties", s.duties},
 		{fasthttp.MethodGet, "/explain/record", s.explainRecord},
 		{fasthttp.MethodPost, "/changes", s.publish},
 		{fasthttp.MethodGet, "/proposals", s.proposals},
@@ -130,25 +130,24 @@
 	Answer(ctx, fasthttp.StatusOK, s.cfg.Metrics.Points())
 }
 
-// Status is what a host tells of itself.
-type Status struct {
-	Name     inventory.EntryID
-	NotReady string `json:",omitempty"`
-	Version  configuration.Version
-	Next     journal.Offset
-	End      journal.Offset
-	Digest   uint64
-	Counts   map[journal.Outcome]int64
-}
-
 func (s *Server) status(ctx *fasthttp.RequestCtx) {
 	st := s.cfg.State.Latest()
-	Answer(ctx, fasthttp.StatusOK, Status{
+	Answer(ctx, fasthttp.StatusOK, operation.Status{
 		Name: s.cfg.Name, NotReady: s.cfg.Ready(), Version: st.Configuration.Version,
 		Next: st.Next, End: st.End, Digest: st.Digest, Counts: st.Counts,
 	})
 }
 
+// duties lists who holds the duties of the global stream, in order.
+func (s *Server) duties(ctx *fasthttp.RequestCtx) {
+	held := s.cfg.State.Latest().Holdings
+	out := []operation.Duty{}
+	for _, d := range slices.Sorted(maps.Keys(held)) {
+		out = append(out, operation.Duty{Duty: d, Holding: held[d]})
+	}
+	Answer(ctx, fasthttp.StatusOK, out)
+}
+
 // explainRecord answers with the verdict on the record named by the query ID.
 func (s *Server) explainRecord(ctx *fasthttp.RequestCtx) {
 	id := journal.RecordID(ctx.QueryArgs().Peek("ID"))
@@ -205,12 +204,7 @@
 	ctx.SetBody(append(b, '\n'))
 }
 
-// Refusal is the body of an answer that says what was wrong.
-type Refusal struct {
-	Error string
-}
-
 // Refuse writes a refusal.
 func Refuse(ctx *fasthttp.RequestCtx, status int, why string) {
-	Answer(ctx, status, Refusal{Error: why})
+	Answer(ctx, status, operation.Refusal{Error: why})
 }
--- a/entry/placement/routes.go
+++ b/entry/placement/routes.go
@@ -10,9 +10,9 @@
 
 	"github.com/godwitcross/godwitcross/entry/operator"
 	"github.com/godwitcross/godwitcross/entry/platform"
-	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 	"github.com/godwitcross/godwitcross/fleet/placement"
 )
 
@@ -26,21 +26,8 @@
 	maxListed = 1000
 )
 
-// Submission is the body of POST /jobs.
-type Submission struct {
-	// ID is unique to the submission; a repeat under the same ID has no effect.
-	ID   journal.RecordID
-	Jobs []configuration.Job
-}
-
-// Cancellation is the body of POST /jobs/cancel.
-type Cancellation struct {
-	ID   journal.RecordID
-	Jobs []inventory.JobID
-}
-
 func (p *Placement) submit(ctx *fasthttp.RequestCtx) {
-	var s Submission
+	var s operation.Submission
 	if err := json.Unmarshal(ctx.PostBody(), &s); err != nil || s.ID == "" || len(s.Jobs) == 0 {
 		operator.Refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Jobs\":[...]}")
 		return
@@ -55,7 +42,7 @@
 }
 
 func (p *Placement) cancel(ctx *fasthttp.RequestCtx) {
-	var c Cancellation
+	var c operation.Cancellation
 	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil || c.ID == "" || len(c.Jobs) == 0 {
 		operator.Refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Jobs\":[...]}")
 		return
@@ -66,7 +53,7 @@
 // append adds an operator's record and answers with its verdict. The answer
 // comes only after the record is in the log.
 func (p *Placement) append(ctx *fasthttp.RequestCtx, id journal.RecordID, kind journal.Kind, body any) {
-	by := string(ctx.Request.Header.Peek(operator.HeaderOperator))
+	by := string(ctx.Request.Header.Peek(operation.HeaderOperator))
 	r, err := journal.NewRecord(id, kind, time.Now(), by, body)
 	if err != nil {
 		operator.Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
@@ -93,17 +80,8 @@
 	}
 }
 
-// Summary is the answer to GET /jobs.
-type Summary struct {
-	DataCentre inventory.DataCentreID
-	// Counts has the number of remembered jobs in each state.
-	Counts map[placement.State]int
-	// Jobs are the last accepted, at most maxListed.
-	Jobs []placement.Job
-}
-
 func (p *Placement) list(ctx *fasthttp.RequestCtx) {
-	s := Summary{DataCentre: p.cfg.DataCentre, Counts: make(map[placement.State]int)}
+	s := operation.JobSummary{DataCentre: p.cfg.DataCentre, Counts: make(map[placement.State]int)}
 	team := inventory.TeamID(ctx.QueryArgs().Peek("Team"))
 	c, stop := context.WithTimeout(context.Background(), askTime)
 	defer stop()
--- a/standin/check/check.go
+++ b/standin/check/check.go
@@ -12,10 +12,10 @@
 
 	"github.com/godwitcross/godwitcross/ctl/client"
 	"github.com/godwitcross/godwitcross/entry/caller"
-	"github.com/godwitcross/godwitcross/entry/operator"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 	"github.com/godwitcross/godwitcross/standin/backend"
 	"github.com/godwitcross/godwitcross/standin/deployment"
 )
@@ -66,7 +66,7 @@
 // Publish publishes a change through the first entry host.
 func Publish(d *deployment.Deployment, id journal.RecordID, c configuration.Change, by inventory.OperatorID) error {
 	var v journal.Verdict
-	err := client.New(d.Entries[0].Settings.OperatorAddress, by).Post("/changes", operator.Publication{ID: id, Change: c}, &v)
+	err := client.New(d.Entries[0].Settings.OperatorAddress, by).Post("/changes", operation.Publication{ID: id, Change: c}, &v)
 	if err != nil {
 		return err
 	}
