--- /dev/null
+++ b/fleet/model/world_test.go
@@ -0,0 +1,319 @@
+package model
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/lease"
+)
+
+const (
+	duty        lease.Duty   = "Work"
+	kindCommand journal.Kind = "Command"
+	// step is how far time passes at once.
+	step = 4 * time.Second
+)
+
+var start = time.Unix(1000, 0)
+
+// commands folds what holders do: who did something under which epoch.
+type commands struct {
+	By map[journal.Epoch][]string
+	// IDs has the identity of every command that took effect, in order.
+	IDs []journal.RecordID
+}
+
+func (*commands) Kinds() []journal.Kind { return []journal.Kind{kindCommand} }
+
+func (c *commands) Reduce(e journal.Entry) error {
+	if e.Record.Duty == "" {
+		return eris.New("a command without a duty")
+	}
+	if c.By == nil {
+		c.By = make(map[journal.Epoch][]string)
+	}
+	c.By[e.Record.Epoch] = append(c.By[e.Record.Epoch], e.Record.By)
+	c.IDs = append(c.IDs, e.Record.ID)
+	return nil
+}
+
+func (c *commands) MarshalState() ([]byte, error) { return json.Marshal(*c) }
+
+func (c *commands) UnmarshalState(b []byte) error { return json.Unmarshal(b, c) }
+
+// state is what one host has folded.
+type state struct {
+	fold     *journal.Fold
+	leases   *lease.Reducer
+	commands *commands
+}
+
+func newState() state {
+	s := state{leases: lease.NewReducer(), commands: &commands{}}
+	s.fold = journal.NewFold(s.leases, s.leases, s.commands)
+	return s
+}
+
+// host is one entry host of the world.
+type host struct {
+	name    inventory.EntryID
+	tracker *lease.Tracker
+	state   state
+	// unsure are records whose append had no answer; they go again.
+	unsure [][]byte
+	// confirmed are the commands that the log confirmed to this host.
+	confirmed []journal.RecordID
+	// decided is a command that was decided and not sent yet: a pause between
+	// the two.
+	decided []byte
+	decides journal.RecordID
+}
+
+// world is a log, hosts, and a clock.
+type world struct {
+	now   time.Time
+	log   [][]byte
+	hosts []*host
+	ids   int
+	// fault is the first promise that was broken.
+	fault error
+}
+
+func newWorld(hosts int) *world {
+	w := &world{now: start}
+	for i := range hosts {
+		name := inventory.EntryID(fmt.Sprint("e", i+1))
+		w.hosts = append(w.hosts, &host{name: name, tracker: lease.NewTracker(name, start), state: newState()})
+	}
+	for _, h := range w.hosts {
+		w.read(h)
+	}
+	return w
+}
+
+// action is one thing that happens in the world.
+type action struct {
+	name string
+	run  func(w *world, h *host)
+}
+
+// actions are those of one host; each is possible at any time.
+var actions = []action{
+	{"claims", func(w *world, h *host) { w.claim(h, delivered) }},
+	{"claims, answer lost", func(w *world, h *host) { w.claim(h, answerLost) }},
+	{"renews", func(w *world, h *host) { w.renew(h, delivered) }},
+	{"renews, record lost", func(w *world, h *host) { w.renew(h, recordLost) }},
+	{"decides", func(w *world, h *host) { w.decide(h) }},
+	{"sends", func(w *world, h *host) { w.send(h, delivered) }},
+	{"sends, answer lost", func(w *world, h *host) { w.send(h, answerLost) }},
+	{"sends again", func(w *world, h *host) { w.sendAgain(h) }},
+	{"reads", func(w *world, h *host) { w.read(h) }},
+	{"reads one record", func(w *world, h *host) { w.readUpTo(h, h.state.fold.Next()+1) }},
+	{"starts anew from a snapshot", func(w *world, h *host) { w.restart(h) }},
+	{"time passes", func(w *world, _ *host) { w.now = w.now.Add(step) }},
+}
+
+// delivery is what the log does with an append.
+type delivery int
+
+const (
+	delivered delivery = iota
+	answerLost
+	recordLost
+)
+
+func (w *world) record(h *host, kind journal.Kind, body any, epoch journal.Epoch) (journal.RecordID, []byte) {
+	w.ids++
+	r, err := journal.NewRecord(journal.RecordID(fmt.Sprint(h.name, "-", w.ids)), kind, w.now, string(h.name), body)
+	if epoch > 0 {
+		r.Duty, r.Epoch = string(duty), epoch
+	}
+	raw, encodeErr := r.Encode()
+	if err != nil || encodeErr != nil {
+		w.broken("encoding: %v, %v", err, encodeErr)
+	}
+	return r.ID, raw
+}
+
+func (w *world) broken(format string, args ...any) {
+	if w.fault == nil {
+		w.fault = eris.Errorf(format, args...)
+	}
+}
+
+// append is one call at the log and reports whether it was confirmed.
+func (w *world) append(h *host, raw []byte, d delivery) bool {
+	if d != recordLost {
+		w.log = append(w.log, raw)
+	}
+	if d != delivered {
+		h.unsure = append(h.unsure, raw)
+	}
+	return d == delivered
+}
+
+func (w *world) names() []inventory.EntryID {
+	var names []inventory.EntryID
+	for _, h := range w.hosts {
+		names = append(names, h.name)
+	}
+	return names
+}
+
+func (w *world) claim(h *host, d delivery) {
+	if !h.tracker.MayClaim(duty, w.names(), w.now) {
+		return
+	}
+	_, raw := w.record(h, lease.KindClaim, h.tracker.Claim(duty, w.now), 0)
+	w.append(h, raw, d)
+}
+
+func (w *world) renew(h *host, d delivery) {
+	if n, due := h.tracker.Renewal(w.now); due {
+		_, raw := w.record(h, lease.KindRenew, n, 0)
+		w.append(h, raw, d)
+	}
+}
+
+// decide prepares a command under the epoch held now. It may be sent much later.
+func (w *world) decide(h *host) {
+	if epoch, _, ok := h.tracker.Holds(duty, w.now); ok {
+		h.decides, h.decided = w.record(h, kindCommand, 1, epoch)
+	}
+}
+
+func (w *world) send(h *host, d delivery) {
+	if h.decided == nil {
+		return
+	}
+	if w.append(h, h.decided, d) {
+		h.confirmed = append(h.confirmed, h.decides)
+	}
+	h.decided = nil
+}
+
+func (w *world) sendAgain(h *host) {
+	if len(h.unsure) > 0 {
+		w.log = append(w.log, h.unsure[0])
+		h.unsure = h.unsure[1:]
+	}
+}
+
+func (w *world) read(h *host) { w.readUpTo(h, journal.Offset(len(w.log))) }
+
+func (w *world) readUpTo(h *host, end journal.Offset) {
+	for o := h.state.fold.Next(); o < min(end, journal.Offset(len(w.log))); o++ {
+		if _, err := h.state.fold.Apply(o, w.log[o]); err != nil {
+			w.broken("%s: %s", h.name, err)
+		}
+	}
+	h.tracker.Observe(w.now, []lease.Duty{duty}, h.state.leases.Holdings())
+}
+
+// restart replaces the host: it starts from a snapshot of the host that has
+// applied most, with a tracker that knows nothing.
+func (w *world) restart(h *host) {
+	ahead := h
+	for _, o := range w.hosts {
+		if o.state.fold.Next() > ahead.state.fold.Next() {
+			ahead = o
+		}
+	}
+	before := h.state.fold.Next()
+	s, err := ahead.state.fold.Snapshot("S")
+	if err != nil {
+		w.broken("snapshot: %s", err)
+		return
+	}
+	h.state = newState()
+	if err := h.state.fold.Restore(s); err != nil {
+		w.broken("restore: %s", err)
+	}
+	if h.state.fold.Next() < before {
+		w.broken("%s went back from %d to %d", h.name, before, h.state.fold.Next())
+	}
+	h.decided, h.unsure = nil, nil
+	h.tracker = lease.NewTracker(h.name, w.now.Add(time.Duration(w.ids)))
+	h.tracker.Observe(w.now, []lease.Duty{duty}, h.state.leases.Holdings())
+}
+
+// check returns the first promise that is broken now.
+func (w *world) check() error {
+	w.checkOneHolder()
+	truth := newState()
+	digests := []uint64{truth.fold.Digest()}
+	for o, raw := range w.log {
+		v, err := truth.fold.Apply(journal.Offset(o), raw)
+		if err != nil {
+			w.broken("%s", err)
+		}
+		if v.Kind == kindCommand && v.Outcome == journal.Accepted {
+			w.checkHolder(raw, truth.leases.Holding(duty))
+		}
+		digests = append(digests, truth.fold.Digest())
+	}
+	for _, h := range w.hosts {
+		if h.state.fold.Digest() != digests[h.state.fold.Next()] {
+			w.broken("the state of %s at %d is not a function of the offset", h.name, h.state.fold.Next())
+		}
+	}
+	w.checkCommands(truth)
+	return w.fault
+}
+
+// checkHolder checks that a command that took effect is the holder's.
+func (w *world) checkHolder(raw []byte, h lease.Holding) {
+	r, err := journal.Decode(raw)
+	if err != nil || r.Epoch != h.Epoch || r.By != string(h.Holder) {
+		w.broken("%s of %s under epoch %d took effect, the holder is %s under %d", r.ID, r.By, r.Epoch, h.Holder, h.Epoch)
+	}
+}
+
+// checkOneHolder checks that no two hosts hold the duty at once.
+func (w *world) checkOneHolder() {
+	var holders []inventory.EntryID
+	for _, h := range w.hosts {
+		if _, _, ok := h.tracker.Holds(duty, w.now); ok {
+			holders = append(holders, h.name)
+		}
+	}
+	if len(holders) > 1 {
+		w.broken("%v hold the duty at once", holders)
+	}
+}
+
+// checkCommands checks that an epoch has one holder, that nothing took effect
+// twice, and that what was confirmed has taken effect or was fenced.
+func (w *world) checkCommands(truth state) {
+	for epoch, by := range truth.commands.By {
+		if len(slices.Compact(slices.Clone(by))) > 1 {
+			w.broken("commands of %v took effect under epoch %d", by, epoch)
+		}
+	}
+	effects := make(map[journal.RecordID]int)
+	for _, id := range truth.commands.IDs {
+		effects[id]++
+		if effects[id] > 1 {
+			w.broken("%s took effect twice", id)
+		}
+	}
+	rejected := make(map[journal.RecordID]bool)
+	for _, v := range truth.fold.Recent() {
+		if v.Outcome == journal.Rejected {
+			rejected[v.ID] = true
+		}
+	}
+	for _, h := range w.hosts {
+		for _, id := range h.confirmed {
+			if effects[id] == 0 && !rejected[id] {
+				w.broken("%s was confirmed and is lost", id)
+			}
+		}
+	}
+}
