--- a/entry/snapshot/writer.go
+++ b/entry/snapshot/writer.go
@@ -46,6 +46,9 @@
 // their chunks have different names, and the checkpoint carries the epoch.
 type Writer struct {
 	cfg WriterConfig
+	// last is the newest checkpoint that this writer appended; the folded one
+	// may lag behind it.
+	last journal.Checkpoint
 }
 
 // NewWriter returns the work of the duty.
@@ -61,7 +64,11 @@
 // Tick writes a snapshot if one is due.
 func (w *Writer) Tick(ctx context.Context, now time.Time, epoch journal.Epoch) error {
 	st := w.cfg.State.Latest()
-	if !st.Checkpoint.Due(journal.MarginOf(st.Oldest, st.End, st.Checkpoint.Next), st.Next, now) {
+	newest := st.Checkpoint
+	if w.last.Next > newest.Next {
+		newest = w.last
+	}
+	if !newest.Due(journal.MarginOf(st.Oldest, st.End, newest.Next), st.Next, now) {
 		return nil
 	}
 	if why := w.cfg.Doubt(); why != "" {
@@ -91,6 +98,7 @@
 	if err := w.append(ctx, s.Stream, journal.RecordID(id), journal.KindCheckpoint, c, now, epoch); err != nil {
 		return err
 	}
+	w.last = c
 	w.cfg.Log.WithFields(logrus.Fields{"Next": s.Next, "Chunks": len(chunks)}).Info("snapshot written")
 	return nil
 }
