--- a/entry/host/join.go
+++ b/entry/host/join.go
@@ -30,15 +30,15 @@
 		Table: membership.NewTable(membership.Config{Name: s.Name, DataCentre: s.DataCentre, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
 		Own:   func(now time.Time) membership.Heartbeat { return h.heartbeat(now, incarnation) },
 	})
-	h.relay = peer.NewRelay(peer.RelayConfig{
-		Log: h.log, Metrics: h.metrics, Client: h.client, Peers: h.peers, State: h.state,
-		Compare: h.follower.Compare, Out: batches,
-	})
-	h.peering = peer.NewServer(peer.ServerConfig{Log: h.log, Exchanger: h.exchanger, Records: h.follower})
 	h.loader = snapshot.NewLoader(snapshot.LoaderConfig{
 		Log: h.log, Stream: journal.StreamFleet, Source: client, Target: h.follower,
 		Peers: &peer.Snapshots{Client: h.client, Peers: h.peers},
 	})
+	h.relay = peer.NewRelay(peer.RelayConfig{
+		Log: h.log, Metrics: h.metrics, Client: h.client, Peers: h.peers, State: h.state,
+		Compare: h.follower.Compare, Restore: h.loader.Restore, Out: batches,
+	})
+	h.peering = peer.NewServer(peer.ServerConfig{Log: h.log, Exchanger: h.exchanger, Records: h.follower})
 }
 
 // heartbeat returns what this host says of itself.
--- a/entry/peer/relay.go
+++ b/entry/peer/relay.go
@@ -44,6 +44,9 @@
 	State   *view.Box[follower.State]
 	// Compare returns how each peer stands to this host.
 	Compare func(ctx context.Context, peers []membership.Peer) ([]membership.Relation, error)
+	// Restore brings the state to a snapshot, for a host that is further behind
+	// than the records which peers keep.
+	Restore platform.RestoreFunc
 	Out     chan<- platform.Batch
 }
 
@@ -105,6 +108,11 @@
 	c, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	a, err := r.cfg.Client.At(p.Address).ReadRecords(c, &wire.ReadRecordsRequest{From: int64(st.Next), History: st.History, Limit: relayLimit})
+	var te twirp.Error
+	if errors.As(err, &te) && te.Code() == twirp.OutOfRange {
+		r.cfg.Restore(ctx, st.Next)
+		return
+	}
 	if err != nil {
 		r.cfg.Log.WithError(err).WithField("Peer", p.Name).Info("no records from a peer")
 		return
