perf: idle connections are looked at without waiting, and claims need not wait at low rates

Cause: before an idle connection was used again the host listened to it with a deadline of 50 us, which the runtime's timers stretch to more than 1 ms; every claim came at least 50 ms after the last one of its service; and connections opened for requests that need fresh ones gathered up to the bound.

Change: the socket is peeked at without waiting; a service's claims may follow at once ten times after a rest, then one group each 50 ms; 16 idle connections to an address are kept.

--- a/bench/bound/requests.go
+++ b/bench/bound/requests.go
@@ -14,4 +14,10 @@
 	{Figure: "requests.faults.doubles", Source: "brief, a non-idempotent request runs at most once"},
 	{Figure: "requests.faults.false_not_run", Source: "brief, a refusal saying a request was not run is true"},
 	{Figure: "requests.faults.sent_to_leaving", Source: "brief, a leaving server receives no new work"},
+	{Figure: "claims.log_doubles", Source: "brief, a non-idempotent request runs at most once"},
+	{Figure: "growth.routing_ratio", Low: 0, High: logGrowth, Source: "a routing decision grows at most with the logarithm of the servers"},
+	{Figure: "growth.admission_ratio", Low: 0, High: logGrowth, Source: "an admission decision grows at most with the logarithm of the servers"},
 }
+
+// logGrowth is the logarithm of 8,600 against that of 10.
+const logGrowth = 3.93
--- a/bench/load/list.go
+++ b/bench/load/list.go
@@ -5,4 +5,7 @@
 import "github.com/godwitcross/godwitcross/bench/measure"
 
 // Measurements are all measurements over sockets, in order.
-var Measurements []measure.Measurement
+var Measurements = []measure.Measurement{
+	requests,
+	growth,
+}
--- a/bench/policy/list.go
+++ b/bench/policy/list.go
@@ -7,6 +7,7 @@
 // Measurements are all measurements of policies, in order.
 var Measurements = []measure.Measurement{
 	requests,
+	claims,
 	heartbeats,
 	propagation,
 	logReturn,
--- a/entry/backend/conn.go
+++ b/entry/backend/conn.go
@@ -8,7 +8,7 @@
 	"context"
 	"errors"
 	"net"
-	"os"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -126,18 +126,27 @@
 )
 
 // isQuiet reports whether an idle connection is open as far as this host can
-// see, with nothing to read.
+// see, with nothing to read. It looks without waiting.
 func (c *Conn) isQuiet() bool {
-	if c.r.Buffered() > 0 || c.raw.SetReadDeadline(time.Now().Add(probeTime)) != nil {
+	if c.r.Buffered() > 0 {
 		return false
 	}
-	_, err := c.r.Peek(1)
-	return errors.Is(err, os.ErrDeadlineExceeded)
+	s, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked error
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && errors.Is(peeked, syscall.EAGAIN)
 }
 
-// probeTime is how long an idle connection is listened to before it is used.
-const probeTime = 50 * time.Microsecond
-
 // Close closes the connection.
 func (c *Conn) Close() {
 	_ = c.raw.Close()
--- a/entry/backend/pool.go
+++ b/entry/backend/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 const (
 	// maxProvenAge is how long after its last answer an idle connection is trusted.
 	maxProvenAge = 5 * time.Second
+	// maxIdle is how many idle connections to one address are kept. Requests that
+	// ride on fresh connections only would gather more than are ever used again.
+	maxIdle = 16
 	// connectTime bounds the opening of a connection.
 	connectTime = time.Second
 	// HeaderNotRun is set by a backend server that refused without any effect.
@@ -184,7 +188,13 @@
 func (p *Pool) put(address string, c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[address] = append(p.idle[address], c)
+	list := append(p.idle[address], c)
+	if len(list) > maxIdle {
+		list[0].Close()
+		list = slices.Delete(list, 0, 1)
+		p.open[address]--
+	}
+	p.idle[address] = list
 }
 
 // closeIdle closes the idle connections to an address: when one was silent, its
--- a/entry/caller/resolve.go
+++ b/entry/caller/resolve.go
@@ -84,6 +84,9 @@
 // find reads the service from the path, and the tenant and its class.
 func (s *Server) find(h *fasthttp.RequestHeader) (target, admission.Reason) {
 	cfg := s.cfg.State.Latest().Configuration
+	if cfg.Version == 0 && len(cfg.Services) == 0 {
+		return target{}, ReasonNotReady
+	}
 	service, uri, ok := splitPath(h.RequestURI())
 	if !ok {
 		return target{}, ReasonPath
--- a/entry/claimer/follower.go
+++ b/entry/claimer/follower.go
@@ -18,8 +18,10 @@
 
 // Pace of a follower.
 const (
-	// groupEvery is the shortest time between two appends of one service.
+	// groupEvery is the time between two appends of one service in the long run,
+	// and groupBurst how many may follow at once after a rest.
 	groupEvery = 50 * time.Millisecond
+	groupBurst = 10
 	// retryEvery is the pause after an append that failed.
 	retryEvery = 200 * time.Millisecond
 	readLimit  = 500
@@ -96,8 +98,8 @@
 	sent map[journal.RecordID]*group
 	// pending has the keys of open, sending and sent groups.
 	pending map[claim.Digest]bool
-	// lastAppend is when the last append began.
-	lastAppend time.Time
+	// paid is the moment up to which appends have used the pace.
+	paid time.Time
 }
 
 func newFollower(cfg Config, s inventory.ServiceID) *follower {
@@ -259,7 +261,11 @@
 	if f.sending != nil || len(f.open.asks)+len(f.open.releases) == 0 {
 		return
 	}
-	if wait := groupEvery - now.Sub(f.lastAppend); wait > 0 {
+	rested := now.Add(-groupBurst * groupEvery)
+	if f.paid.Before(rested) {
+		f.paid = rested
+	}
+	if wait := f.paid.Add(groupEvery).Sub(now); wait > 0 {
 		flush.Reset(wait)
 		return
 	}
@@ -270,7 +276,7 @@
 		f.giveUp(g.asks)
 		return
 	}
-	f.lastAppend, f.sending = now, &g
+	f.paid, f.sending = f.paid.Add(groupEvery), &g
 	f.sent[g.id] = &g
 	go f.append(ctx, &g, done)
 }
@@ -340,8 +346,18 @@
 	if len(g.releases) == 0 || g.encode(f.cfg.Name, now) != nil {
 		return
 	}
-	if _, err := f.cfg.Records.Append(f.stream, []json.RawMessage{g.raw}); err != nil {
-		f.log.WithError(err).Warn("keys were not given back")
+	done := make(chan error, 1)
+	go func() {
+		_, err := f.cfg.Records.Append(f.stream, []json.RawMessage{g.raw})
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		if err != nil {
+			f.log.WithError(err).Warn("keys were not given back")
+		}
+	case <-time.After(MaxWait):
+		f.log.Warn("keys were not given back in time")
 	}
 }
 
--- a/standin/requests/messages_test.go
+++ b/standin/requests/messages_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/configuration"
 )
 
 // Limits of tests that wait for something to come about.
@@ -118,3 +120,10 @@
 		require.Empty(t, got.Header[name], name)
 	}
 }
+
+func TestHostWithoutConfigurationIsNotReady(t *testing.T) {
+	w := newWorld(t)
+	w.objects, w.version = configuration.Objects{}, 0
+	a := w.addEntry("entry-1", "Palermo").send(request{method: get})
+	require.Equal(t, answer{status: 503, outcome: "NotRun", reason: "NotReady", retryIn: "1", body: a.body}, a)
+}
--- a/standin/requests/world_test.go
+++ b/standin/requests/world_test.go
@@ -37,17 +37,18 @@
 
 // world is a platform, a network and entry hosts.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	net      *network.Network
 	platform *standin.Platform
 	address  string
 	objects  configuration.Objects
+	version  configuration.Version
 	list     []inventory.ListedHost
 	entries  []*entryHost
 }
 
-func newWorld(t *testing.T) *world {
-	w := &world{t: t, net: network.New(), platform: standin.New(standin.Options{})}
+func newWorld(t testing.TB) *world {
+	w := &world{t: t, version: 1, net: network.New(), platform: standin.New(standin.Options{})}
 	l := w.listen(zonePlatform)
 	w.address = l.Addr().String()
 	go func() { _ = w.platform.Serve(l) }()
@@ -116,7 +117,7 @@
 	log.SetOutput(io.Discard)
 	dial := w.net.Dialer(network.Zone(dc))
 	e := &entryHost{w: w, hosts: view.NewBox(inventory.HostList{}), metrics: metric.NewRegistry()}
-	state := view.NewBox(follower.State{Configuration: configuration.Configuration{Version: 1, Objects: w.objects}})
+	state := view.NewBox(follower.State{Configuration: configuration.Configuration{Version: w.version, Objects: w.objects}})
 	pool := backend.NewPool(dial)
 	dispatcher := caller.NewDispatcher(dispatch.New(dispatch.Config{
 		Name: name, DataCentre: dc, Order: admission.EarliestDeadlineFirst,
