fix: an answer that nobody asked for never meets the next request on its connection

Ruled out: answers kept for keys, the order of writes of the test's server.

Change: a connection that can't be looked at is not used again; the stand-in's network passes the socket on; a connection rests for 2 ms after an answer, and the one that has rested longest goes first.

--- a/entry/backend/conn.go
+++ b/entry/backend/conn.go
@@ -126,14 +126,15 @@
 )
 
 // isQuiet reports whether an idle connection is open as far as this host can
-// see, with nothing to read. It looks without waiting.
+// see, with nothing to read. It looks without waiting. A connection that can't
+// be looked at is not quiet.
 func (c *Conn) isQuiet() bool {
 	if c.r.Buffered() > 0 {
 		return false
 	}
 	s, ok := c.raw.(syscall.Conn)
 	if !ok {
-		return true
+		return false
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
--- a/entry/backend/pool.go
+++ b/entry/backend/pool.go
@@ -20,9 +20,9 @@
 const (
 	// maxProvenAge is how long after its last answer an idle connection is trusted.
 	maxProvenAge = 5 * time.Second
-	// maxIdle is how many idle connections to one address are kept. Requests that
-	// ride on fresh connections only would gather more than are ever used again.
-	maxIdle = 16
+	// restTime is how long a connection is left alone after an answer. What comes
+	// meanwhile was asked for by nobody, and the connection is not used again.
+	restTime = 2 * time.Millisecond
 	// connectTime bounds the opening of a connection.
 	connectTime = time.Second
 	// HeaderNotRun is set by a backend server that refused without any effect.
@@ -49,8 +49,8 @@
 type Pool struct {
 	dial DialFunc
 	mu   sync.Mutex
-	// idle holds connections with nothing outstanding, last used last; open
-	// counts those and the busy ones. Both are guarded by mu.
+	// idle holds connections with nothing outstanding, in the order in which they
+	// were last used; open counts those and the busy ones. Both are guarded by mu.
 	idle map[string][]*Conn
 	open map[string]inventory.Connections
 }
@@ -153,48 +153,38 @@
 	p.forget(address)
 }
 
-// takeIdle returns an idle connection whose server answered a short time ago.
-// When the last used one is too old, so are all others.
+// takeIdle returns the idle connection that has rested longest, if its server
+// answered a short time ago and nothing came since.
 func (p *Pool) takeIdle(address string, now time.Time) *Conn {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, now.Add(-restTime))
 		if c == nil {
 			return nil
 		}
-		if now.Sub(c.proven) > maxProvenAge {
-			p.discard(address, c)
-			p.closeIdle(address)
-			return nil
-		}
-		if c.isQuiet() {
+		if now.Sub(c.proven) <= maxProvenAge && c.isQuiet() {
 			return c
 		}
 		p.discard(address, c)
 	}
 }
 
-func (p *Pool) popIdle(address string) *Conn {
+// popIdle takes out the first idle connection if it was last used before the moment.
+func (p *Pool) popIdle(address string, before time.Time) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
+	if len(list) == 0 || list[0].proven.After(before) {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
+	c := list[0]
+	p.idle[address] = slices.Delete(list, 0, 1)
 	return c
 }
 
 func (p *Pool) put(address string, c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := append(p.idle[address], c)
-	if len(list) > maxIdle {
-		list[0].Close()
-		list = slices.Delete(list, 0, 1)
-		p.open[address]--
-	}
-	p.idle[address] = list
+	p.idle[address] = append(p.idle[address], c)
 }
 
 // closeIdle closes the idle connections to an address: when one was silent, its
@@ -214,32 +204,31 @@
 
 // Sweep closes idle connections that are too old to be trusted.
 func (p *Pool) Sweep(now time.Time) {
-	for _, address := range p.aged(now) {
-		p.closeIdle(address)
+	for _, address := range p.addresses() {
+		for c := p.popIdle(address, now.Add(-maxProvenAge)); c != nil; c = p.popIdle(address, now.Add(-maxProvenAge)) {
+			p.discard(address, c)
+		}
 	}
 }
 
-func (p *Pool) aged(now time.Time) []string {
+// addresses returns those that have idle connections.
+func (p *Pool) addresses() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []string
+	out := make([]string, 0, len(p.idle))
 	for address, list := range p.idle {
-		if len(list) == 0 || now.Sub(list[len(list)-1].proven) > maxProvenAge {
-			out = append(out, address)
+		if len(list) == 0 {
+			delete(p.idle, address)
+			continue
 		}
+		out = append(out, address)
 	}
 	return out
 }
 
 // Close closes all idle connections.
 func (p *Pool) Close() {
-	p.mu.Lock()
-	addresses := make([]string, 0, len(p.idle))
-	for a := range p.idle {
-		addresses = append(addresses, a)
-	}
-	p.mu.Unlock()
-	for _, a := range addresses {
-		p.closeIdle(a)
+	for _, address := range p.addresses() {
+		p.closeIdle(address)
 	}
 }
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 )
@@ -145,6 +146,15 @@
 	return 0, err
 }
 
+// SyscallConn gives access to the socket.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, eris.Errorf("connection to %s has no socket", c.address)
+	}
+	return s.SyscallConn()
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.net.mu.Lock()
