perf: a request that servers refuse without effect is sent on while the budget lasts

Cause: three refusals ended a request, also an urgent one with most of its time left, although a refusal without effect breaks no promise and the retry budget bounds the cost.

Change: refusals are counted apart: up to ten, and three sendings without word.

--- a/fleet/dispatch/dispatcher.go
+++ b/fleet/dispatch/dispatcher.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// maxTries bounds how often one request is sent.
-	maxTries = 3
+	// maxTries bounds how often one request is sent without any word of a server,
+	// maxRefusals how often servers may refuse it.
+	maxTries    = 3
+	maxRefusals = 10
 	// maxReturn is the longest pause that a caller is told to make while servers
 	// are away.
 	maxReturn = time.Minute
@@ -187,7 +189,7 @@
 func (d *Dispatcher) again(c *call, r retry.Result, now time.Time) {
 	s := c.service
 	inTime := now.Before(s.gate.LatestStart(c.Request.Request))
-	if inTime && c.attempts.MaySendAgain() && c.attempts.Count < maxTries && s.retries.Take() {
+	if inTime && c.attempts.MaySendAgain() && c.hasTries() && s.retries.Take() {
 		c.queued = now
 		s.queue.Return(c.item)
 		d.expire(s, now)
@@ -218,6 +220,11 @@
 	}
 }
 
+// hasTries reports whether the request may be sent once more.
+func (c *call) hasTries() bool {
+	return c.attempts.Count-c.attempts.Refusals < maxTries && c.attempts.Refusals < maxRefusals
+}
+
 func (d *Dispatcher) enqueue(c *call) {
 	s := c.service
 	c.item = s.queue.Push(c.Request.Request, d.objects.Tenants[c.Tenant].Weight, s.gate.LatestStart(c.Request.Request))
--- a/fleet/retry/attempts.go
+++ b/fleet/retry/attempts.go
@@ -19,8 +19,9 @@
 type Attempts struct {
 	// Idempotent requests may be executed more than once.
 	Idempotent bool
-	// Count is the number of sendings that ended.
-	Count int
+	// Count is the number of sendings that ended, Refusals that of those which a
+	// server refused without any effect.
+	Count, Refusals int
 	// mayHaveRun never becomes false again: one server may have executed the
 	// request whatever others say afterwards.
 	mayHaveRun bool
@@ -29,8 +30,11 @@
 // Add takes the result of a sending in.
 func (a *Attempts) Add(r Result) {
 	a.Count++
-	if r == ResultNoAnswer {
+	switch r {
+	case ResultNoAnswer:
 		a.mayHaveRun = true
+	case ResultRefused:
+		a.Refusals++
 	}
 }
 
