--- a/standin/requests/failures_test.go
+++ b/standin/requests/failures_test.go
@@ -229,3 +229,23 @@
 	}
 	require.Equal(t, 20, s.runs())
 }
+
+// TestEachMethodIsSentAsOftenAsItMay counts what two servers execute of each
+// method when the first loses its answers.
+func TestEachMethodIsSentAsOftenAsItMay(t *testing.T) {
+	for method, outcome := range map[string]string{
+		"GET": "Answered", "HEAD": "Answered", "OPTIONS": "Answered", "PUT": "Answered", "DELETE": "Answered",
+		"POST": "Unknown", "PATCH": "Unknown", "PURGE": "Unknown",
+	} {
+		t.Run(method, func(t *testing.T) {
+			w := newWorld(t)
+			e := w.addEntry("entry-1", "Palermo")
+			s, o := w.addScript("server-0"), w.addScript("server-1")
+			s.setScript(s.write("", false))
+			o.setScript(o.ok)
+			require.Equal(t, outcome, e.send(request{method: method}).outcome)
+			require.Equal(t, 1, s.runs())
+			require.Equal(t, map[string]int{"Answered": 1, "Unknown": 0}[outcome], o.runs())
+		})
+	}
+}
--- a/standin/requests/keys_test.go
+++ b/standin/requests/keys_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -113,7 +114,9 @@
 	for _, host := range []int{0, 1} {
 		w, s := newKeyWorld(t, 2)
 		s.setScript(refuse)
-		require.Equal(t, "NotRun", w.entries[0].send(announce("k")).outcome)
+		r := announce("k")
+		r.deadline = 300 * time.Millisecond
+		require.Equal(t, "NotRun", w.entries[0].send(r).outcome)
 		s.setScript(s.ok)
 		// The release is on its way through the log; until it is there the key
 		// counts as used.
