--- a/bench/bound/bounds.go
+++ b/bench/bound/bounds.go
@@ -7,6 +7,5 @@
 
 // The bounds by subject; each subject has a file of its own.
 var (
-	fleet     []Bound
 	placement []Bound
 )
--- a/entry/keeper/keeper.go
+++ b/entry/keeper/keeper.go
@@ -38,7 +38,7 @@
 
 // Pools is the part of the platform that drains, reboots and admits hosts.
 type Pools interface {
-	PoolHosts() ([]pool.PlatformHost, error)
+	DrainedHosts() ([]pool.PlatformHost, error)
 	Command(c pool.Command, epoch journal.Epoch) (pool.PlatformHost, error)
 }
 
@@ -58,10 +58,12 @@
 	planner *pool.Planner
 	// epoch is that of the last tick; another one starts everything afresh.
 	epoch journal.Epoch
-	// told is the platform's last answer, brought up to date by the answers to
-	// commands; nil if it did not answer.
-	told map[inventory.HostID]pool.PlatformHost
-	// asked is when told was asked for.
+	told  *pool.Told
+	// silent is set while the platform does not answer.
+	silent bool
+	// drained is the number of hosts in the platform's last answer.
+	drained int
+	// asked is when the platform was last asked.
 	asked time.Time
 	// waiting are the records of this keeper that were not read back yet.
 	waiting []journal.RecordID
@@ -71,7 +73,7 @@
 
 // New returns the work of the keeper.
 func New(cfg Config) *Keeper {
-	return &Keeper{cfg: cfg, planner: pool.NewPlanner()}
+	return &Keeper{cfg: cfg, planner: pool.NewPlanner(), told: pool.NewTold()}
 }
 
 // Duty returns the duty that guards the work.
@@ -82,17 +84,20 @@
 // Tick sends the commands and appends the records that are due.
 func (k *Keeper) Tick(ctx context.Context, now time.Time, epoch journal.Epoch) error {
 	if epoch != k.epoch {
-		k.epoch, k.planner, k.asked, k.waiting = epoch, pool.NewPlanner(), time.Time{}, nil
+		k.epoch, k.planner, k.told = epoch, pool.NewPlanner(), pool.NewTold()
+		k.asked, k.waiting = time.Time{}, nil
 	}
 	st := k.cfg.State()
 	if st.Pools == nil || k.isWaiting(st, now) {
 		return nil
 	}
 	in := pool.Input{Now: now, Configuration: st.Configuration, View: st.Pools, List: k.cfg.List()}
-	if now.Sub(k.asked) >= askEvery+time.Duration(len(k.told))*askEveryHost {
+	if now.Sub(k.asked) >= askEvery+time.Duration(k.drained)*askEveryHost {
 		k.ask(now)
-		in.Platform = k.told
-		k.command(ctx, k.planner.Commands(in))
+	}
+	if !k.silent {
+		in.Platform = k.told.Hosts()
+		k.command(ctx, now, k.planner.Commands(in))
 	}
 	return k.append(ctx, now, k.planner.Decisions(in))
 }
@@ -110,21 +115,20 @@
 }
 
 func (k *Keeper) ask(now time.Time) {
-	k.asked, k.told = now, nil
-	hosts, err := k.cfg.Pools.PoolHosts()
+	k.asked = now
+	hosts, err := k.cfg.Pools.DrainedHosts()
+	k.silent = err != nil
 	if err != nil {
 		k.cfg.Log.WithError(err).Warn("asking the platform for its pools failed")
 		return
 	}
-	k.told = make(map[inventory.HostID]pool.PlatformHost, len(hosts))
-	for _, h := range hosts {
-		k.told[h.ID] = h
-	}
+	k.drained = len(hosts)
+	k.told.Listed(now, hosts)
 }
 
 // command sends commands side by side and keeps the answers. A command without
 // an answer is sent again after the platform has been asked again.
-func (k *Keeper) command(ctx context.Context, commands []pool.Command) {
+func (k *Keeper) command(ctx context.Context, now time.Time, commands []pool.Command) {
 	answers := make([]pool.PlatformHost, len(commands))
 	var g errgroup.Group
 	g.SetLimit(commandsAtOnce)
@@ -145,7 +149,7 @@
 	_ = g.Wait()
 	for _, h := range answers {
 		if h.ID != "" {
-			k.told[h.ID] = h
+			k.told.Answered(now, h)
 		}
 	}
 }
--- a/entry/keeper/routes.go
+++ b/entry/keeper/routes.go
@@ -51,7 +51,7 @@
 	for _, id := range slices.Sorted(maps.Keys(st.Pools.Hosts)) {
 		h := st.Pools.Hosts[id]
 		if only == "" || h.Pool == only || h.Desired == only {
-			out = append(out, pool.HostStatus{ID: id, Host: h})
+			out = append(out, pool.HostStatus{ID: id, Host: *h})
 		}
 	}
 	operator.Answer(ctx, fasthttp.StatusOK, out)
--- a/entry/platform/pools.go
+++ b/entry/platform/pools.go
@@ -14,10 +14,11 @@
 	Reboot wave.RebootID `json:",omitempty"`
 }
 
-// PoolHosts returns the hosts that the platform has not admitted.
-func (c *Client) PoolHosts() ([]pool.PlatformHost, error) {
+// DrainedHosts returns the hosts that are drained and neither reboot nor are
+// admitted.
+func (c *Client) DrainedHosts() ([]pool.PlatformHost, error) {
 	var hosts []pool.PlatformHost
-	err := c.call(fasthttp.MethodGet, "/pools/hosts", nil, &hosts, CallTimeout)
+	err := c.call(fasthttp.MethodGet, "/pools/hosts?State="+string(pool.PlatformDrained), nil, &hosts, CallTimeout)
 	return hosts, err
 }
 
--- a/fleet/budget/ledger.go
+++ b/fleet/budget/ledger.go
@@ -191,6 +191,16 @@
 	return nil
 }
 
+// HasRoom is Room without the reason.
+func (l *Ledger) HasRoom(p Place) bool {
+	for _, d := range p.Domains() {
+		if l.counts[d].Unavailable() >= l.Limit(d) {
+			return false
+		}
+	}
+	return true
+}
+
 // MustGiveBack reports whether a draining host at the place has to be given
 // back because failures or a lower limit used the budget up.
 func (l *Ledger) MustGiveBack(p Place) bool {
--- a/fleet/pool/apply.go
+++ b/fleet/pool/apply.go
@@ -66,7 +66,7 @@
 	return nil
 }
 
-func (r *Reducer) reboot(_ journal.Entry, b Reboot) error {
+func (r *Reducer) reboot(e journal.Entry, b Reboot) error {
 	return forEach(b.Hosts, func(id inventory.HostID) error {
 		h, err := r.host(id)
 		if err != nil {
@@ -76,7 +76,7 @@
 			return eris.Wrapf(ErrPhase, "host %s: %q", id, h.Phase)
 		}
 		p := r.waves[h.Wave]
-		h.Phase, h.Reboot = Rebooting, wave.NewRebootID(h.Wave, p.Pass, id)
+		h.Phase, h.Reboot, h.RebootAt = Rebooting, wave.NewRebootID(h.Wave, p.Pass, id), e.Record.At
 		p.Rebooted[id] = struct{}{}
 		r.put(id, h)
 		return nil
@@ -163,14 +163,14 @@
 func (r *Reducer) health(_ journal.Entry, b Health) error {
 	changed := 0
 	for _, id := range b.Returned {
-		if h, ok := r.hosts[id]; ok && h.Failed {
+		if h, err := r.host(id); err == nil && h.Failed {
 			h.Failed = false
 			r.put(id, h)
 			changed++
 		}
 	}
 	for _, id := range b.Failed {
-		if h, ok := r.hosts[id]; ok && !h.Failed {
+		if h, err := r.host(id); err == nil && !h.Failed {
 			h = h.serve()
 			h.Failed = true
 			r.put(id, h)
@@ -197,7 +197,7 @@
 		return cmp.Or(cmp.Compare(r.hosts[b].Granted, r.hosts[a].Granted), cmp.Compare(b, a))
 	})
 	for _, id := range draining {
-		h := r.hosts[id]
+		h := *r.hosts[id]
 		if r.ledger.MustGiveBack(h.Place()) {
 			r.put(id, h.giveBack(why))
 		}
@@ -233,7 +233,7 @@
 // giveBackWave gives back the hosts that drain for a wave.
 func (r *Reducer) giveBackWave(w inventory.WaveID, why string) {
 	for _, id := range slices.Sorted(maps.Keys(r.active)) {
-		if h := r.hosts[id]; h.Phase == Draining && h.Wave == w {
+		if h := *r.hosts[id]; h.Phase == Draining && h.Wave == w {
 			r.put(id, h.giveBack(why))
 		}
 	}
--- a/fleet/pool/configure.go
+++ b/fleet/pool/configure.go
@@ -53,12 +53,12 @@
 // its hosts.
 func (r *Reducer) changeOwner(id inventory.PoolID, from, to inventory.OwnerID, e journal.Entry) {
 	for _, host := range slices.Sorted(maps.Keys(r.hosts)) {
-		h := r.hosts[host]
+		h := *r.hosts[host]
 		if h.Pool != id {
 			continue
 		}
 		h.Owned, h.OwnedBy = later(e.Record.At, h.Owned), e.Offset
-		r.hosts[host] = h
+		r.hosts[host] = &h
 		r.tell(Transfer{Host: host, From: id, FromOwner: from, To: id, ToOwner: to, At: h.Owned, Offset: e.Offset})
 	}
 }
@@ -71,8 +71,8 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(cfg.Hosts)) {
 		c, desired := cfg.Hosts[id], cfg.PoolOf(id)
-		h, known := r.hosts[id]
-		if !known {
+		h, err := r.host(id)
+		if err != nil {
 			r.transfer(e, id, Host{Desired: desired, DataCentre: c.DataCentre, Rack: c.Rack}, desired)
 			continue
 		}
@@ -88,8 +88,9 @@
 }
 
 func (r *Reducer) takeOff(id inventory.HostID, e journal.Entry) {
-	h := r.hosts[id]
+	h := *r.hosts[id]
 	r.drop(id)
+	r.members = nil
 	r.tell(Transfer{Host: id, From: h.Pool, FromOwner: r.pools[h.Pool].Owner, At: later(e.Record.At, h.Owned), Offset: e.Offset})
 }
 
@@ -98,7 +99,7 @@
 func (r *Reducer) configureWaves(cfg configuration.Configuration) {
 	r.configured = cfg.Waves
 	for _, id := range slices.Sorted(maps.Keys(r.active)) {
-		h := r.hosts[id]
+		h := *r.hosts[id]
 		w := cfg.Waves[h.Wave]
 		running := !w.Paused && !w.Aborted && slices.Contains(w.Pools, h.Pool)
 		if h.Phase == Draining && h.Wave != "" && !running {
--- a/fleet/pool/host.go
+++ b/fleet/pool/host.go
@@ -46,6 +46,8 @@
 	// Granted and GrantedAt tell the record that disturbed the host.
 	Granted   journal.Offset `json:",omitempty"`
 	GrantedAt time.Time      `json:",omitzero"`
+	// RebootAt is when the reboot began.
+	RebootAt time.Time `json:",omitzero"`
 	// Owned is when the host came into Pool, and OwnedBy the record. Owned never
 	// goes back in time.
 	Owned   time.Time
@@ -83,7 +85,8 @@
 
 // serve returns the host without any grant.
 func (h Host) serve() Host {
-	h.Phase, h.Wave, h.Reboot, h.Granted, h.GrantedAt = InService, "", "", 0, time.Time{}
+	h.Phase, h.Wave, h.Reboot, h.Granted = InService, "", "", 0
+	h.GrantedAt, h.RebootAt = time.Time{}, time.Time{}
 	return h
 }
 
--- a/fleet/pool/planner.go
+++ b/fleet/pool/planner.go
@@ -20,6 +20,8 @@
 	MaxDrain = 30 * time.Minute
 	// MaxCommands bounds the commands of one plan; the rest waits for the next.
 	MaxCommands = 256
+	// checkEvery is the time between two forecasts of a wave that is due.
+	checkEvery = 2 * time.Second
 )
 
 // Input is what a plan is made from.
@@ -29,8 +31,8 @@
 	View          *View
 	// List is the platform's host list.
 	List inventory.HostList
-	// Platform holds the hosts that the platform has not admitted, and those that
-	// have just answered a command. It is nil while the platform does not answer.
+	// Platform holds what the platform told of hosts, as Told keeps it. It is nil
+	// while the platform does not answer.
 	Platform map[inventory.HostID]PlatformHost
 }
 
@@ -45,11 +47,13 @@
 type Planner struct {
 	monitor  *monitor
 	settling *settling
+	// checked is when a wave that is due was last checked.
+	checked map[inventory.WaveID]time.Time
 }
 
 // NewPlanner returns a planner that remembers nothing.
 func NewPlanner() *Planner {
-	return &Planner{monitor: newMonitor(), settling: newSettling()}
+	return &Planner{monitor: newMonitor(), settling: newSettling(), checked: make(map[inventory.WaveID]time.Time)}
 }
 
 // Commands returns the commands that bring the platform to the folded state.
@@ -61,7 +65,7 @@
 	for _, id := range in.concerned() {
 		h := in.View.Hosts[id]
 		told, known := in.Platform[id]
-		if verb := nextStep(h, told, known).command; verb != "" {
+		if verb := nextStep(*h, told, known).command; verb != "" {
 			c := Command{Host: id, Verb: verb}
 			if verb == RestartHost {
 				c.Reboot = h.Reboot
@@ -95,7 +99,7 @@
 		out = append(out, Decision{KindHealth, b})
 	}
 	out = append(out, p.steps(in)...)
-	out = append(out, passes(in)...)
+	out = append(out, p.passes(in)...)
 	if g := p.grants(in); len(g.Requests) > 0 {
 		out = append(out, Decision{KindGrant, g})
 	}
@@ -110,7 +114,7 @@
 	var admit Admit
 	for _, id := range slices.Sorted(maps.Keys(in.View.Active)) {
 		h := in.View.Hosts[id]
-		if h.Phase == Draining && in.isOverdue(h) {
+		if h.Phase == Draining && in.isOverdue(*h) {
 			back.Hosts = append(back.Hosts, id)
 			continue
 		}
@@ -118,7 +122,7 @@
 			continue
 		}
 		told, known := in.Platform[id]
-		switch s := nextStep(h, told, known); {
+		switch s := nextStep(*h, told, known); {
 		case s.reboot:
 			reboot.Hosts = append(reboot.Hosts, id)
 		case s.handOver:
@@ -155,55 +159,97 @@
 }
 
 // passes starts and finishes passes of waves.
-func passes(in Input) []Decision {
+func (p *Planner) passes(in Input) []Decision {
 	var out []Decision
 	for _, id := range slices.Sorted(maps.Keys(in.Configuration.Waves)) {
-		if w := in.Configuration.Waves[id]; w.Paused || w.Aborted {
+		w, pass := in.Configuration.Waves[id], in.View.Waves[id]
+		if w.Paused || w.Aborted {
 			continue
 		}
-		s := NewWaveStatus(in.Now, in.Configuration, in.View, id)
-		switch s.State {
-		case WaveDue:
-			out = append(out, Decision{KindPass, Pass{Wave: id, Pass: s.Pass + 1, Forecast: s.Forecast}})
-		case WaveDone:
-			if in.View.Waves[id].Finished.IsZero() {
-				out = append(out, Decision{KindFinish, Finish{Wave: id, Pass: s.Pass}})
+		if isDue(in.Now, w, pass) {
+			if s, ok := p.check(in, id); ok && s.State == WaveDue {
+				out = append(out, Decision{KindPass, Pass{Wave: id, Pass: s.Pass + 1, Forecast: s.Forecast}})
 			}
+			continue
+		}
+		if pass.Finished.IsZero() && !in.View.isWaveActive(id) && !in.View.isAnyLeft(w, pass) {
+			out = append(out, Decision{KindFinish, Finish{Wave: id, Pass: pass.Pass}})
 		}
 	}
 	return out
 }
 
+// check returns the status of a wave that is due, once in checkEvery.
+func (p *Planner) check(in Input, id inventory.WaveID) (WaveStatus, bool) {
+	if in.Now.Sub(p.checked[id]) < checkEvery {
+		return WaveStatus{}, false
+	}
+	p.checked[id] = in.Now
+	return NewWaveStatus(in.Now, in.Configuration, in.View, id), true
+}
+
 // grants asks for as many hosts as the budgets have room for, moves first.
 func (p *Planner) grants(in Input) Grant {
-	var g Grant
-	ledger := in.View.ledger.Clone()
-	take := func(c wave.Candidate, q Request) {
-		if ledger.Room(c.Place) != nil {
-			return
-		}
-		ledger.Remove(c.Place, budget.Available)
-		ledger.Add(c.Place, budget.Draining)
-		g.Requests = append(g.Requests, q)
-	}
-	taken := make(map[inventory.HostID]bool)
+	g := newGrants(in.View)
 	for _, id := range p.settling.settled(in) {
-		take(wave.Candidate{Host: id, Place: in.View.Hosts[id].Place()}, Request{Host: id})
-		taken[id] = true
+		g.take(wave.Candidate{Host: id, Place: in.View.Hosts[id].Place()}, Request{Host: id})
 	}
 	for _, id := range slices.Sorted(maps.Keys(in.Configuration.Waves)) {
-		w := in.Configuration.Waves[id]
-		pass := in.View.Waves[id]
+		w, pass := in.Configuration.Waves[id], in.View.Waves[id]
 		if !isOpen(in.Now, w, pass) {
 			continue
 		}
-		for _, c := range candidates(in.View, w, pass) {
-			if h := in.View.Hosts[c.Host]; h.Phase == InService && !taken[c.Host] {
-				take(c, Request{Host: c.Host, Wave: id, Pass: pass.Pass})
+		for _, pool := range w.Pools {
+			if g.isFull(pool) {
+				continue
+			}
+			for _, c := range candidates(in.View, pool, pass) {
+				if g.isFull(pool) {
+					break
+				}
+				if in.View.Hosts[c.Host].Phase == InService {
+					g.take(c, Request{Host: c.Host, Wave: id, Pass: pass.Pass})
+				}
 			}
 		}
 	}
-	return g
+	return Grant{Requests: g.requests}
+}
+
+// grants collects requests that fit the budgets together.
+type grants struct {
+	view *View
+	// ledger is a copy of the view's from the first request on.
+	ledger   *budget.Ledger
+	taken    map[inventory.HostID]bool
+	requests []Request
+}
+
+func newGrants(v *View) *grants {
+	return &grants{view: v, ledger: v.ledger, taken: make(map[inventory.HostID]bool)}
+}
+
+func (g *grants) isFull(p inventory.PoolID) bool {
+	d := budget.Domain{Pool: p}
+	return g.ledger.Count(d).Unavailable() >= g.ledger.Limit(d)
+}
+
+func (g *grants) take(c wave.Candidate, q Request) {
+	if g.taken[c.Host] || !g.ledger.HasRoom(c.Place) {
+		return
+	}
+	if len(g.requests) == 0 {
+		g.ledger = g.ledger.Clone()
+	}
+	g.ledger.Remove(c.Place, budget.Available)
+	g.ledger.Add(c.Place, budget.Draining)
+	g.taken[c.Host] = true
+	g.requests = append(g.requests, q)
+}
+
+// isDue reports whether the next pass of a wave is due.
+func isDue(now time.Time, w configuration.Wave, p wave.Progress) bool {
+	return p.Pass == 0 || !now.Before(p.Started.Add(w.Period.Std()))
 }
 
 // isOpen reports whether a wave may begin with a host now.
@@ -219,18 +265,33 @@
 	return p.Duration(wave.DrainTime + w.RebootTime.Std())
 }
 
-// candidates returns the hosts that the pass has still to reboot, in order.
-// Failed hosts are left out until they come back.
-func candidates(v *View, w configuration.Wave, p wave.Progress) []wave.Candidate {
+// candidates returns the hosts of a pool that the pass has still to reboot, in
+// order. Failed hosts are left out until they come back.
+func candidates(v *View, p inventory.PoolID, pass wave.Progress) []wave.Candidate {
 	var all []wave.Candidate
-	for _, pool := range w.Pools {
-		for _, id := range v.members[pool] {
-			h := v.Hosts[id]
-			if _, rebooted := p.Rebooted[id]; !rebooted && !h.Failed {
-				all = append(all, wave.Candidate{Host: id, Place: h.Place()})
-			}
+	for _, id := range v.members[p] {
+		if v.isLeft(id, pass) {
+			all = append(all, wave.Candidate{Host: id, Place: v.Hosts[id].Place()})
 		}
 	}
 	wave.Order(all, v)
 	return all
 }
+
+// isLeft reports whether the pass has still to reboot the host.
+func (v *View) isLeft(id inventory.HostID, pass wave.Progress) bool {
+	_, rebooted := pass.Rebooted[id]
+	return !rebooted && !v.Hosts[id].Failed
+}
+
+// isAnyLeft reports whether the pass has still to reboot a host.
+func (v *View) isAnyLeft(w configuration.Wave, pass wave.Progress) bool {
+	for _, p := range w.Pools {
+		for _, id := range v.members[p] {
+			if v.isLeft(id, pass) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/fleet/pool/platform.go
+++ b/fleet/pool/platform.go
@@ -50,10 +50,9 @@
 	admit    bool
 }
 
-// nextStep compares the folded state of a host with what the platform tells. The
-// platform tells nothing of a host that it has admitted, unless a command has
-// just been answered. The step depends on nothing else, so any holder of the
-// duty goes on where the last one stopped.
+// nextStep compares the folded state of a host with what the platform told, if
+// anything is known. The step depends on nothing else, so any holder of the duty
+// goes on where the last one stopped.
 func nextStep(h Host, told PlatformHost, known bool) step {
 	switch h.Phase {
 	case Draining:
--- a/fleet/pool/reducer.go
+++ b/fleet/pool/reducer.go
@@ -26,7 +26,8 @@
 // Reducer folds ownership, grants and waves. Every host of the configuration has
 // exactly one entry in hosts and so exactly one pool.
 type Reducer struct {
-	hosts map[inventory.HostID]Host
+	// hosts has values that are never changed in place, so that views share them.
+	hosts map[inventory.HostID]*Host
 	pools map[inventory.PoolID]Pool
 	// waves holds the progress of waves, also of those no longer configured.
 	waves map[inventory.WaveID]wave.Progress
@@ -36,6 +37,8 @@
 	active    map[inventory.HostID]struct{}
 	ledger    *budget.Ledger
 	observers []Observer
+	// members holds the hosts of each pool, in order; nil after a change of one.
+	members map[inventory.PoolID][]inventory.HostID
 	// view is nil after a change.
 	view *View
 }
@@ -49,7 +52,7 @@
 
 // savedState is the marshalled form.
 type savedState struct {
-	Hosts      map[inventory.HostID]Host
+	Hosts      map[inventory.HostID]*Host
 	Pools      map[inventory.PoolID]Pool
 	Waves      map[inventory.WaveID]wave.Progress
 	Configured map[inventory.WaveID]configuration.Wave
@@ -59,7 +62,7 @@
 	r.hosts, r.pools, r.waves, r.configured = orEmpty(s.Hosts), orEmpty(s.Pools), orEmpty(s.Waves), orEmpty(s.Configured)
 	r.active = make(map[inventory.HostID]struct{})
 	r.ledger = budget.NewLedger()
-	r.view = nil
+	r.view, r.members = nil, nil
 	for id, p := range r.pools {
 		r.ledger.SetBudget(id, p.Budget)
 	}
@@ -140,8 +143,11 @@
 // put replaces the state of a host and counts it.
 func (r *Reducer) put(id inventory.HostID, h Host) {
 	r.view = nil
+	if old, ok := r.hosts[id]; !ok || old.Pool != h.Pool {
+		r.members = nil
+	}
 	r.drop(id)
-	r.hosts[id] = h
+	r.hosts[id] = &h
 	r.ledger.Add(h.Place(), h.Status())
 	r.countHosts(h.Pool, 1)
 	if h.Phase != InService {
@@ -181,9 +187,9 @@
 func (r *Reducer) host(id inventory.HostID) (Host, error) {
 	h, ok := r.hosts[id]
 	if !ok {
-		return h, eris.Wrapf(ErrHost, "%s", id)
+		return Host{}, eris.Wrapf(ErrHost, "%s", id)
 	}
-	return h, nil
+	return *h, nil
 }
 
 // MarshalState returns the state.
--- a/fleet/pool/reducer_test.go
+++ b/fleet/pool/reducer_test.go
@@ -17,10 +17,16 @@
 
 var begin = time.Date(2026, 3, 2, 22, 0, 0, 0, time.UTC)
 
+// testingT is what both the standard library's and rapid's tests offer.
+type testingT interface {
+	require.TestingT
+	Helper()
+}
+
 // world is a reducer under a configuration of two owners. Pools A and B have
 // four hosts each, in two racks, and may lose two, one in each rack.
 type world struct {
-	t         *testing.T
+	t         testingT
 	r         *Reducer
 	cfg       configuration.Configuration
 	offset    journal.Offset
@@ -29,7 +35,7 @@
 
 func (w *world) Transferred(t Transfer) { w.transfers = append(w.transfers, t) }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testingT) *world {
 	w := &world{t: t}
 	w.r = NewReducer(w)
 	o := configuration.Objects{
@@ -64,7 +70,7 @@
 	return label.Set{"Pool": p}
 }
 
-func poolOf(t *testing.T, owner inventory.OwnerID, p string) configuration.Pool {
+func poolOf(t testingT, owner inventory.OwnerID, p string) configuration.Pool {
 	s, err := label.Parse("Pool=" + p)
 	require.NoError(t, err)
 	return configuration.Pool{Owner: owner, Hosts: s, Budget: configuration.Budget{MaxUnavailable: 500_000, MaxPerRack: 1}}
--- a/fleet/pool/status.go
+++ b/fleet/pool/status.go
@@ -53,12 +53,15 @@
 		ID: id, Owner: w.Owner, Pass: p.Pass, Started: p.Started, Finished: p.Finished,
 		ForecastAtStart: p.Forecast, Rebooted: len(p.Rebooted),
 	}
-	due := p.Pass == 0 || !now.Before(p.Started.Add(w.Period.Std()))
+	due := isDue(now, w, p)
 	scope := p
 	if due {
 		scope = wave.Progress{}
 	}
-	left := candidates(v, w, scope)
+	var left []wave.Candidate
+	for _, p := range w.Pools {
+		left = append(left, candidates(v, p, scope)...)
+	}
 	s.Left, s.Failed = len(left), v.failedIn(w.Pools)
 	end, err := wave.Check(now, w, left, v, hostDuration(w, p))
 	s.Forecast = end
--- a/fleet/pool/view.go
+++ b/fleet/pool/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/godwitcross/godwitcross/fleet/budget"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
@@ -10,16 +11,20 @@
 
 // View is a copy of the folded state for readers, who never change it.
 type View struct {
-	Hosts map[inventory.HostID]Host
+	Hosts map[inventory.HostID]*Host
 	Pools map[inventory.PoolID]Pool
 	Waves map[inventory.WaveID]wave.Progress
 	// Active holds the hosts that are disturbed.
 	Active map[inventory.HostID]struct{}
 	// Breaches are the domains over their limit.
 	Breaches []budget.Breach
-	// members holds the hosts of each pool, in no order.
+	// members holds the hosts of each pool, in order.
 	members map[inventory.PoolID][]inventory.HostID
-	ledger  *budget.Ledger
+	// displaced holds the hosts that are wanted in another pool, in no order.
+	displaced []inventory.HostID
+	// failed holds the hosts that failed, in no order.
+	failed []inventory.HostID
+	ledger *budget.Ledger
 }
 
 // Limit returns how many hosts of a domain may be unavailable.
@@ -39,15 +44,31 @@
 		for id, p := range r.waves {
 			waves[id] = p.Clone()
 		}
-		members := make(map[inventory.PoolID][]inventory.HostID, len(r.pools))
+		var displaced, failed []inventory.HostID
 		for id, h := range r.hosts {
-			members[h.Pool] = append(members[h.Pool], id)
+			if h.Desired != h.Pool {
+				displaced = append(displaced, id)
+			}
+			if h.Failed {
+				failed = append(failed, id)
+			}
 		}
 		r.view = &View{
-			members: members,
-			Hosts:   maps.Clone(r.hosts), Pools: maps.Clone(r.pools), Waves: waves,
+			members: r.membersByPool(), displaced: displaced, failed: failed,
+			Hosts: maps.Clone(r.hosts), Pools: maps.Clone(r.pools), Waves: waves,
 			Active: maps.Clone(r.active), Breaches: r.ledger.Breaches(), ledger: r.ledger.Clone(),
 		}
 	}
 	return r.view
 }
+
+func (r *Reducer) membersByPool() map[inventory.PoolID][]inventory.HostID {
+	if r.members == nil {
+		r.members = make(map[inventory.PoolID][]inventory.HostID, len(r.pools))
+		for _, id := range slices.Sorted(maps.Keys(r.hosts)) {
+			p := r.hosts[id].Pool
+			r.members[p] = append(r.members[p], id)
+		}
+	}
+	return r.members
+}
--- a/fleet/wave/plan.go
+++ b/fleet/wave/plan.go
@@ -37,15 +37,14 @@
 // rounds goes first. Then no rack or data centre is left over for the end.
 func Order(all []Candidate, domains Domains) {
 	rounds := remainingRounds(all, domains)
-	urgency := func(c Candidate) float64 {
-		most := 0.0
+	urgency := make(map[inventory.HostID]float64, len(all))
+	for _, c := range all {
 		for _, d := range c.Place.Domains()[1:] {
-			most = max(most, rounds[d])
+			urgency[c.Host] = max(urgency[c.Host], rounds[d])
 		}
-		return most
 	}
 	slices.SortFunc(all, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(urgency(b), urgency(a)), cmp.Compare(a.Host, b.Host))
+		return cmp.Or(cmp.Compare(urgency[b.Host], urgency[a.Host]), cmp.Compare(a.Host, b.Host))
 	})
 }
 
--- a/standin/platform/pools.go
+++ b/standin/platform/pools.go
@@ -21,7 +21,7 @@
 	return PoolHost{ID: w.Facts.ID.Host(), State: w.State, Reboot: w.Reboot, Reboots: w.Reboots}
 }
 
-// handlePools lists the hosts that are not admitted, or takes a command to one host.
+// handlePools lists hosts, or takes a command to one host.
 func (p *Platform) handlePools(ctx *fasthttp.RequestCtx, rest []string) {
 	switch {
 	case len(rest) == 1 && rest[0] == "hosts":
@@ -33,10 +33,13 @@
 	}
 }
 
+// listPoolHosts lists the hosts in the state that the query State names, or else
+// all that are not admitted.
 func (p *Platform) listPoolHosts(ctx *fasthttp.RequestCtx) {
+	only := DrainState(ctx.QueryArgs().Peek("State"))
 	hosts := []PoolHost{}
 	for _, w := range p.Fleet.Workers(p.now()) {
-		if w.State != Admitted {
+		if w.State == only || (only == "" && w.State != Admitted) {
 			hosts = append(hosts, w.poolHost())
 		}
 	}
