--- a/bench/policy/list.go
+++ b/bench/policy/list.go
@@ -11,4 +11,6 @@
 	propagation,
 	logReturn,
 	waves,
+	moves,
+	capacities,
 }
--- /dev/null
+++ b/fleet/capacity/policy_test.go
@@ -0,0 +1,70 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var midnight = time.Date(2026, 3, 2, 0, 0, 0, 0, time.UTC)
+
+func TestPeakOfWindowForgetsOldPeaks(t *testing.T) {
+	p := NewPeakOfWindow(time.Minute)
+	for _, step := range []struct {
+		second     int
+		peak, want Hosts
+	}{{0, 5, 5}, {10, 9, 9}, {20, 1, 9}, {60, 7, 9}, {71, 1, 7}, {121, 1, 1}} {
+		got := p.Want(midnight.Add(time.Duration(step.second)*time.Second), Observation{Peak: step.peak})
+		require.Equal(t, step.want, got, "second %d", step.second)
+	}
+}
+
+func newForecast() *Forecast {
+	return NewForecast(ForecastConfig{
+		Slot: time.Hour, Days: 3, Quantile: 1, Lead: 10 * time.Minute,
+		Recent: 5 * time.Minute, Hold: 15 * time.Minute, Step: 2,
+	})
+}
+
+func TestForecastTakesHostsBeforeTheBusyHour(t *testing.T) {
+	f := newForecast()
+	held := Hosts(1)
+	at := map[string]Hosts{}
+	for m := 0; m < 2*24*60; m++ {
+		now := midnight.Add(time.Duration(m) * time.Minute)
+		peak := Hosts(1)
+		if now.Hour() == 8 {
+			peak = 10
+		}
+		held = f.Want(now, Observation{Peak: peak, Held: held})
+		at[now.Format("2 15:04")] = held
+	}
+	require.Equal(t, Hosts(1), at["2 07:55"], "the first day is not known beforehand")
+	require.Equal(t, Hosts(10), at["2 08:00"])
+	require.Equal(t, Hosts(1), at["3 07:49"])
+	require.Equal(t, Hosts(10), at["3 07:50"], "the second day is")
+	require.Equal(t, Hosts(1), at["3 09:40"])
+}
+
+func TestForecastIsSlowToGiveHostsUp(t *testing.T) {
+	tests := map[string]struct {
+		peaks func(minute int) Hosts
+		least Hosts
+	}{
+		"one host less is not worth a move":     {func(m int) Hosts { return 10 - Hosts(min(m, 1)) }, 10},
+		"a peak in time keeps what is held":     {func(m int) Hosts { return Hosts(1 + 9*((m+1)%12/11)) }, 10},
+		"a lasting drop gives up what is spare": {func(m int) Hosts { return Hosts(max(10-9*m, 1)) }, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newForecast()
+			held, least := Hosts(10), Hosts(10)
+			for m := range 59 {
+				held = f.Want(midnight.Add(time.Duration(m)*time.Minute), Observation{Peak: test.peaks(m), Held: held})
+				least = min(least, held)
+			}
+			require.Equal(t, test.least, least)
+		})
+	}
+}
--- a/fleet/pool/configure.go
+++ b/fleet/pool/configure.go
@@ -63,28 +63,43 @@
 	}
 }
 
+// configureHosts takes the hosts over in order of their names, so that observers
+// see the same order everywhere. Only those that changed are sorted.
 func (r *Reducer) configureHosts(cfg configuration.Configuration, e journal.Entry) {
-	for _, id := range slices.Sorted(maps.Keys(r.hosts)) {
+	var gone, changed []inventory.HostID
+	for id := range r.hosts {
 		if _, ok := cfg.Hosts[id]; !ok {
-			r.takeOff(id, e)
+			gone = append(gone, id)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(cfg.Hosts)) {
-		c, desired := cfg.Hosts[id], cfg.PoolOf(id)
-		h, err := r.host(id)
-		if err != nil {
-			r.transfer(e, id, Host{Desired: desired, DataCentre: c.DataCentre, Rack: c.Rack}, desired)
-			continue
-		}
-		if h.Desired == desired && h.DataCentre == c.DataCentre && h.Rack == c.Rack {
-			continue
+	for id, c := range cfg.Hosts {
+		h, known := r.hosts[id]
+		if !known || h.Desired != cfg.PoolOf(id) || h.DataCentre != c.DataCentre || h.Rack != c.Rack {
+			changed = append(changed, id)
 		}
-		h.Desired, h.DataCentre, h.Rack = desired, c.DataCentre, c.Rack
-		if h.IsMove() && h.Desired == h.Pool {
-			h = h.giveBack("the target changed back")
-		}
-		r.put(id, h)
 	}
+	slices.Sort(gone)
+	slices.Sort(changed)
+	for _, id := range gone {
+		r.takeOff(id, e)
+	}
+	for _, id := range changed {
+		r.configureHost(id, cfg, e)
+	}
+}
+
+func (r *Reducer) configureHost(id inventory.HostID, cfg configuration.Configuration, e journal.Entry) {
+	c, desired := cfg.Hosts[id], cfg.PoolOf(id)
+	h, err := r.host(id)
+	if err != nil {
+		r.transfer(e, id, Host{Desired: desired, DataCentre: c.DataCentre, Rack: c.Rack}, desired)
+		return
+	}
+	h.Desired, h.DataCentre, h.Rack = desired, c.DataCentre, c.Rack
+	if h.IsMove() && h.Desired == h.Pool {
+		h = h.giveBack("the target changed back")
+	}
+	r.put(id, h)
 }
 
 func (r *Reducer) takeOff(id inventory.HostID, e journal.Entry) {
--- a/fleet/pool/planner.go
+++ b/fleet/pool/planner.go
@@ -191,8 +191,13 @@
 // grants asks for as many hosts as the budgets have room for, moves first.
 func (p *Planner) grants(in Input) Grant {
 	g := newGrants(in.View)
+	var displaced []wave.Candidate
 	for _, id := range p.settling.settled(in) {
-		g.take(wave.Candidate{Host: id, Place: in.View.Hosts[id].Place()}, Request{Host: id})
+		displaced = append(displaced, wave.Candidate{Host: id, Place: in.View.Hosts[id].Place()})
+	}
+	wave.Order(displaced, in.View)
+	for _, c := range displaced {
+		g.take(c, Request{Host: c.Host})
 	}
 	for _, id := range slices.Sorted(maps.Keys(in.Configuration.Waves)) {
 		w, pass := in.Configuration.Waves[id], in.View.Waves[id]
