--- a/bench/policy/list.go
+++ b/bench/policy/list.go
@@ -11,4 +11,7 @@
 	heartbeats,
 	propagation,
 	logReturn,
+	waves,
+	moves,
+	capacities,
 }
--- a/fleet/pool/configure.go
+++ b/fleet/pool/configure.go
@@ -53,43 +53,59 @@
 // its hosts.
 func (r *Reducer) changeOwner(id inventory.PoolID, from, to inventory.OwnerID, e journal.Entry) {
 	for _, host := range slices.Sorted(maps.Keys(r.hosts)) {
-		h := r.hosts[host]
+		h := *r.hosts[host]
 		if h.Pool != id {
 			continue
 		}
 		h.Owned, h.OwnedBy = later(e.Record.At, h.Owned), e.Offset
-		r.hosts[host] = h
+		r.hosts[host] = &h
 		r.tell(Transfer{Host: host, From: id, FromOwner: from, To: id, ToOwner: to, At: h.Owned, Offset: e.Offset})
 	}
 }
 
+// configureHosts takes the hosts over in order of their names, so that observers
+// see the same order everywhere. Only those that changed are sorted.
 func (r *Reducer) configureHosts(cfg configuration.Configuration, e journal.Entry) {
-	for _, id := range slices.Sorted(maps.Keys(r.hosts)) {
+	var gone, changed []inventory.HostID
+	for id := range r.hosts {
 		if _, ok := cfg.Hosts[id]; !ok {
-			r.takeOff(id, e)
+			gone = append(gone, id)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(cfg.Hosts)) {
-		c, desired := cfg.Hosts[id], cfg.PoolOf(id)
+	for id, c := range cfg.Hosts {
 		h, known := r.hosts[id]
-		if !known {
-			r.transfer(e, id, Host{Desired: desired, DataCentre: c.DataCentre, Rack: c.Rack}, desired)
-			continue
-		}
-		if h.Desired == desired && h.DataCentre == c.DataCentre && h.Rack == c.Rack {
-			continue
+		if !known || h.Desired != cfg.PoolOf(id) || h.DataCentre != c.DataCentre || h.Rack != c.Rack {
+			changed = append(changed, id)
 		}
-		h.Desired, h.DataCentre, h.Rack = desired, c.DataCentre, c.Rack
-		if h.IsMove() && h.Desired == h.Pool {
-			h = h.giveBack("the target changed back")
-		}
-		r.put(id, h)
 	}
+	slices.Sort(gone)
+	slices.Sort(changed)
+	for _, id := range gone {
+		r.takeOff(id, e)
+	}
+	for _, id := range changed {
+		r.configureHost(id, cfg, e)
+	}
+}
+
+func (r *Reducer) configureHost(id inventory.HostID, cfg configuration.Configuration, e journal.Entry) {
+	c, desired := cfg.Hosts[id], cfg.PoolOf(id)
+	h, err := r.host(id)
+	if err != nil {
+		r.transfer(e, id, Host{Desired: desired, DataCentre: c.DataCentre, Rack: c.Rack}, desired)
+		return
+	}
+	h.Desired, h.DataCentre, h.Rack = desired, c.DataCentre, c.Rack
+	if h.IsMove() && h.Desired == h.Pool {
+		h = h.giveBack("the target changed back")
+	}
+	r.put(id, h)
 }
 
 func (r *Reducer) takeOff(id inventory.HostID, e journal.Entry) {
-	h := r.hosts[id]
+	h := *r.hosts[id]
 	r.drop(id)
+	r.members = nil
 	r.tell(Transfer{Host: id, From: h.Pool, FromOwner: r.pools[h.Pool].Owner, At: later(e.Record.At, h.Owned), Offset: e.Offset})
 }
 
@@ -98,7 +114,7 @@
 func (r *Reducer) configureWaves(cfg configuration.Configuration) {
 	r.configured = cfg.Waves
 	for _, id := range slices.Sorted(maps.Keys(r.active)) {
-		h := r.hosts[id]
+		h := *r.hosts[id]
 		w := cfg.Waves[h.Wave]
 		running := !w.Paused && !w.Aborted && slices.Contains(w.Pools, h.Pool)
 		if h.Phase == Draining && h.Wave != "" && !running {
