--- a/bench/bound/bounds.go
+++ b/bench/bound/bounds.go
@@ -5,8 +5,5 @@
 // Table is all bounds.
 var Table = slices.Concat(requests, fleet, placement, state)
 
-// The bounds by subject; each subject has a file of its own.
-var (
-	fleet     []Bound
-	placement []Bound
-)
+// Each subject has its bounds in a file of its own.
+var fleet []Bound
--- a/bench/policy/list.go
+++ b/bench/policy/list.go
@@ -10,4 +10,5 @@
 	heartbeats,
 	propagation,
 	logReturn,
+	jobPlacement,
 }
