--- a/entry/placement/start.go
+++ b/entry/placement/start.go
@@ -47,7 +47,7 @@
 	var mu sync.Mutex
 	found := &findings{}
 	var refused []placement.Job
-	f.each(ctx, len(jobs), func(i int) {
+	each(ctx, len(jobs), func(i int) {
 		t, err := f.startTask(jobs[i])
 		mu.Lock()
 		defer mu.Unlock()
@@ -73,7 +73,7 @@
 		runTime = defaultStart
 	}
 	return f.cfg.Workers.StartTask(j.Start.Worker, j.Task(), platform.TaskStart{
-		Epoch: f.epoch, Boot: j.Start.Boot, Term: taskTerm, Size: j.Start.Size, RunTime: runTime, Command: j.Command,
+		Epoch: f.epoch, Boot: j.Start.Boot, Term: taskTerm, Size: j.Start.Size, RunTime: runTime, Command: j.Command, Resume: j.Checkpoint,
 	})
 }
 
--- a/entry/placement/watch.go
+++ b/entry/placement/watch.go
@@ -57,7 +57,7 @@
 func (f *filler) renew(ctx context.Context, workers []inventory.WorkerID) map[inventory.WorkerID]*platform.WorkerStatus {
 	var mu sync.Mutex
 	answers := make(map[inventory.WorkerID]*platform.WorkerStatus, len(workers))
-	f.each(ctx, len(workers), func(i int) {
+	each(ctx, len(workers), func(i int) {
 		s, err := f.cfg.Workers.RenewTasks(workers[i], f.command())
 		if err != nil {
 			f.cfg.Log.WithError(err).WithField("Worker", workers[i]).Warn("renewing the leases of a worker failed")
@@ -71,7 +71,7 @@
 }
 
 // each calls the function for 0 to n-1, several at once, until the context ends.
-func (f *filler) each(ctx context.Context, n int, call func(i int)) {
+func each(ctx context.Context, n int, call func(i int)) {
 	g := &errgroup.Group{}
 	g.SetLimit(callsAtOnce)
 	for i := range n {
@@ -139,7 +139,8 @@
 }
 
 // withdraw makes sure that a task which its worker does not know is never run
-// there, and records that.
+// there, and records that. Only a worker that has not restarted since the start
+// was decided can say that the task never ran.
 func (f *filler) withdraw(found *findings, w inventory.WorkerID, j placement.Job, now time.Time) {
 	t, err := f.cfg.Workers.CommandTask(w, j.Task(), placement.VerbStop, f.command())
 	if err != nil {
@@ -147,7 +148,18 @@
 		f.lookSoon(w, now)
 		return
 	}
+	s, err := f.cfg.Workers.RenewTasks(w, f.command())
+	if err != nil {
+		f.cfg.Log.WithError(err).WithField("Task", j.Task()).Warn("withdrawing a start failed")
+		f.lookSoon(w, now)
+		return
+	}
 	delete(f.unconfirmed, j.Task())
+	f.boots[w] = s.Reboots
+	if s.Reboots != j.Start.Boot {
+		found.lose([]placement.Job{j}, "the worker has restarted")
+		return
+	}
 	found.add(j, t, now)
 }
 
@@ -226,7 +238,7 @@
 func (f *filler) commandAll(ctx context.Context, now time.Time, jobs []placement.Job, verb func(placement.Job) placement.Verb) error {
 	var mu sync.Mutex
 	found := &findings{}
-	f.each(ctx, len(jobs), func(i int) {
+	each(ctx, len(jobs), func(i int) {
 		t, err := f.give(jobs[i], verb(jobs[i]))
 		if err != nil {
 			f.cfg.Log.WithError(err).WithField("Task", jobs[i].Task()).Warn("commanding a task failed")
