test: what the planner asks for, and holders that come back to their duty

Broken lines that no test noticed before: the order of a wave, the reset at a new epoch, silence of the platform, answers grown old, and the wait before a move.

--- a/entry/keeper/keeper_test.go
+++ b/entry/keeper/keeper_test.go
@@ -122,6 +122,9 @@
 func (s *site) Command(c pool.Command, epoch journal.Epoch) (pool.PlatformHost, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.silent {
+		s.t.Errorf("%s of %s while the platform is silent", c.Verb, c.Host)
+	}
 	h := s.hosts[c.Host]
 	if epoch < s.epoch[c.Host] {
 		return pool.PlatformHost{}, platform.ErrRefused
@@ -195,11 +198,24 @@
 				s.loseAppend = everySecond()
 			}
 		},
-		"the platform is silent for a while":             func(s *site, round int, _ *holding) { s.silent = round > 15 && round < 100 },
+		"the platform is silent for a while":             func(s *site, round int, _ *holding) { s.silent = round > 21 && round < 100 },
 		"the holder is lost while hosts drain":           lostAt(5),
 		"the holder is lost while hosts reboot":          lostAt(25),
 		"the holder is lost right after a reboot is due": lostAt(21),
 		"the holder is lost while hosts come back":       lostAt(41),
+		"the platform admits a draining host by itself": func(s *site, round int, _ *holding) {
+			if round == 5 {
+				s.hosts["A0"].State, s.hosts["A1"].State = pool.PlatformAdmitted, pool.PlatformAdmitted
+			}
+		},
+		"a holder loses the duty and gets it again": func(s *site, round int, h *holding) {
+			switch round {
+			case 22:
+				h.second, h.epoch2 = s.keeper("e2"), s.claim("e2")
+			case 60:
+				h.second, h.epoch1 = nil, s.claim("e1")
+			}
+		},
 		"a holder that lost the duty goes on for a while": func(s *site, round int, h *holding) {
 			if round == 22 {
 				h.second, h.epoch2 = s.keeper("e2"), s.claim("e2")
--- a/fleet/wave/plan_test.go
+++ b/fleet/wave/plan_test.go
@@ -82,16 +82,24 @@
 }
 
 func TestOrderLeavesNoRackForTheEnd(t *testing.T) {
-	all, l := poolOf(10, configuration.Budget{MaxUnavailable: 300_000, MaxPerRack: 1})
+	const atOnce = 2
+	l := budget.NewLedger()
+	l.SetBudget("P", configuration.Budget{MaxUnavailable: 250_000, MaxPerRack: 1})
+	var all []Candidate
+	for i, rack := range []inventory.RackID{"a", "b", "c", "d", "z", "z", "z", "z"} {
+		p := budget.Place{Pool: "P", DataCentre: "M", Rack: rack}
+		l.Add(p, budget.Available)
+		all = append(all, Candidate{Host: inventory.HostID(fmt.Sprint("h", i)), Place: p})
+	}
 	rounds := Rounds(all, l)
-	require.Equal(t, 4, rounds, "two racks of four at one each, and ten hosts at three")
+	require.Equal(t, 4, rounds, "four hosts of one rack, and eight hosts at two")
 	took := 0
 	for ; len(all) > 0; took++ {
 		Order(all, l)
 		used := make(map[inventory.RackID]bool)
 		var left []Candidate
 		for _, c := range all {
-			if used[c.Place.Rack] {
+			if used[c.Place.Rack] || len(used) == atOnce {
 				left = append(left, c)
 				continue
 			}
