--- a/bench/bound/state.go
+++ b/bench/bound/state.go
@@ -22,5 +22,7 @@
 	{Figure: "propagation.relay_slowest_at_500", High: inForceWithin, Source: "letter, in force everywhere within 5 s"},
 	{Figure: "return.most_calls_per_second_at_72", High: appendsASecond, Source: "brief, the log takes several hundred appends a second"},
 	{Figure: "fold.share_of_core", High: controlCore, Source: "letter, 1.4% of a core per node for control"},
+	{Figure: "process.share_of_core_at_8600", High: controlCore, Source: "letter, 1.4% of a core per node for control"},
+	{Figure: "process.heap_at_8600", High: controlMemory, Source: "letter, 32 MB per node for control"},
 	{Figure: "state.heap_of_fleet", High: controlMemory, Source: "letter, 32 MB per node for control"},
 }
--- a/bench/capacity/hostlist.go
+++ b/bench/capacity/hostlist.go
@@ -13,9 +13,9 @@
 func hostList(n int) inventory.HostList {
 	l := inventory.HostList{At: time.Unix(1_800_000_000, 123_456_789), Version: 100_000}
 	for i := range n {
-		h := host(i, letter)
+		h := machine(i, letter)
 		l.Hosts = append(l.Hosts, inventory.ListedHost{
-			ID: inventory.HostID(fmt.Sprintf("host-%05d", i)), Role: inventory.RoleWorker, State: inventory.HostLive,
+			ID: hostID(i), Role: inventory.RoleWorker, State: inventory.HostLive,
 			DataCentre: h.DataCentre, Rack: h.Rack, Address: fmt.Sprintf("10.%d.%d.%d:9000", i/65536, i/256%256, i%256),
 		})
 	}
--- a/bench/capacity/list.go
+++ b/bench/capacity/list.go
@@ -12,5 +12,6 @@
 	{Name: "snapshot", Usage: "size of a snapshot, time to make it and to be ready from it", Run: measureSnapshot},
 	{Name: "hostlist", Usage: "bytes of the platform's host list", Run: measureHostList},
 	{Name: "wire", Usage: "bytes of heartbeats between entry hosts", Run: measureWire},
+	{Name: "process", Usage: "processor time, memory and start of one entry host that holds every duty", Run: measureProcess},
 	{Name: "node", Usage: "bytes that one entry host spends on control at the size to design for", Run: measureNode},
 }
--- a/bench/capacity/sample.go
+++ b/bench/capacity/sample.go
@@ -51,7 +51,7 @@
 		o.Pools[pool(i)] = configuration.Pool{Owner: owner(i), Hosts: selector(i), Jobs: selector(i), Budget: configuration.Budget{MaxUnavailable: 100_000}}
 	}
 	for i := range s.hosts {
-		o.Hosts[inventory.HostID(fmt.Sprintf("host-%05d", i))] = host(i, s)
+		o.Hosts[hostID(i)] = machine(i, s)
 	}
 	for i := range s.teams {
 		o.Teams[inventory.TeamID(fmt.Sprintf("team-%02d", i))] = configuration.Team{Owner: owner(i), Weight: 1}
@@ -82,7 +82,11 @@
 	return s
 }
 
-func host(i int, s size) configuration.Host {
+func hostID(i int) inventory.HostID {
+	return inventory.HostID(fmt.Sprintf("host-%05d", i))
+}
+
+func machine(i int, s size) configuration.Host {
 	return configuration.Host{
 		Owner:      owner(i % s.pools),
 		DataCentre: dataCentre(i % DataCentres),
@@ -95,9 +99,9 @@
 // change returns the record of the n-th change of one host's label.
 func change(n int, s size, base configuration.Version) ([]byte, error) {
 	i := n % s.hosts
-	h := host(i, s)
+	h := machine(i, s)
 	h.Labels = label.Set{"Pool": string(pool(i % s.pools)), "Generation": fmt.Sprint(n)}
-	c := configuration.Change{Base: base, Set: configuration.Objects{Hosts: map[inventory.HostID]configuration.Host{inventory.HostID(fmt.Sprintf("host-%05d", i)): h}}}
+	c := configuration.Change{Base: base, Set: configuration.Objects{Hosts: map[inventory.HostID]configuration.Host{hostID(i): h}}}
 	return record(fmt.Sprintf("change-%08d-0000-4000-8000-000000000000", n), operator(h.Owner), configuration.KindChange, c)
 }
 
@@ -121,10 +125,15 @@
 	return r.Encode()
 }
 
+// first returns the record that publishes the whole fleet.
+func first(s size) ([]byte, error) {
+	return record("sample", operator("Corchos"), configuration.KindChange, configuration.Change{Set: objects(s)})
+}
+
 // folded returns the state after one record that publishes the whole fleet.
 func folded(s size) (*state.Fleet, error) {
 	f := state.NewFleet()
-	raw, err := record("sample", operator("Corchos"), configuration.KindChange, configuration.Change{Set: objects(s)})
+	raw, err := first(s)
 	if err != nil {
 		return nil, err
 	}
