--- a/entry/follower/stream.go
+++ b/entry/follower/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,6 +21,7 @@
 type StreamState interface {
 	Fold() *journal.Fold
 	Holdings() map[lease.Duty]lease.Holding
+	Checkpoint() journal.Checkpoint
 }
 
 // Progress is how far a stream is folded.
@@ -29,6 +31,10 @@
 	// the stream as last seen.
 	Next journal.Offset
 	End  journal.Offset
+	// Oldest is the offset of the oldest record that the log keeps.
+	Oldest journal.Offset
+	// Checkpoint names the newest snapshot that is whole in the log.
+	Checkpoint journal.Checkpoint
 	// Recent holds the last verdicts, oldest first.
 	Recent []journal.Verdict
 }
@@ -42,6 +48,9 @@
 	// Every and Tick run a function on the task again and again; Tick may be nil.
 	Every time.Duration
 	Tick  func()
+	// Restored runs on the task after the state was replaced by a snapshot; it
+	// may be nil.
+	Restored func()
 }
 
 // Stream owns the state of one stream that is too large to be copied. Others
@@ -50,6 +59,10 @@
 	cfg       StreamConfig[S]
 	questions chan func()
 	out       *view.Box[Progress]
+	end       journal.Offset
+	oldest    journal.Offset
+	// broken is set if a snapshot was restored in part; it ends the task.
+	broken error
 }
 
 // NewStream returns a task that folds batches and answers questions.
@@ -69,7 +82,7 @@
 func (s *Stream[S]) Run(ctx context.Context) error {
 	t := time.NewTicker(s.cfg.Every)
 	defer t.Stop()
-	for {
+	for s.broken == nil {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -81,6 +94,48 @@
 			s.cfg.Tick()
 		}
 	}
+	return s.broken
+}
+
+// Snapshot returns the state as it is now.
+func (s *Stream[S]) Snapshot(ctx context.Context) (journal.Snapshot, error) {
+	var snap journal.Snapshot
+	var failed error
+	if err := s.Do(ctx, func(state S) { snap, failed = state.Fold().Snapshot(s.cfg.Stream) }); err != nil {
+		return journal.Snapshot{}, err
+	}
+	return snap, failed
+}
+
+// Restore replaces the state by a snapshot that is ahead of it and returns the
+// offset up to which the state is applied then. A snapshot that is not ahead
+// changes nothing.
+func (s *Stream[S]) Restore(ctx context.Context, snap journal.Snapshot, _ time.Time) (journal.Offset, error) {
+	var next journal.Offset
+	var failed error
+	if err := s.Do(ctx, func(S) { next, failed = s.restore(snap) }); err != nil {
+		return 0, err
+	}
+	return next, failed
+}
+
+func (s *Stream[S]) restore(snap journal.Snapshot) (journal.Offset, error) {
+	fold := s.cfg.State.Fold()
+	if snap.Next <= fold.Next() {
+		return fold.Next(), nil
+	}
+	err := fold.Restore(snap)
+	if errors.Is(err, journal.ErrHalfRestored) {
+		s.broken = err
+	}
+	if err != nil {
+		return fold.Next(), err
+	}
+	if s.cfg.Restored != nil {
+		s.cfg.Restored()
+	}
+	s.publish()
+	return fold.Next(), nil
 }
 
 // Progress returns how far the stream is folded.
@@ -128,6 +183,7 @@
 }
 
 func (s *Stream[S]) apply(b platform.Batch) {
+	s.end, s.oldest = max(s.end, b.End), max(s.oldest, b.Oldest)
 	fold := s.cfg.State.Fold()
 	for i, raw := range b.Records {
 		o := b.First + journal.Offset(i)
@@ -143,5 +199,13 @@
 			s.cfg.Log.WithFields(logrus.Fields{"Stream": s.cfg.Stream, "Verdict": v}).Warn("record not accepted")
 		}
 	}
-	s.out.Publish(Progress{Holdings: s.cfg.State.Holdings(), Next: fold.Next(), End: max(b.End, fold.Next()), Recent: fold.Recent()})
+	s.publish()
+}
+
+func (s *Stream[S]) publish() {
+	fold := s.cfg.State.Fold()
+	s.out.Publish(Progress{
+		Holdings: s.cfg.State.Holdings(), Next: fold.Next(), End: max(s.end, fold.Next()), Oldest: s.oldest,
+		Checkpoint: s.cfg.State.Checkpoint(), Recent: fold.Recent(),
+	})
 }
--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -126,7 +126,7 @@
 		Records: records, Source: client, Workers: client, Fleet: h.state, Hosts: h.hosts, EntryHosts: h.siteHosts,
 	})
 	bills := usage.New(usage.Config{
-		Log: h.log, Name: cfg.Settings.Name, DataCentre: cfg.Settings.DataCentre,
+		Log: h.log, Name: cfg.Settings.Name, DataCentre: cfg.Settings.DataCentre, Metrics: h.metrics,
 		Records: records, Source: client, Workers: client, Fleet: h.state, EntryHosts: h.siteHosts,
 	})
 	h.operators = operator.NewServer(operator.Config{
@@ -142,7 +142,7 @@
 		h.follower,
 		h.exchanger,
 		h.relay,
-		snapshot.NewAlarm(h.log, h.metrics, h.state),
+		snapshot.NewAlarm(snapshot.AlarmConfig{Log: h.log, Metrics: h.metrics, Stream: journal.StreamFleet, Status: h.streamStatus}),
 		platform.NewHostListReader(h.log, client, h.hosts),
 		lifecycle.NewStarter(h.log, h.readiness, h.state, h.hosts, h.behindPeer),
 		duty.NewRunner(duty.Config{
--- a/entry/host/join.go
+++ b/entry/host/join.go
@@ -65,10 +65,17 @@
 	return ""
 }
 
+// streamStatus returns how far the global stream is folded and kept.
+func (h *Host) streamStatus() snapshot.Status {
+	st := h.state.Latest()
+	return snapshot.Status{Next: st.Next, End: st.End, Oldest: st.Oldest, Checkpoint: st.Checkpoint, Fault: st.Fault}
+}
+
 // snapshotWriter returns the duty that writes snapshots.
 func (h *Host) snapshotWriter(records snapshot.RecordAppender) *snapshot.Writer {
 	return snapshot.NewWriter(snapshot.WriterConfig{
-		Log: h.log, Name: h.cfg.Settings.Name, State: h.state, Source: h.follower, Records: records,
+		Log: h.log, Name: h.cfg.Settings.Name, Stream: journal.StreamFleet, Source: h.follower, Records: records,
+		Status: h.streamStatus,
 		Doubt: func() string {
 			if h.relay.Doubts() > 0 {
 				return "this host contradicts a peer"
--- a/entry/placement/board.go
+++ b/entry/placement/board.go
@@ -43,7 +43,7 @@
 	jobs := state.NewJobs()
 	b := &Board{dataCentre: cfg.DataCentre, fleet: cfg.Fleet, hosts: cfg.Hosts, scheduler: placement.NewScheduler(jobs.Placement)}
 	b.Stream = follower.NewStream(follower.StreamConfig[*state.Jobs]{
-		Log: cfg.Log, Stream: stream, State: jobs, In: in, Every: layoutEvery, Tick: b.refreshLayout,
+		Log: cfg.Log, Stream: stream, State: jobs, In: in, Every: layoutEvery, Tick: b.refreshLayout, Restored: b.forgetLayout,
 	})
 	return b
 }
@@ -53,6 +53,12 @@
 	return b.Stream.Do(ctx, func(s *state.Jobs) { ask(s.Placement, b.scheduler) })
 }
 
+// forgetLayout makes the next refresh count anew what is free: the jobs were
+// replaced by those of a snapshot.
+func (b *Board) forgetLayout() {
+	b.pools, b.live = nil, nil
+}
+
 // refreshLayout gives the scheduler a new layout if the fleet has changed.
 func (b *Board) refreshLayout() {
 	st := b.fleet.Latest()
--- a/entry/placement/config.go
+++ b/entry/placement/config.go
@@ -10,6 +10,7 @@
 	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/operator"
 	"github.com/godwitcross/godwitcross/entry/platform"
+	"github.com/godwitcross/godwitcross/entry/snapshot"
 	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
@@ -67,14 +68,18 @@
 	batches := make(chan platform.Batch, batchQueue)
 	stream := journal.StreamJobs(cfg.DataCentre)
 	p := &Placement{cfg: cfg, stream: stream, board: newBoard(cfg, stream, batches)}
+	kept := snapshot.ForStream(snapshot.StreamConfig{
+		Log: cfg.Log, Name: cfg.Name, Stream: stream, Metrics: cfg.Metrics, Source: cfg.Source, Records: cfg.Records,
+	}, p.board.Stream)
 	p.tasks = []Task{
-		platform.NewReader(cfg.Log, cfg.Source, p.stream, 0, batches),
+		platform.NewReader(cfg.Log, cfg.Source, p.stream, 0, batches).RestoreWith(kept.Restore),
 		p.board,
+		kept.Alarm,
 		duty.NewRunner(duty.Config{
 			Log: cfg.Log, Name: cfg.Name, Stream: p.stream, Records: cfg.Records,
 			Holdings: func() duty.Holdings { return p.board.Progress().Holdings },
 			Hosts:    cfg.EntryHosts,
-			Work:     []duty.Work{newFiller(cfg, p.stream, p.board)},
+			Work:     []duty.Work{newFiller(cfg, p.stream, p.board), kept.Writer},
 		}),
 	}
 	return p
--- a/entry/snapshot/alarm.go
+++ b/entry/snapshot/alarm.go
@@ -2,59 +2,72 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/godwitcross/godwitcross/entry/follower"
 	"github.com/godwitcross/godwitcross/entry/metric"
-	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 )
 
-// Alarm watches how near the newest snapshot is to what the log forgets.
+// lookEvery is the time between two looks of an alarm.
+const lookEvery = time.Second
+
+// AlarmConfig is what an alarm is built from.
+type AlarmConfig struct {
+	Log     logrus.FieldLogger
+	Metrics *metric.Registry
+	Stream  journal.StreamID
+	Status  func() Status
+}
+
+// Alarm watches how near the newest snapshot of a stream is to what the log
+// forgets.
 type Alarm struct {
-	log     logrus.FieldLogger
-	metrics *metric.Registry
-	state   *view.Box[follower.State]
+	cfg AlarmConfig
 	// raised is set while the alarm holds.
 	raised bool
 }
 
 // NewAlarm returns a task that sets metrics and logs each change of the alarm.
-func NewAlarm(log logrus.FieldLogger, m *metric.Registry, state *view.Box[follower.State]) *Alarm {
-	return &Alarm{log: log, metrics: m, state: state}
+func NewAlarm(cfg AlarmConfig) *Alarm {
+	return &Alarm{cfg: cfg}
 }
 
 // Name returns the task's name.
 func (a *Alarm) Name() string {
-	return "alarm of snapshots"
+	return "alarm of snapshots of " + string(a.cfg.Stream)
 }
 
 // Run watches until the context ends.
 func (a *Alarm) Run(ctx context.Context) error {
+	t := time.NewTicker(lookEvery)
+	defer t.Stop()
 	for {
-		st, changed := a.state.Watch()
-		a.look(st)
 		select {
-		case <-changed:
+		case <-t.C:
+			a.look(a.cfg.Status())
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-func (a *Alarm) look(st follower.State) {
+func (a *Alarm) look(st Status) {
 	m := journal.MarginOf(st.Oldest, st.End, st.Checkpoint.Next)
-	a.metrics.Gauge("log_records_kept", int64(m.Kept))
-	a.metrics.Gauge("snapshot_records_covered", int64(m.Covered))
-	a.metrics.Gauge("snapshot_records_behind", int64(st.Next-st.Checkpoint.Next))
-	a.metrics.Gauge("snapshot_alarm", flag(m.Alarms()))
-	a.metrics.Gauge("log_fault", flag(st.Fault != ""))
+	gauge := func(name string, v int64) {
+		a.cfg.Metrics.Gauge(name, v, metric.Label{Name: "Stream", Value: string(a.cfg.Stream)})
+	}
+	gauge("log_records_kept", int64(m.Kept))
+	gauge("snapshot_records_covered", int64(m.Covered))
+	gauge("snapshot_records_behind", int64(st.Next-st.Checkpoint.Next))
+	gauge("snapshot_alarm", flag(m.Alarms()))
+	gauge("log_fault", flag(st.Fault != ""))
 	if m.Alarms() == a.raised {
 		return
 	}
 	a.raised = m.Alarms()
-	l := a.log.WithFields(logrus.Fields{"Kept": m.Kept, "Covered": m.Covered, "Snapshot": st.Checkpoint.Next})
+	l := a.cfg.Log.WithFields(logrus.Fields{"Stream": a.cfg.Stream, "Kept": m.Kept, "Covered": m.Covered, "Snapshot": st.Checkpoint.Next})
 	if a.raised {
 		l.Error("the log is about to forget records that no snapshot holds")
 		return
--- a/entry/snapshot/loader.go
+++ b/entry/snapshot/loader.go
@@ -35,6 +35,7 @@
 	Log    logrus.FieldLogger
 	Stream journal.StreamID
 	Source platform.StreamReader
+	// Peers may be nil; then only the log has snapshots.
 	Peers  PeerSource
 	Target Target
 }
@@ -56,12 +57,12 @@
 	if err == nil && s.Next <= from {
 		return from, false
 	}
-	if err != nil {
+	if err != nil && l.cfg.Peers != nil {
 		l.cfg.Log.WithError(err).Info("no snapshot from the log")
 		s, err = l.cfg.Peers.ReadSnapshot(ctx, from)
 	}
 	if err != nil {
-		l.cfg.Log.WithError(err).Info("no snapshot from a peer")
+		l.cfg.Log.WithError(err).Info("no snapshot")
 		return from, false
 	}
 	next, err := l.cfg.Target.Restore(ctx, s, time.Now())
--- a/entry/snapshot/writer.go
+++ b/entry/snapshot/writer.go
@@ -11,14 +11,12 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
-	"github.com/godwitcross/godwitcross/entry/follower"
-	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/lease"
 )
 
-// Duty is the duty of writing snapshots of the global stream.
+// Duty is the duty of writing snapshots of a stream.
 const Duty lease.Duty = "Snapshots"
 
 // Source gives snapshots of the folded state.
@@ -31,14 +29,31 @@
 	Append(ctx context.Context, stream journal.StreamID, r journal.Record) error
 }
 
+// Status is how far a stream is folded and kept.
+type Status struct {
+	// Next is the offset of the first record that is not applied, End the end of
+	// the stream as last seen, Oldest that of the oldest record that is kept.
+	Next   journal.Offset
+	End    journal.Offset
+	Oldest journal.Offset
+	// Checkpoint names the newest snapshot that is whole in the log.
+	Checkpoint journal.Checkpoint
+	// Fault is set once the log contradicted itself.
+	Fault string
+}
+
 // WriterConfig is what a writer is built from.
 type WriterConfig struct {
-	Log     logrus.FieldLogger
-	Name    inventory.EntryID
-	State   *view.Box[follower.State]
+	Log  logrus.FieldLogger
+	Name inventory.EntryID
+	// Stream is what snapshots are written of.
+	Stream journal.StreamID
+	// Status returns how far the stream is folded and kept.
+	Status  func() Status
 	Source  Source
 	Records RecordAppender
-	// Doubt returns why this host's state must not be kept, or an empty text.
+	// Doubt returns why this host's state must not be kept, or an empty text; it
+	// may be nil.
 	Doubt func() string
 }
 
@@ -63,7 +78,7 @@
 
 // Tick writes a snapshot if one is due.
 func (w *Writer) Tick(ctx context.Context, now time.Time, epoch journal.Epoch) error {
-	st := w.cfg.State.Latest()
+	st := w.cfg.Status()
 	newest := st.Checkpoint
 	if w.last.Next > newest.Next {
 		newest = w.last
@@ -71,8 +86,10 @@
 	if !newest.Due(journal.MarginOf(st.Oldest, st.End, newest.Next), st.Next, now) {
 		return nil
 	}
-	if why := w.cfg.Doubt(); why != "" {
-		return eris.Wrap(journal.ErrSnapshot, why)
+	if w.cfg.Doubt != nil {
+		if why := w.cfg.Doubt(); why != "" {
+			return eris.Wrap(journal.ErrSnapshot, why)
+		}
 	}
 	s, err := w.cfg.Source.Snapshot(ctx)
 	if err != nil {
@@ -99,7 +116,7 @@
 		return err
 	}
 	w.last = c
-	w.cfg.Log.WithFields(logrus.Fields{"Next": s.Next, "Chunks": len(chunks)}).Info("snapshot written")
+	w.cfg.Log.WithFields(logrus.Fields{"Stream": s.Stream, "Next": s.Next, "Chunks": len(chunks)}).Info("snapshot written")
 	return nil
 }
 
--- a/entry/usage/config.go
+++ b/entry/usage/config.go
@@ -10,8 +10,10 @@
 
 	"github.com/godwitcross/godwitcross/entry/duty"
 	"github.com/godwitcross/godwitcross/entry/follower"
+	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/operator"
 	"github.com/godwitcross/godwitcross/entry/platform"
+	"github.com/godwitcross/godwitcross/entry/snapshot"
 	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
@@ -40,6 +42,7 @@
 	Log        logrus.FieldLogger
 	Name       inventory.EntryID
 	DataCentre inventory.DataCentreID
+	Metrics    *metric.Registry
 	Records    RecordAppender
 	Source     platform.StreamReader
 	Workers    WorkerClient
@@ -67,14 +70,18 @@
 	batches := make(chan platform.Batch, batchQueue)
 	u := &Usage{cfg: cfg, stream: journal.StreamUsage(cfg.DataCentre)}
 	u.book = follower.NewStream(follower.StreamConfig[*state.Usage]{Log: cfg.Log, Stream: u.stream, State: state.NewUsage(), In: batches})
+	kept := snapshot.ForStream(snapshot.StreamConfig{
+		Log: cfg.Log, Name: cfg.Name, Stream: u.stream, Metrics: cfg.Metrics, Source: cfg.Source, Records: cfg.Records,
+	}, u.book)
 	u.tasks = []Task{
-		platform.NewReader(cfg.Log, cfg.Source, u.stream, 0, batches),
+		platform.NewReader(cfg.Log, cfg.Source, u.stream, 0, batches).RestoreWith(kept.Restore),
 		u.book,
+		kept.Alarm,
 		duty.NewRunner(duty.Config{
 			Log: cfg.Log, Name: cfg.Name, Stream: u.stream, Records: cfg.Records,
 			Holdings: func() duty.Holdings { return u.book.Progress().Holdings },
 			Hosts:    cfg.EntryHosts,
-			Work:     []duty.Work{newCollector(cfg, u.stream, u.book)},
+			Work:     []duty.Work{newCollector(cfg, u.stream, u.book), kept.Writer},
 		}),
 	}
 	return u
--- a/fleet/journal/snapshot.go
+++ b/fleet/journal/snapshot.go
@@ -17,8 +17,14 @@
 	SnapshotFormat = 1
 )
 
-// ErrSnapshot refuses a snapshot that is torn, mixed or wrong.
-var ErrSnapshot = eris.New("snapshot refused")
+// Errors of snapshots.
+var (
+	// ErrSnapshot refuses a snapshot that is torn, mixed or wrong.
+	ErrSnapshot = eris.New("snapshot refused")
+	// ErrHalfRestored means that a part of the state was replaced and another
+	// could not be read.
+	ErrHalfRestored = eris.New("snapshot restored in part")
+)
 
 // Snapshot is the whole state of a fold at an offset. Hosts of one release have
 // equal snapshots at equal offsets.
@@ -57,8 +63,9 @@
 	return s, nil
 }
 
-// Restore puts a snapshot into a fold that has applied nothing. After an error
-// the fold must not be used any more.
+// Restore replaces the state of the fold by a snapshot that is ahead of it. After
+// ErrHalfRestored the fold must not be used any more; after any other error it is
+// as it was.
 func (f *Fold) Restore(s Snapshot) error {
 	if err := f.check(s); err != nil {
 		return err
@@ -69,9 +76,10 @@
 			continue
 		}
 		if err := r.UnmarshalState(b); err != nil {
-			return eris.Wrapf(ErrSnapshot, "state of %s: %s", r.Kinds()[0], err)
+			return eris.Wrapf(ErrHalfRestored, "state of %s: %s", r.Kinds()[0], err)
 		}
 	}
+	f.seen, f.counts = NewWindow[recordKey](WindowSize), make(map[Outcome]int64)
 	for i := 0; i < len(s.Seen); i += len(recordKey{}) {
 		f.seen.Add(recordKey(s.Seen[i : i+len(recordKey{})]))
 	}
@@ -90,8 +98,8 @@
 		total += n
 	}
 	switch {
-	case f.next != 0:
-		return eris.Wrapf(ErrSnapshot, "the fold has applied %d records", f.next)
+	case s.Next <= f.next && f.next > 0:
+		return eris.Wrapf(ErrSnapshot, "it ends at %d, the fold has applied up to %d", s.Next, f.next)
 	case s.Format != SnapshotFormat:
 		return eris.Wrapf(ErrSnapshot, "format %d", s.Format)
 	case s.Next < 0 || total != int64(s.Next):
@@ -116,14 +124,22 @@
 	return nil
 }
 
-// Pack returns the snapshot in the compressed form that is kept.
+// Pack returns the snapshot in the compressed form that is kept, or ErrTooLarge
+// for one that nobody would unpack.
 func (s Snapshot) Pack() ([]byte, error) {
+	plain, err := json.Marshal(s)
+	if err != nil {
+		return nil, eris.Wrap(err, "packing a snapshot")
+	}
+	if len(plain) > MaxSnapshotBytes {
+		return nil, eris.Wrapf(ErrTooLarge, "snapshot of %s has %d bytes, more than %d", s.Stream, len(plain), MaxSnapshotBytes)
+	}
 	var b bytes.Buffer
 	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
 	if err != nil {
 		return nil, eris.Wrap(err, "packing a snapshot")
 	}
-	if err := json.NewEncoder(w).Encode(s); err != nil {
+	if _, err := w.Write(plain); err != nil {
 		return nil, eris.Wrap(err, "packing a snapshot")
 	}
 	if err := w.Close(); err != nil {
