--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -132,7 +132,7 @@
 	h.operators = operator.NewServer(operator.Config{
 		Log: h.log, Name: cfg.Settings.Name, Metrics: h.metrics, State: h.state,
 		Records: records, Ready: h.readiness.Reason,
-		Routes: slices.Concat(keeper.Routes(h.state), jobs.Routes(), bills.Routes()),
+		Routes: slices.Concat(peer.Routes(h.peers), keeper.Routes(h.state), jobs.Routes(), bills.Routes()),
 	}).HTTP()
 	h.checkClients()
 	h.tasks = []Task{
