--- a/bench/capacity/wire.go
+++ b/bench/capacity/wire.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -50,32 +51,81 @@
 	}
 }
 
+// exchangesTimed is how many exchanges the processor time is taken over.
+const exchangesTimed = 2000
+
+// exchanger is a client and a server of heartbeats over a loopback connection,
+// whose bytes are counted.
+type exchanger struct {
+	client *peer.Client
+	server *http.Server
+	bytes  atomic.Int64
+}
+
+func newExchanger() (*exchanger, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &exchanger{server: &http.Server{Handler: wire.NewPeerServer(echo{})}}
+	go func() { _ = e.server.Serve(l) }()
+	e.client = peer.NewClient(func(ctx context.Context, _ string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", l.Addr().String())
+		return countingConn{conn, &e.bytes}, err
+	})
+	return e, nil
+}
+
+func (e *exchanger) close() {
+	e.client.Close()
+	_ = e.server.Close()
+}
+
+// exchange sends the heartbeats and gets as many back.
+func (e *exchanger) exchange(told *wire.Heartbeats) error {
+	_, err := e.client.At("10.0.100.100:8082").Exchange(context.Background(), told)
+	return err
+}
+
+// exchangeTime returns the processor time of one exchange with full messages, of
+// both ends together.
+func exchangeTime() (time.Duration, error) {
+	e, err := newExchanger()
+	if err != nil {
+		return 0, err
+	}
+	defer e.close()
+	beats := make([]membership.Heartbeat, 1+membership.TellLocal+membership.TellContacts)
+	for i := range beats {
+		beats[i] = Beat(i, "DataCentre-1")
+	}
+	before := processorUsed()
+	for range exchangesTimed {
+		if err := e.exchange(peer.Encode(beats)); err != nil {
+			return 0, err
+		}
+	}
+	return (processorUsed() - before) / exchangesTimed, nil
+}
+
 // ExchangeOverhead returns the bytes of one exchange of heartbeats beyond the two
 // messages themselves: request line, headers and status line, as a real client
 // and a real server write them on an open connection.
 func ExchangeOverhead() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	e, err := newExchanger()
 	if err != nil {
 		return 0, err
 	}
-	s := &http.Server{Handler: wire.NewPeerServer(echo{})}
-	defer s.Close()
-	go func() { _ = s.Serve(l) }()
-	var bytes atomic.Int64
-	c := peer.NewClient(func(ctx context.Context, _ string) (net.Conn, error) {
-		var d net.Dialer
-		conn, err := d.DialContext(ctx, "tcp", l.Addr().String())
-		return countingConn{conn, &bytes}, err
-	})
-	defer c.Close()
+	defer e.close()
 	told := peer.Encode([]membership.Heartbeat{Beat(1, "DataCentre-1")})
 	for range 2 {
-		bytes.Store(0)
-		if _, err := c.At("10.0.100.100:8082").Exchange(context.Background(), told); err != nil {
+		e.bytes.Store(0)
+		if err := e.exchange(told); err != nil {
 			return 0, err
 		}
 	}
-	return int(bytes.Load()) - 2*proto.Size(told), nil
+	return int(e.bytes.Load()) - 2*proto.Size(told), nil
 }
 
 // measureWire measures the bytes of an exchange by the heartbeats in a message.
@@ -89,8 +139,13 @@
 		points = append(points, point{float64(n), float64(proto.Size(peer.Encode(beats)))})
 	}
 	overhead, err := ExchangeOverhead()
+	if err != nil {
+		return nil, err
+	}
+	t, err := exchangeTime()
 	return []measure.Figure{
 		{Name: "wire.heartbeat_bytes", Value: slope(points), Unit: measure.Bytes, Deterministic: true},
 		{Name: "wire.exchange_overhead", Value: float64(overhead), Unit: measure.Bytes, Deterministic: true},
+		{Name: "wire.exchange_time", Value: float64(t.Microseconds()), Unit: measure.Microseconds},
 	}, err
 }
--- a/entry/peer/relay.go
+++ b/entry/peer/relay.go
@@ -90,6 +90,7 @@
 	r.doubt(ctx, peers)
 	st := r.cfg.State.Latest()
 	best, ahead := membership.AheadOf(peers, st.Next)
+	r.cfg.Metrics.Gauge("peers_ahead_records", int64(max(best.Applied-st.Next, 0)))
 	if !ahead || st.Fault != "" {
 		r.behind = time.Time{}
 		return
