fix: an end of the log that moved back is followed again once its last record is there

Cause: a log whose end lagged for a moment stopped a host for good, and the streams of a data centre had no check at all. Change: one guard for both followers. A moved end holds until the last applied record is read again at its offset; a changed record holds for good.

--- a/entry/follower/call.go
+++ b/entry/follower/call.go
@@ -45,8 +45,8 @@
 	var s journal.Snapshot
 	var failed error
 	err := f.call(ctx, func() {
-		if f.fault != "" {
-			failed = eris.Wrapf(journal.ErrSnapshot, "no snapshot of a state in doubt: %s", f.fault)
+		if f.guard.fault != "" {
+			failed = eris.Wrapf(journal.ErrSnapshot, "no snapshot of a state in doubt: %s", f.guard.fault)
 			return
 		}
 		s, failed = f.fleet.Fold().Snapshot(journal.StreamFleet)
@@ -74,8 +74,8 @@
 }
 
 func (f *Follower) restore(s journal.Snapshot, now time.Time) error {
-	if f.fault != "" {
-		return eris.Wrapf(journal.ErrSnapshot, "the state is in doubt: %s", f.fault)
+	if f.guard.fault != "" {
+		return eris.Wrapf(journal.ErrSnapshot, "the state is in doubt: %s", f.guard.fault)
 	}
 	if s.Next <= f.fleet.Fold().Next() {
 		return nil
--- a/entry/follower/stream.go
+++ b/entry/follower/stream.go
@@ -35,6 +35,8 @@
 	Oldest journal.Offset
 	// Checkpoint names the newest snapshot that is whole in the log.
 	Checkpoint journal.Checkpoint
+	// Fault is set while the log contradicts itself; nothing is applied then.
+	Fault string
 	// Recent holds the last verdicts, oldest first.
 	Recent []journal.Verdict
 }
@@ -61,6 +63,7 @@
 	out       *view.Box[Progress]
 	end       journal.Offset
 	oldest    journal.Offset
+	guard     guard
 	// broken is set if a snapshot was restored in part; it ends the task.
 	broken error
 }
@@ -70,7 +73,7 @@
 	if cfg.Tick == nil {
 		cfg.Every, cfg.Tick = time.Hour, func() {}
 	}
-	return &Stream[S]{cfg: cfg, questions: make(chan func(), questionQueue), out: view.NewBox(Progress{})}
+	return &Stream[S]{cfg: cfg, questions: make(chan func(), questionQueue), out: view.NewBox(Progress{}), guard: guard{log: cfg.Log.WithField("Stream", cfg.Stream)}}
 }
 
 // Name returns the task's name.
@@ -185,7 +188,11 @@
 func (s *Stream[S]) apply(b platform.Batch) {
 	s.end, s.oldest = max(s.end, b.End), max(s.oldest, b.Oldest)
 	fold := s.cfg.State.Fold()
+	s.guard.look(fold, b)
 	for i, raw := range b.Records {
+		if s.guard.fault != "" {
+			break
+		}
 		o := b.First + journal.Offset(i)
 		if o < fold.Next() {
 			continue
@@ -206,6 +213,6 @@
 	fold := s.cfg.State.Fold()
 	s.out.Publish(Progress{
 		Holdings: s.cfg.State.Holdings(), Next: fold.Next(), End: max(s.end, fold.Next()), Oldest: s.oldest,
-		Checkpoint: s.cfg.State.Checkpoint(), Recent: fold.Recent(),
+		Checkpoint: s.cfg.State.Checkpoint(), Fault: s.guard.fault, Recent: fold.Recent(),
 	})
 }
--- a/entry/platform/fault_test.go
+++ b/entry/platform/fault_test.go
@@ -71,6 +71,12 @@
 			[]journal.Offset{0, 2},
 			true,
 		},
+		{
+			"after it the last record is read again",
+			[]answer{two, {batch: Batch{First: 2, End: 1}}, {batch: Batch{First: 1, End: 2, Records: raws("1")}}},
+			[]journal.Offset{0, 2, 1},
+			false,
+		},
 		{
 			"what was forgotten is taken from a snapshot",
 			[]answer{two, {batch: Batch{Oldest: 7, End: 9}, err: ErrForgotten}, {batch: Batch{First: 7, End: 9, Oldest: 7, Records: raws("7")}}, {batch: Batch{First: 9, End: 9}}},
--- a/entry/platform/reader.go
+++ b/entry/platform/reader.go
@@ -158,6 +158,7 @@
 	}
 	switch {
 	case b.Fault != nil:
+		r.checks = true
 		pause(ctx, maxReadPause)
 	case r.pace > 0 && len(b.Records) > 0:
 		pause(ctx, r.pace)
--- a/entry/snapshot/stream.go
+++ b/entry/snapshot/stream.go
@@ -34,10 +34,13 @@
 func ForStream[S follower.StreamState](cfg StreamConfig, s *follower.Stream[S]) Parts {
 	status := func() Status {
 		p := s.Progress()
-		return Status{Next: p.Next, End: p.End, Oldest: p.Oldest, Checkpoint: p.Checkpoint}
+		return Status{Next: p.Next, End: p.End, Oldest: p.Oldest, Checkpoint: p.Checkpoint, Fault: p.Fault}
 	}
 	return Parts{
-		Writer:  NewWriter(WriterConfig{Log: cfg.Log, Name: cfg.Name, Stream: cfg.Stream, Status: status, Source: s, Records: cfg.Records}),
+		Writer: NewWriter(WriterConfig{
+			Log: cfg.Log, Name: cfg.Name, Stream: cfg.Stream, Status: status, Source: s, Records: cfg.Records,
+			Doubt: func() string { return s.Progress().Fault },
+		}),
 		Alarm:   NewAlarm(AlarmConfig{Log: cfg.Log, Metrics: cfg.Metrics, Stream: cfg.Stream, Status: status}),
 		Restore: NewLoader(LoaderConfig{Log: cfg.Log, Stream: cfg.Stream, Source: cfg.Source, Target: s}).Restore,
 	}
--- a/fleet/journal/snapshot_test.go
+++ b/fleet/journal/snapshot_test.go
@@ -170,6 +170,25 @@
 	}
 }
 
+func TestAWriterThatLooksOftenKeepsTheAlarmDown(t *testing.T) {
+	at := time.Unix(1000, 0)
+	for _, kept := range []Offset{2 * SnapshotRecords, 20_000, 100_000} {
+		c, alarms, snapshots := Checkpoint{}, 0, 0
+		for end := Offset(1); end < 5*kept; end += kept / 50 {
+			oldest := max(0, end-kept)
+			if c.Due(MarginOf(oldest, end, c.Next), end, at) {
+				c, snapshots = Checkpoint{Next: end, At: at}, snapshots+1
+			}
+			if MarginOf(oldest, end, c.Next).Alarms() {
+				alarms++
+			}
+			require.GreaterOrEqual(t, c.Next, oldest, "records were forgotten that are in no snapshot")
+		}
+		require.Zero(t, alarms, "of %d kept records", kept)
+		require.LessOrEqual(t, snapshots, int(5*kept/SnapshotRecords)+2)
+	}
+}
+
 func FuzzUnpack(f *testing.F) {
 	fold, _ := folded(f, 10)
 	s, err := fold.Snapshot("S")
