--- a/bench/capacity/list.go
+++ b/bench/capacity/list.go
@@ -13,5 +13,6 @@
 	{Name: "hostlist", Usage: "bytes of the platform's host list", Run: measureHostList},
 	{Name: "keys", Usage: "bytes of the claims of a service's keys", Run: measureKeys},
 	{Name: "wire", Usage: "bytes of heartbeats between entry hosts", Run: measureWire},
+	{Name: "process", Usage: "processor time, memory and start of one entry host that holds every duty", Run: measureProcess},
 	{Name: "node", Usage: "bytes that one entry host spends on control at the size to design for", Run: measureNode},
 }
--- a/entry/follower/stream.go
+++ b/entry/follower/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,37 +24,59 @@
 	Checkpoint() journal.Checkpoint
 }
 
+// Progress is how far a stream is folded.
+type Progress struct {
+	Holdings map[lease.Duty]lease.Holding
+	// Next is the offset of the first record that is not applied, End the end of
+	// the stream as last seen.
+	Next journal.Offset
+	End  journal.Offset
+	// Oldest is the offset of the oldest record that the log keeps.
+	Oldest journal.Offset
+	// Checkpoint names the newest snapshot that is whole in the log.
+	Checkpoint journal.Checkpoint
+	// ReadAt is when the log last answered, on this host's clock.
+	ReadAt time.Time
+	// Fault is set while the log contradicts itself; nothing is applied then.
+	Fault string
+	// Recent holds the last verdicts, oldest first.
+	Recent []journal.Verdict
+}
+
 // StreamConfig is what a stream's follower is built from.
 type StreamConfig[S StreamState] struct {
 	Log    logrus.FieldLogger
 	Stream journal.StreamID
-	// New returns a state at offset 0. It is called again for each snapshot.
-	New func() S
-	In  <-chan platform.Batch
+	State  S
+	In     <-chan platform.Batch
 	// Every and Tick run a function on the task again and again; Tick may be nil.
 	Every time.Duration
-	Tick  func(S)
+	Tick  func()
+	// Restored runs on the task after the state was replaced by a snapshot; it
+	// may be nil.
+	Restored func()
 }
 
 // Stream owns the state of one stream that is too large to be copied. Others
 // ask it by functions that run on its task and must return quickly.
 type Stream[S StreamState] struct {
 	cfg       StreamConfig[S]
-	state     S
 	questions chan func()
-	// oldest and end are the offsets that the log keeps, as last seen.
-	oldest, end journal.Offset
-	// readAt is when the log last answered.
-	readAt time.Time
-	out    *view.Box[State]
+	out       *view.Box[Progress]
+	end       journal.Offset
+	oldest    journal.Offset
+	readAt    time.Time
+	guard     guard
+	// broken is set if a snapshot was restored in part; it ends the task.
+	broken error
 }
 
 // NewStream returns a task that folds batches and answers questions.
 func NewStream[S StreamState](cfg StreamConfig[S]) *Stream[S] {
 	if cfg.Tick == nil {
-		cfg.Every, cfg.Tick = time.Hour, func(S) {}
+		cfg.Every, cfg.Tick = time.Hour, func() {}
 	}
-	return &Stream[S]{cfg: cfg, state: cfg.New(), questions: make(chan func(), questionQueue), out: view.NewBox(State{})}
+	return &Stream[S]{cfg: cfg, questions: make(chan func(), questionQueue), out: view.NewBox(Progress{}), guard: guard{log: cfg.Log.WithField("Stream", cfg.Stream)}}
 }
 
 // Name returns the task's name.
@@ -65,7 +88,7 @@
 func (s *Stream[S]) Run(ctx context.Context) error {
 	t := time.NewTicker(s.cfg.Every)
 	defer t.Stop()
-	for {
+	for s.broken == nil {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -74,61 +97,64 @@
 		case ask := <-s.questions:
 			ask()
 		case <-t.C:
-			s.cfg.Tick(s.state)
+			s.cfg.Tick()
 		}
 	}
-}
-
-// Progress returns how far the stream is folded and who holds its duties.
-func (s *Stream[S]) Progress() State {
-	return s.out.Latest()
-}
-
-// View returns the box in which the progress is published.
-func (s *Stream[S]) View() *view.Box[State] {
-	return s.out
+	return s.broken
 }
 
 // Snapshot returns the state as it is now.
 func (s *Stream[S]) Snapshot(ctx context.Context) (journal.Snapshot, error) {
-	var taken journal.Snapshot
+	var snap journal.Snapshot
 	var failed error
-	err := s.Do(ctx, func(state S) { taken, failed = state.Fold().Snapshot(s.cfg.Stream) })
-	if err != nil {
+	if err := s.Do(ctx, func(state S) { snap, failed = state.Fold().Snapshot(s.cfg.Stream) }); err != nil {
 		return journal.Snapshot{}, err
 	}
-	return taken, failed
+	return snap, failed
 }
 
 // Restore replaces the state by a snapshot that is ahead of it and returns the
-// offset up to which the state is applied then.
-func (s *Stream[S]) Restore(ctx context.Context, from journal.Snapshot, _ time.Time) (journal.Offset, error) {
+// offset up to which the state is applied then. A snapshot that is not ahead
+// changes nothing.
+func (s *Stream[S]) Restore(ctx context.Context, snap journal.Snapshot, _ time.Time) (journal.Offset, error) {
 	var next journal.Offset
 	var failed error
-	err := s.Do(ctx, func(state S) {
-		next = state.Fold().Next()
-		if from.Next <= next {
-			return
-		}
-		fresh := s.cfg.New()
-		if failed = fresh.Fold().Restore(from); failed != nil {
-			return
-		}
-		s.state, next = fresh, from.Next
-		s.publish()
-	})
-	if err != nil {
+	if err := s.Do(ctx, func(S) { next, failed = s.restore(snap) }); err != nil {
 		return 0, err
 	}
 	return next, failed
 }
 
+func (s *Stream[S]) restore(snap journal.Snapshot) (journal.Offset, error) {
+	fold := s.cfg.State.Fold()
+	if snap.Next <= fold.Next() {
+		return fold.Next(), nil
+	}
+	err := fold.Restore(snap)
+	if errors.Is(err, journal.ErrHalfRestored) {
+		s.broken = err
+	}
+	if err != nil {
+		return fold.Next(), err
+	}
+	if s.cfg.Restored != nil {
+		s.cfg.Restored()
+	}
+	s.publish()
+	return fold.Next(), nil
+}
+
+// Progress returns how far the stream is folded.
+func (s *Stream[S]) Progress() Progress {
+	return s.out.Latest()
+}
+
 // Do runs a function on the task and waits for its end. The function keeps
 // nothing of the state that it sees.
 func (s *Stream[S]) Do(ctx context.Context, ask func(S)) error {
 	done := make(chan struct{})
 	question := func() {
-		ask(s.state)
+		ask(s.cfg.State)
 		close(done)
 	}
 	select {
@@ -163,8 +189,14 @@
 }
 
 func (s *Stream[S]) apply(b platform.Batch, now time.Time) {
-	fold := s.state.Fold()
+	s.readAt = now
+	s.end, s.oldest = max(s.end, b.End), max(s.oldest, b.Oldest)
+	fold := s.cfg.State.Fold()
+	s.guard.look(fold, b)
 	for i, raw := range b.Records {
+		if s.guard.fault != "" {
+			break
+		}
 		o := b.First + journal.Offset(i)
 		if o < fold.Next() {
 			continue
@@ -178,14 +210,13 @@
 			s.cfg.Log.WithFields(logrus.Fields{"Stream": s.cfg.Stream, "Verdict": v}).Warn("record not accepted")
 		}
 	}
-	s.oldest, s.end, s.readAt = b.Oldest, b.End, now
 	s.publish()
 }
 
 func (s *Stream[S]) publish() {
-	fold := s.state.Fold()
-	s.out.Publish(State{
-		Holdings: s.state.Holdings(), Checkpoint: s.state.Checkpoint(), Next: fold.Next(),
-		Oldest: s.oldest, ReadAt: s.readAt, End: max(s.end, fold.Next()), Digest: fold.Digest(), Counts: fold.Counts(), Recent: fold.Recent(),
+	fold := s.cfg.State.Fold()
+	s.out.Publish(Progress{
+		Holdings: s.cfg.State.Holdings(), Next: fold.Next(), End: max(s.end, fold.Next()), Oldest: s.oldest, ReadAt: s.readAt,
+		Checkpoint: s.cfg.State.Checkpoint(), Fault: s.guard.fault, Recent: fold.Recent(),
 	})
 }
--- a/entry/placement/config.go
+++ b/entry/placement/config.go
@@ -70,23 +70,20 @@
 	stream := journal.StreamJobs(cfg.DataCentre)
 	p := &Placement{cfg: cfg, stream: stream, board: newBoard(cfg, stream, batches)}
 	p.canceller = newCanceller(cfg, stream, p.board)
+	kept := snapshot.ForStream(snapshot.StreamConfig{
+		Log: cfg.Log, Name: cfg.Name, Stream: stream, Metrics: cfg.Metrics, Source: cfg.Source, Records: cfg.Records,
+	}, p.board.Stream)
 	p.tasks = []Task{
-		platform.NewReader(cfg.Log, cfg.Source, p.stream, 0, batches).RestoreWith(snapshot.NewLoader(snapshot.LoaderConfig{
-			Log: cfg.Log, Stream: p.stream, Source: cfg.Source, Target: p.board, Peers: snapshot.NoPeers{},
-		}).Restore),
+		platform.NewReader(cfg.Log, cfg.Source, p.stream, 0, batches).RestoreWith(kept.Restore),
 		p.board,
 		p.canceller,
 		newRenewer(cfg, p.board),
+		kept.Alarm,
 		duty.NewRunner(duty.Config{
 			Log: cfg.Log, Name: cfg.Name, Stream: p.stream, Records: cfg.Records,
 			Holdings: func() duty.Holdings { return p.board.Progress().Holdings },
 			Hosts:    cfg.EntryHosts,
-			Work: []duty.Work{
-				snapshot.NewWriter(snapshot.WriterConfig{
-					Log: cfg.Log, Name: cfg.Name, State: p.board.View(), Source: p.board, Records: cfg.Records, Doubt: snapshot.NoDoubt,
-				}),
-				newFiller(cfg, p.stream, p.board),
-			},
+			Work:     []duty.Work{newFiller(cfg, p.stream, p.board), kept.Writer},
 		}),
 	}
 	return p
--- a/fleet/journal/snapshot_test.go
+++ b/fleet/journal/snapshot_test.go
@@ -35,9 +35,9 @@
 	f, _ := folded(t, cut)
 	s, err := f.Snapshot("S")
 	require.NoError(t, err)
-	sum := &total{}
-	g := NewFold(nil, sum)
+	g, _ := folded(t, cut/2)
 	require.NoError(t, g.Restore(s))
+	require.ErrorIs(t, g.Restore(s), ErrSnapshot, "it is not ahead any more")
 	for i := cut; i < all; i++ {
 		extend(t, f, i)
 		extend(t, g, i)
@@ -54,23 +54,24 @@
 	tests := []struct {
 		name string
 		harm func(s *Snapshot)
+		want error
 	}{
-		{"another format", func(s *Snapshot) { s.Format++ }},
-		{"an offset that the verdicts contradict", func(s *Snapshot) { s.Next++ }},
-		{"a torn window", func(s *Snapshot) { s.Seen = s.Seen[1:] }},
-		{"a part of a newer release", func(s *Snapshot) { s.Parts["Later"] = json.RawMessage("1") }},
+		{"another format", func(s *Snapshot) { s.Format++ }, ErrSnapshot},
+		{"an offset that the verdicts contradict", func(s *Snapshot) { s.Next++ }, ErrSnapshot},
+		{"a torn window", func(s *Snapshot) { s.Seen = s.Seen[1:] }, ErrSnapshot},
+		{"a part of a newer release", func(s *Snapshot) { s.Parts["Later"] = json.RawMessage("1") }, ErrSnapshot},
 		{"a missing part whose records were passed over", func(s *Snapshot) {
 			delete(s.Parts, "Add")
 			s.Counts[Unknown], s.Counts[Accepted] = s.Counts[Accepted], 0
-		}},
-		{"a part that can't be read", func(s *Snapshot) { s.Parts["Add"] = json.RawMessage(`"x"`) }},
+		}, ErrSnapshot},
+		{"a part that can't be read", func(s *Snapshot) { s.Parts["Add"] = json.RawMessage(`"x"`) }, ErrHalfRestored},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s, err := f.Snapshot("S")
 			require.NoError(t, err)
 			test.harm(&s)
-			require.ErrorIs(t, NewFold(nil, &total{}).Restore(s), ErrSnapshot)
+			require.ErrorIs(t, NewFold(nil, &total{}).Restore(s), test.want)
 		})
 	}
 }
@@ -169,6 +170,25 @@
 	}
 }
 
+func TestAWriterThatLooksOftenKeepsTheAlarmDown(t *testing.T) {
+	at := time.Unix(1000, 0)
+	for _, kept := range []Offset{2 * SnapshotRecords, 20_000, 100_000} {
+		c, alarms, snapshots := Checkpoint{}, 0, 0
+		for end := Offset(1); end < 5*kept; end += kept / 50 {
+			oldest := max(0, end-kept)
+			if c.Due(MarginOf(oldest, end, c.Next), end, at) {
+				c, snapshots = Checkpoint{Next: end, At: at}, snapshots+1
+			}
+			if MarginOf(oldest, end, c.Next).Alarms() {
+				alarms++
+			}
+			require.GreaterOrEqual(t, c.Next, oldest, "records were forgotten that are in no snapshot")
+		}
+		require.Zero(t, alarms, "of %d kept records", kept)
+		require.LessOrEqual(t, snapshots, int(5*kept/SnapshotRecords)+2)
+	}
+}
+
 func FuzzUnpack(f *testing.F) {
 	fold, _ := folded(f, 10)
 	s, err := fold.Snapshot("S")
--- a/fleet/state/jobs.go
+++ b/fleet/state/jobs.go
@@ -32,7 +32,7 @@
 	return j.Lease.Holdings()
 }
 
-// Checkpoint returns the newest snapshot that the stream knows of.
+// Checkpoint names the newest snapshot of the stream that is whole in the log.
 func (j *Jobs) Checkpoint() journal.Checkpoint {
 	return j.Checkpoints.Last()
 }
--- a/fleet/state/usage.go
+++ b/fleet/state/usage.go
@@ -32,7 +32,7 @@
 	return u.Lease.Holdings()
 }
 
-// Checkpoint returns the newest snapshot that the stream knows of.
+// Checkpoint names the newest snapshot of the stream that is whole in the log.
 func (u *Usage) Checkpoint() journal.Checkpoint {
 	return u.Checkpoints.Last()
 }
