feat: limits against hostile clients tried over sockets, certificates replaced in mid-burst

Cause: the HTTP library has one deadline for a whole request and logs parts of what it could not read, which may be a token, also with its secure setting. Change: tests bring slow headers, slow bodies, slow readers, oversized and torn requests, 2,000 half-open connections and half-finished handshakes, expired and foreign certificates and a replacement in mid-burst; the library's log lines lose their arguments; the callers' listener takes 4,096 connections, not 8,192. Conclusion: every bound was seen to cut off what it is meant for.

--- /dev/null
+++ b/entry/certificate/certificate_test.go
@@ -0,0 +1,359 @@
+package certificate
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/godwitcross/godwitcross/entry/listener"
+	"github.com/godwitcross/godwitcross/entry/metric"
+	"github.com/godwitcross/godwitcross/entry/settings"
+)
+
+const (
+	peerName = "entry.godwitcross"
+	day      = 24 * time.Hour
+	patience = 10 * time.Second
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T, name string) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-day), NotAfter: time.Now().Add(day),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, c, &key.PublicKey, key)
+	require.NoError(t, err)
+	c, err = x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return &authority{t: t, cert: c, key: key}
+}
+
+func (a *authority) pem() []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw})
+}
+
+// issue returns a certificate and its key in PEM.
+func (a *authority) issue(name string, from, until time.Duration) (cert, key []byte) {
+	a.t.Helper()
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(a.t, err)
+	serial, err := rand.Int(rand.Reader, big.NewInt(1<<60))
+	require.NoError(a.t, err)
+	der, err := x509.CreateCertificate(rand.Reader, &x509.Certificate{
+		SerialNumber: serial, Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
+		NotBefore: time.Now().Add(from), NotAfter: time.Now().Add(until),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, a.cert, &k.PublicKey, a.key)
+	require.NoError(a.t, err)
+	b, err := x509.MarshalPKCS8PrivateKey(k)
+	require.NoError(a.t, err)
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: b})
+}
+
+// folder is where a host's certificates lie.
+type folder struct {
+	t    *testing.T
+	path string
+}
+
+func (f folder) write(cert, key, authority []byte) {
+	f.t.Helper()
+	for name, b := range map[string][]byte{"cert.pem": cert, "key.pem": key, "authority.pem": authority} {
+		if b != nil {
+			require.NoError(f.t, os.WriteFile(filepath.Join(f.path, name), b, 0o600))
+		}
+	}
+}
+
+func (f folder) sources() Sources {
+	at := func(n string) settings.Source { return settings.Source("file:" + filepath.Join(f.path, n)) }
+	return Sources{Certificate: at("cert.pem"), Key: at("key.pem"), Authority: at("authority.pem")}
+}
+
+// store returns a mutual store whose certificate the authority issued.
+func store(t *testing.T, a *authority, trusted *authority, name string, from, until time.Duration) (*Store, folder) {
+	t.Helper()
+	f := folder{t, t.TempDir()}
+	cert, key := a.issue(name, from, until)
+	f.write(cert, key, trusted.pem())
+	s, err := NewStore(StoreConfig{
+		Log: logrus.New(), Metrics: metric.NewRegistry(), Name: "peers", Sources: f.sources(),
+		Clients: ClientsCertified, ClientName: peerName, MinVersion: tls.VersionTLS13,
+	}, time.Now().Add(min(0, until)-time.Minute))
+	require.NoError(t, err)
+	return s, f
+}
+
+// shake runs both sides of a handshake with one byte each way and returns the
+// errors of server and client.
+func shake(t *testing.T, server, client *tls.Config) (error, error) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	b, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	a, err := l.Accept()
+	require.NoError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- exchange(tls.Server(a, server), a) }()
+	clientErr := exchange(tls.Client(b, client), b)
+	return <-done, clientErr
+}
+
+func exchange(c *tls.Conn, raw net.Conn) error {
+	defer raw.Close()
+	_ = raw.SetDeadline(time.Now().Add(patience))
+	if err := c.Handshake(); err != nil {
+		return err
+	}
+	sent := make(chan error, 1)
+	go func() { _, err := c.Write([]byte{1}); sent <- err }()
+	_, err := io.ReadFull(c, make([]byte, 1))
+	if err != nil {
+		return err
+	}
+	return <-sent
+}
+
+func TestMutualHandshakes(t *testing.T) {
+	ours, theirs := newAuthority(t, "ours"), newAuthority(t, "theirs")
+	server, _ := store(t, ours, ours, peerName, -time.Hour, day)
+	good := func(t *testing.T) *tls.Config {
+		s, _ := store(t, ours, ours, peerName, -time.Hour, day)
+		return s.Client(peerName)
+	}
+	tests := map[string]struct {
+		client func(t *testing.T) *tls.Config
+		// server and seen are parts of the errors of server and client.
+		server, seen string
+	}{
+		"both are entry hosts": {client: good},
+		"client without a certificate": {func(t *testing.T) *tls.Config {
+			c := good(t)
+			c.Certificates = nil
+			return c
+		}, "didn't provide a certificate", "certificate required"},
+		"client of another authority": {func(t *testing.T) *tls.Config {
+			s, _ := store(t, theirs, ours, peerName, -time.Hour, day)
+			return insisting(s.Client(peerName))
+		}, "signed by unknown authority", "unknown certificate authority"},
+		"client with another name": {func(t *testing.T) *tls.Config {
+			s, _ := store(t, ours, ours, "ana", -time.Hour, day)
+			return s.Client(peerName)
+		}, "not " + peerName, "bad certificate"},
+		"client whose certificate has expired": {func(t *testing.T) *tls.Config {
+			s, _ := store(t, ours, ours, peerName, -day, -time.Minute)
+			return s.Client(peerName)
+		}, "expired", "expired certificate"},
+		"client that trusts another authority": {func(t *testing.T) *tls.Config {
+			s, _ := store(t, ours, theirs, peerName, -time.Hour, day)
+			return s.Client(peerName)
+		}, "bad certificate", "signed by unknown authority"},
+		"client that wants another name": {func(t *testing.T) *tls.Config {
+			s, _ := store(t, ours, ours, peerName, -time.Hour, day)
+			return s.Client("backend.godwitcross")
+		}, "bad certificate", "not backend.godwitcross"},
+		"client of an old version": {func(t *testing.T) *tls.Config {
+			c := good(t)
+			c.MinVersion, c.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
+			return c
+		}, "unsupported versions", "protocol version not supported"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			serverErr, clientErr := shake(t, server.Server(), test.client(t))
+			if test.server == "" {
+				require.NoError(t, serverErr)
+				require.NoError(t, clientErr)
+				return
+			}
+			require.ErrorContains(t, serverErr, test.server)
+			require.ErrorContains(t, clientErr, test.seen)
+		})
+	}
+}
+
+// insisting makes a client send its certificate although the server names other
+// authorities.
+func insisting(c *tls.Config) *tls.Config {
+	pair := c.Certificates[0]
+	c.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &pair, nil }
+	return c
+}
+
+func TestBadSourcesAreRefusedWithoutTheirContent(t *testing.T) {
+	a := newAuthority(t, "ours")
+	cert, key := a.issue(peerName, -time.Hour, day)
+	_, otherKey := a.issue(peerName, -time.Hour, day)
+	old, oldKey := a.issue(peerName, -day, -time.Hour)
+	early, earlyKey := a.issue(peerName, time.Hour, day)
+	tests := map[string]struct {
+		cert, key, authority []byte
+		want                 error
+	}{
+		"no file":                    {nil, key, a.pem(), ErrSource},
+		"key of another certificate": {cert, otherKey, a.pem(), ErrPair},
+		"key and certificate turned": {key, cert, a.pem(), ErrPair},
+		"half a key":                 {cert, key[:len(key)/2], a.pem(), ErrPair},
+		"expired":                    {old, oldKey, a.pem(), ErrExpired},
+		"not valid yet":              {early, earlyKey, a.pem(), ErrExpired},
+		"authority that is none":     {cert, key, key, ErrSource},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := folder{t, t.TempDir()}
+			f.write(test.cert, test.key, test.authority)
+			_, err := load(f.sources(), time.Now())
+			require.ErrorIs(t, err, test.want)
+			for _, line := range strings.Split(string(key)+string(otherKey)+string(oldKey), "\n") {
+				if len(line) > 20 && !strings.HasPrefix(line, "---") {
+					require.NotContains(t, err.Error(), line)
+				}
+			}
+		})
+	}
+	t.Run("an environment variable that is not set", func(t *testing.T) {
+		_, err := load(Sources{Certificate: "environment:GODWITCROSS_NOT_SET"}, time.Now())
+		require.ErrorIs(t, err, ErrSource)
+	})
+	t.Run("an environment variable that is set", func(t *testing.T) {
+		t.Setenv("GODWITCROSS_TEST_KEY", string(key))
+		f := folder{t, t.TempDir()}
+		f.write(cert, nil, a.pem())
+		s := f.sources()
+		s.Key = "environment:GODWITCROSS_TEST_KEY"
+		_, err := load(s, time.Now())
+		require.NoError(t, err)
+	})
+}
+
+// serveTLS starts a bounded server over the store and returns its address.
+func serveTLS(t *testing.T, s *Store, l settings.Limits) (string, *fasthttp.Server) {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = raw.Close() })
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok") }}
+	listener.Bound(server, log, l)
+	go func() { _ = server.Serve(tls.NewListener(raw, s.Server())) }()
+	return raw.Addr().String(), server
+}
+
+func TestCertificatesAreReplacedInMidBurstWithoutACut(t *testing.T) {
+	const clients, requests = 8, 200
+	a := newAuthority(t, "ours")
+	s, f := store(t, a, a, peerName, -time.Hour, day)
+	s.cfg.Log.(*logrus.Logger).SetOutput(io.Discard)
+	address, _ := serveTLS(t, s, settings.CallerLimits)
+	first := s.Client(peerName)
+	var sent, answered atomic.Int64
+	var wg sync.WaitGroup
+	half := make(chan struct{}, clients)
+	for range clients {
+		wg.Go(func() {
+			c := &fasthttp.HostClient{Addr: address, IsTLS: true, TLSConfig: first, MaxConns: 1, MaxIdemponentCallAttempts: 1}
+			for i := range requests {
+				if i == requests/2 {
+					half <- struct{}{}
+				}
+				sent.Add(1)
+				status, body, err := c.Get(nil, "https://"+address+"/")
+				if err == nil && status == fasthttp.StatusOK && string(body) == "ok" {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	<-half
+	next := newAuthority(t, "next")
+	cert, key := next.issue(peerName, -time.Hour, day)
+	f.write(cert, nil, next.pem())
+	require.ErrorIs(t, s.Refresh(time.Now()), ErrPair, "half a replacement is not used")
+	f.write(nil, key, nil)
+	require.NoError(t, s.Refresh(time.Now()))
+	wg.Wait()
+	require.Equal(t, sent.Load(), answered.Load(), "no request is cut off")
+
+	_, clientErr := shake(t, s.Server(), first)
+	require.Error(t, clientErr, "a new handshake meets the new certificate")
+	serverErr, clientErr := shake(t, s.Server(), s.Client(peerName))
+	require.NoError(t, serverErr)
+	require.NoError(t, clientErr)
+}
+
+func TestAnExpiredReplacementIsNotUsed(t *testing.T) {
+	a := newAuthority(t, "ours")
+	s, f := store(t, a, a, peerName, -time.Hour, day)
+	before := s.current.Load()
+	cert, key := a.issue(peerName, -day, -time.Hour)
+	f.write(cert, key, nil)
+	require.ErrorIs(t, s.Refresh(time.Now()), ErrExpired)
+	require.Same(t, before, s.current.Load())
+}
+
+func TestHalfFinishedHandshakesByTheThousandAreBounded(t *testing.T) {
+	const attempts, bound = 2000, 50
+	a := newAuthority(t, "ours")
+	s, _ := store(t, a, a, peerName, -time.Hour, day)
+	l := settings.CallerLimits
+	l.HeaderTime, l.ConnectionsPerAddress = time.Second, bound
+	address, server := serveTLS(t, s, l)
+	hello := clientHello(t)
+	peak := uint32(0)
+	for range attempts {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, _ = c.Write(hello[:len(hello)/2])
+		peak = max(peak, server.GetCurrentConcurrency())
+	}
+	require.LessOrEqual(t, peak, uint32(bound))
+	require.Eventually(t, func() bool { return server.GetOpenConnectionsCount() == 0 }, patience, 10*time.Millisecond, "all are cut off")
+	c := &fasthttp.HostClient{Addr: address, IsTLS: true, TLSConfig: s.Client(peerName)}
+	status, _, err := c.Get(nil, "https://"+address+"/")
+	require.NoError(t, err)
+	require.Equal(t, fasthttp.StatusOK, status)
+}
+
+// clientHello returns the first message of a handshake.
+func clientHello(t *testing.T) []byte {
+	t.Helper()
+	a, b := net.Pipe()
+	go func() { _ = tls.Client(a, &tls.Config{ServerName: peerName}).Handshake() }()
+	buf := make([]byte, 4096)
+	n, err := b.Read(buf)
+	require.NoError(t, err)
+	_ = b.Close()
+	return buf[:n]
+}
--- a/entry/listener/listener.go
+++ b/entry/listener/listener.go
@@ -42,10 +42,11 @@
 	log logrus.FieldLogger
 }
 
-// Printf implements fasthttp.Logger. The library names the addresses of the
-// client and the kind of fault; it leaves out what was received.
-func (l libraryLogger) Printf(format string, args ...any) {
-	l.log.Debugf(format, args...)
+// Printf implements fasthttp.Logger. The arguments are left out: even where the
+// library is told to be secure they hold parts of what was received, and that
+// may be a token.
+func (l libraryLogger) Printf(format string, _ ...any) {
+	l.log.WithField("Message", format).Debug("the HTTP library met an error")
 }
 
 // refuse answers a request that could not be read. It repeats nothing of what
--- /dev/null
+++ b/entry/listener/listener_test.go
@@ -0,0 +1,266 @@
+package listener
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/godwitcross/godwitcross/entry/settings"
+)
+
+// patience is how long a client waits before it calls a bound missing.
+const patience = 10 * time.Second
+
+// small are limits that a test reaches soon. Bounds that a test does not look
+// at lie beyond its patience.
+func small() settings.Limits {
+	return settings.Limits{
+		HeaderBytes: 1 << 10, HeaderTime: 2 * patience, BodyTime: 2 * patience, AnswerTime: 2 * patience, IdleTime: 2 * patience,
+		Connections: 64, ConnectionsPerAddress: 64,
+	}
+}
+
+// lockedBuffer is a buffer that tasks write to while a test reads it.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// guarded is a bounded server on a loopback socket.
+type guarded struct {
+	address string
+	server  *fasthttp.Server
+	log     *lockedBuffer
+}
+
+// serve starts a server that answers "ok", or a large answer to /large.
+func serve(t testing.TB, l settings.Limits) guarded {
+	t.Helper()
+	g := guarded{log: &lockedBuffer{}}
+	log := logrus.New()
+	log.SetOutput(g.log)
+	log.SetLevel(logrus.DebugLevel)
+	g.server = &fasthttp.Server{MaxRequestBodySize: 1 << 10, Handler: func(ctx *fasthttp.RequestCtx) {
+		ctx.SetBodyString("ok")
+		if string(ctx.Path()) == "/large" {
+			ctx.SetBody(make([]byte, 64<<20))
+		}
+	}}
+	Bound(g.server, log, l)
+	s, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	g.address = s.Addr().String()
+	t.Cleanup(func() { _ = s.Close() })
+	go func() { _ = g.server.Serve(s) }()
+	return g
+}
+
+func (g guarded) dial(t testing.TB) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", g.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	return c
+}
+
+// trickle writes one byte after another until the server hangs up, and reports
+// whether it did.
+func trickle(c net.Conn, text string) bool {
+	for {
+		for i := range len(text) {
+			if _, err := c.Write([]byte{text[i]}); err != nil {
+				n, ok := err.(net.Error)
+				return !ok || !n.Timeout()
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		text = "X-More: 1\r\n"
+	}
+}
+
+func TestSlowClientsAreCutOff(t *testing.T) {
+	const bound = 200 * time.Millisecond
+	tests := map[string]struct {
+		limit func(l *settings.Limits)
+		act   func(c net.Conn) bool
+	}{
+		"nothing is sent": {
+			func(l *settings.Limits) { l.HeaderTime = bound },
+			func(c net.Conn) bool { return hungUp(c) },
+		},
+		"headers byte by byte": {
+			func(l *settings.Limits) { l.HeaderTime = bound },
+			func(c net.Conn) bool { return trickle(c, "GET / HTTP/1.1\r\nHost: h\r\n") },
+		},
+		"a body byte by byte": {
+			func(l *settings.Limits) { l.BodyTime = bound },
+			func(c net.Conn) bool { return trickle(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n") },
+		},
+		"a chunked body byte by byte": {
+			func(l *settings.Limits) { l.BodyTime = bound },
+			func(c net.Conn) bool {
+				return trickle(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n300\r\n")
+			},
+		},
+		"idle after an answer": {
+			func(l *settings.Limits) { l.IdleTime = bound },
+			func(c net.Conn) bool {
+				_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				return hungUp(c)
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := small()
+			test.limit(&l)
+			require.True(t, test.act(serve(t, l).dial(t)), "the server hangs up")
+		})
+	}
+}
+
+// hungUp reads to the end of the connection and reports whether the server
+// ended it.
+func hungUp(c net.Conn) bool {
+	_, err := io.Copy(io.Discard, c)
+	n, ok := err.(net.Error)
+	return !ok || !n.Timeout()
+}
+
+func TestABodyHasMoreTimeThanTheHeaders(t *testing.T) {
+	l := small()
+	l.HeaderTime = 300 * time.Millisecond
+	c := serve(t, l).dial(t)
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n")
+	require.NoError(t, err)
+	time.Sleep(2 * l.HeaderTime)
+	_, err = io.WriteString(c, "x")
+	require.NoError(t, err)
+	status, _ := answer(t, c)
+	require.Equal(t, fasthttp.StatusOK, status)
+}
+
+func TestASlowReaderIsCutOff(t *testing.T) {
+	l := small()
+	l.AnswerTime = 200 * time.Millisecond
+	g := serve(t, l)
+	c := g.dial(t)
+	_, err := io.WriteString(c, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return g.server.GetOpenConnectionsCount() == 0 }, patience, 10*time.Millisecond)
+}
+
+// answer reads an answer and returns its status and body.
+func answer(t testing.TB, c net.Conn) (int, string) {
+	t.Helper()
+	var r fasthttp.Response
+	require.NoError(t, r.Read(bufio.NewReader(c)))
+	return r.StatusCode(), string(r.Body())
+}
+
+func TestUnreadableRequestsGetOneSentenceAndNoEcho(t *testing.T) {
+	const secret = "token-that-must-not-be-shown"
+	tests := map[string]struct {
+		request string
+		status  int
+		text    string
+	}{
+		"headers too large":         {"GET / HTTP/1.1\r\nHost: h\r\nTenant-Token: " + secret + strings.Repeat("x", 4<<10) + "\r\n\r\n", fasthttp.StatusRequestHeaderFieldsTooLarge, "NotRun: the headers are too large\n"},
+		"body too large":            {"POST / HTTP/1.1\r\nHost: h\r\nTenant-Token: " + secret + "\r\nContent-Length: 2000\r\n\r\n", fasthttp.StatusRequestEntityTooLarge, "NotRun: the body is too large\n"},
+		"chunks too large":          {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n800\r\n" + strings.Repeat("x", 0x800) + "\r\n0\r\n\r\n", fasthttp.StatusRequestEntityTooLarge, "NotRun: the body is too large\n"},
+		"a method that is none":     {"@" + secret + " / HTTP/1.1\r\nHost: h\r\n\r\n", fasthttp.StatusBadRequest, "NotRun: the request is not HTTP\n"},
+		"a header without a colon":  {"GET / HTTP/1.1\r\nHost: h\r\n" + secret + "\r\n\r\n", fasthttp.StatusBadRequest, "NotRun: the request is not HTTP\n"},
+		"two lengths that disagree": {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\nTenant-Token: " + secret + "\r\n\r\nxx", fasthttp.StatusBadRequest, "NotRun: the request is not HTTP\n"},
+		"an absurd length":          {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999999999999\r\n\r\n", fasthttp.StatusBadRequest, "NotRun: the request is not HTTP\n"},
+		"a request of another kind": {"\x16\x03\x01\x02\x00" + secret + "\r\n\r\n", fasthttp.StatusBadRequest, "NotRun: the request is not HTTP\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := serve(t, small())
+			c := g.dial(t)
+			_, _ = io.WriteString(c, test.request)
+			status, body := answer(t, c)
+			require.Equal(t, test.status, status)
+			require.Equal(t, test.text, body)
+			require.Eventually(t, func() bool { return g.server.GetOpenConnectionsCount() == 0 }, patience, time.Millisecond)
+			require.NotContains(t, g.log.String(), secret)
+		})
+	}
+}
+
+func TestHalfOpenConnectionsByTheThousandAreBounded(t *testing.T) {
+	const attempts = 2000
+	tests := map[string]func(l *settings.Limits){
+		"from one address": func(l *settings.Limits) { l.ConnectionsPerAddress = 50; l.Connections = 1000 },
+		"in all":           func(l *settings.Limits) { l.ConnectionsPerAddress = 10_000; l.Connections = 50 },
+	}
+	for name, limit := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := small()
+			l.HeaderTime = time.Second
+			limit(&l)
+			g := serve(t, l)
+			peak := uint32(0)
+			for range attempts {
+				c := g.dial(t)
+				_, _ = io.WriteString(c, "GET / HT")
+				peak = max(peak, g.server.GetCurrentConcurrency())
+			}
+			require.LessOrEqual(t, peak, uint32(50))
+			require.Eventually(t, func() bool { return g.server.GetOpenConnectionsCount() == 0 }, patience, 10*time.Millisecond, "all are cut off")
+			c := g.dial(t)
+			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			status, body := answer(t, c)
+			require.Equal(t, fasthttp.StatusOK, status)
+			require.Equal(t, "ok", body)
+		})
+	}
+}
+
+// BenchmarkHalfOpenConnection reports the memory that the server holds for one
+// connection with half a request line.
+func BenchmarkHalfOpenConnection(b *testing.B) {
+	const connections = 2000
+	l := settings.CallerLimits
+	l.Connections, l.ConnectionsPerAddress, l.HeaderTime = connections, connections, time.Minute
+	g := serve(b, l)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range connections {
+		c := g.dial(b)
+		_, err := fmt.Fprintf(c, "GET /%d HT", i)
+		require.NoError(b, err)
+	}
+	require.Eventually(b, func() bool { return g.server.GetOpenConnectionsCount() == connections }, patience, time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	held := int64(after.HeapInuse+after.StackInuse) - int64(before.HeapInuse+before.StackInuse)
+	b.ReportMetric(float64(held)/connections, "B/connection")
+}
--- a/entry/settings/limits.go
+++ b/entry/settings/limits.go
@@ -35,7 +35,7 @@
 var (
 	CallerLimits = Limits{
 		HeaderBytes: 8 << 10, HeaderTime: 5 * time.Second, BodyTime: 30 * time.Second, AnswerTime: 30 * time.Second,
-		IdleTime: time.Minute, Connections: 8192, ConnectionsPerAddress: 4096,
+		IdleTime: time.Minute, Connections: 4096, ConnectionsPerAddress: 2048,
 	}
 	OperatorLimits = Limits{
 		HeaderBytes: 8 << 10, HeaderTime: 5 * time.Second, BodyTime: 30 * time.Second, AnswerTime: 30 * time.Second,
