feat: a step of the whole path proves operators and callers over TLS

Cause: the whole path ran in plain text alone. Change: one more entry host believes no names and speaks TLS; its step publishes by a certificate, is refused the other owner's host, and asks with a tenant's token, with a name alone and in plain text.

--- a/standin/check/check.go
+++ b/standin/check/check.go
@@ -41,6 +41,7 @@
 	{"a wave reboots each host once", runWave},
 	{"a job runs to its end", jobRuns},
 	{"the bill adds up for both owners", billAddsUp},
+	{"operators and callers prove who they are over TLS", overTLS},
 	{"a stopped entry host cuts off no request", stopWithRequests},
 	{"no request was executed twice", noDoubles},
 }
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -160,6 +160,17 @@
 
 // StartEntry starts one more entry host.
 func (d *Deployment) StartEntry(name inventory.EntryID, dc inventory.DataCentreID) (*Entry, error) {
+	e, err := d.StartSecured(name, dc, d.o.Security)
+	if err != nil {
+		return nil, err
+	}
+	d.Entries = append(d.Entries, e)
+	return e, nil
+}
+
+// StartSecured starts an entry host with its own rules for clients. It is not
+// among Entries, and who starts it stops it.
+func (d *Deployment) StartSecured(name inventory.EntryID, dc inventory.DataCentreID, rules Security) (*Entry, error) {
 	callers, err := d.listen(network.Zone(dc))
 	if err != nil {
 		return nil, err
@@ -178,7 +189,7 @@
 		PeerAddress: peers.Addr().String(), PlatformAddress: d.PlatformAddress,
 		NoticeTime: d.o.NoticeTime, StopTime: d.o.StopTime, LogLevel: "info",
 	}
-	d.o.Security.apply(&s)
+	rules.apply(&s)
 	d.Platform.Hosts.Put(time.Now(), inventory.ListedHost{
 		ID: inventory.HostID(name), Role: inventory.RoleEntry, State: inventory.HostLive,
 		DataCentre: dc, Address: callers.Addr().String(),
@@ -190,7 +201,6 @@
 	go func() {
 		e.done <- h.Serve(ctx, host.Listeners{Callers: p.listener(callers), Operators: p.listener(operators), Peers: p.listener(peers)})
 	}()
-	d.Entries = append(d.Entries, e)
 	return e, nil
 }
 
