feat: entry hosts prove each other's name over TLS, and their listener is bounded

Cause: peers spoke plain text, and their listener took any number of connections. Change: the peers' listener and the peers' connections use the certificates of the settings on both sides, and each side wants the one name that all entry hosts bear; a bounded listener counts connections in all and by address, and the times come from the settings.

--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -17,6 +17,7 @@
 
 	"github.com/godwitcross/godwitcross/entry/backend"
 	"github.com/godwitcross/godwitcross/entry/caller"
+	"github.com/godwitcross/godwitcross/entry/certificate"
 	"github.com/godwitcross/godwitcross/entry/claimer"
 	"github.com/godwitcross/godwitcross/entry/duty"
 	"github.com/godwitcross/godwitcross/entry/follower"
@@ -84,7 +85,9 @@
 	relay     *peer.Relay
 	peering   *peer.Server
 	client    *peer.Client
-	tasks     []Task
+	// peerKeys is nil where peers speak plain text. It is set before any task runs.
+	peerKeys *certificate.Store
+	tasks    []Task
 	// last are tasks that end after all others have ended.
 	last []Task
 }
@@ -207,8 +210,8 @@
 
 // Serve is Run on listeners that are open already.
 func (h *Host) Serve(ctx context.Context, l Listeners) error {
-	var err error
-	if l.Callers, l.Operators, err = h.encrypt(l.Callers, l.Operators, time.Now()); err != nil {
+	l, err := h.encrypt(l, time.Now())
+	if err != nil {
 		return err
 	}
 	work, stop := context.WithCancel(context.Background())
--- a/entry/host/join.go
+++ b/entry/host/join.go
@@ -23,7 +23,7 @@
 	s := h.cfg.Settings
 	h.peers = view.NewBox(peer.View{Asked: len(s.Peers) == 0})
 	h.follower = follower.New(h.log, state.NewFleet(), batches, h.state)
-	h.client = peer.NewClient(h.cfg.Dial)
+	h.client = peer.NewClient(h.dialPeer)
 	incarnation := membership.Incarnation(time.Now().UnixMilli())
 	h.exchanger = peer.NewExchanger(peer.ExchangerConfig{
 		Log: h.log, Metrics: h.metrics, Client: h.client, Seeds: s.Peers, Out: h.peers,
@@ -38,7 +38,7 @@
 		Log: h.log, Metrics: h.metrics, Client: h.client, Peers: h.peers, State: h.state,
 		Compare: h.follower.Compare, Restore: h.loader.Restore, Out: batches,
 	})
-	h.peering = peer.NewServer(peer.ServerConfig{Log: h.log, Exchanger: h.exchanger, Records: h.follower})
+	h.peering = peer.NewServer(peer.ServerConfig{Log: h.log, Limits: s.PeerListener.Limits, Exchanger: h.exchanger, Records: h.follower})
 }
 
 // heartbeat returns what this host says of itself.
--- a/entry/host/security.go
+++ b/entry/host/security.go
@@ -1,16 +1,22 @@
 package host
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/godwitcross/godwitcross/entry/certificate"
 	"github.com/godwitcross/godwitcross/entry/identity"
 	"github.com/godwitcross/godwitcross/entry/listener"
 	"github.com/godwitcross/godwitcross/entry/settings"
 )
 
+// peersName is what the peers' listener is called in logs and metrics.
+const peersName = "peers"
+
 // checkClients puts the check of who asks before the callers' and the
 // operators' servers, and bounds what clients can take from them.
 func (h *Host) checkClients() {
@@ -21,32 +27,56 @@
 	listener.Bound(h.operators, h.log, s.OperatorListener.Limits)
 }
 
-// encrypt returns the callers' and the operators' listeners as the settings
-// want them spoken to, and adds the tasks that replace certificates.
-func (h *Host) encrypt(callers, operators net.Listener, now time.Time) (net.Listener, net.Listener, error) {
+// encrypt returns the listeners as the settings want them spoken to, and adds
+// the tasks that replace certificates.
+func (h *Host) encrypt(l Listeners, now time.Time) (Listeners, error) {
 	s := h.cfg.Settings
-	callers, err := h.encryptOne(callers, "callers", s.CallerListener, tls.VersionTLS12, now)
-	if err != nil {
-		return nil, nil, err
+	var err error
+	if l.Callers, _, err = h.encryptOne(l.Callers, "callers", s.CallerListener, tls.VersionTLS12, now); err != nil {
+		return l, err
+	}
+	if l.Operators, _, err = h.encryptOne(l.Operators, "operators", s.OperatorListener, tls.VersionTLS13, now); err != nil {
+		return l, err
 	}
-	operators, err = h.encryptOne(operators, "operators", s.OperatorListener, tls.VersionTLS13, now)
-	return callers, operators, err
+	l.Peers, h.peerKeys, err = h.encryptOne(listener.NewBounded(l.Peers, s.PeerListener.Limits), peersName, s.PeerListener, tls.VersionTLS13, now)
+	return l, err
 }
 
-func (h *Host) encryptOne(l net.Listener, name string, s settings.Listener, version uint16, now time.Time) (net.Listener, error) {
+// encryptOne returns one listener and the store of its certificates, which is
+// nil for plain text.
+func (h *Host) encryptOne(l net.Listener, name string, s settings.Listener, version uint16, now time.Time) (net.Listener, *certificate.Store, error) {
 	if s.Transport == settings.TransportPlainText {
 		h.log.WithField("For", name).Warn("plain text, as the settings say")
-		return l, nil
+		return l, nil, nil
 	}
-	store, err := certificate.NewStore(certificate.StoreConfig{
+	cfg := certificate.StoreConfig{
 		Log: h.log, Metrics: h.metrics, Name: name, MinVersion: version, Clients: clients(s),
 		Sources: certificate.Sources{Certificate: s.Certificate, Key: s.Key, Authority: s.Authority},
-	}, now)
+	}
+	if name == peersName {
+		cfg.Clients, cfg.ClientName = certificate.ClientsCertified, h.cfg.Settings.PeerName
+	}
+	store, err := certificate.NewStore(cfg, now)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	h.tasks = append(h.tasks, store)
-	return tls.NewListener(l, store.Server()), nil
+	return tls.NewListener(l, store.Server()), store, nil
+}
+
+// dialPeer opens a connection to another entry host and, unless peers speak
+// plain text, has both sides prove that they are entry hosts.
+func (h *Host) dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	c, err := h.cfg.Dial(ctx, address)
+	if err != nil || h.peerKeys == nil {
+		return c, err
+	}
+	t := tls.Client(c, h.peerKeys.Client(h.cfg.Settings.PeerName))
+	if err := t.HandshakeContext(ctx); err != nil {
+		_ = c.Close()
+		return nil, eris.Wrapf(err, "proving each other's name with %s", address)
+	}
+	return t, nil
 }
 
 // clients returns what the listener asks of its clients.
--- /dev/null
+++ b/entry/listener/bounded_test.go
@@ -0,0 +1,94 @@
+package listener
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/godwitcross/godwitcross/entry/settings"
+)
+
+// serveStandard starts a bounded server of the standard library.
+func serveStandard(t *testing.T, l settings.Limits) (string, *Bounded) {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := NewBounded(raw, l)
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "ok")
+	})}
+	BoundHTTP(s, l)
+	t.Cleanup(func() { _ = s.Close() })
+	go func() { _ = s.Serve(b) }()
+	return raw.Addr().String(), b
+}
+
+func TestTheStandardServerCutsOffSlowClients(t *testing.T) {
+	const bound = 200 * time.Millisecond
+	tests := map[string]struct {
+		limit func(l *settings.Limits)
+		act   func(c net.Conn) bool
+	}{
+		"nothing is sent": {
+			func(l *settings.Limits) { l.HeaderTime = bound },
+			hungUp,
+		},
+		"headers byte by byte": {
+			func(l *settings.Limits) { l.HeaderTime = bound },
+			func(c net.Conn) bool { return trickle(c, "GET / HTTP/1.1\r\nHost: h\r\n") },
+		},
+		"a body byte by byte": {
+			func(l *settings.Limits) { l.HeaderTime, l.BodyTime = bound, bound },
+			func(c net.Conn) bool { return trickle(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n") },
+		},
+		"idle after an answer": {
+			func(l *settings.Limits) { l.IdleTime = bound },
+			func(c net.Conn) bool {
+				_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				return hungUp(c)
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := small()
+			test.limit(&l)
+			address, _ := serveStandard(t, l)
+			require.True(t, test.act(guarded{address: address}.dial(t)), "the server hangs up")
+		})
+	}
+}
+
+func TestBoundedCountsConnectionsInAndOut(t *testing.T) {
+	const attempts, bound = 500, 20
+	for name, limit := range map[string]func(l *settings.Limits){
+		"from one address": func(l *settings.Limits) { l.ConnectionsPerAddress = bound },
+		"in all":           func(l *settings.Limits) { l.Connections = bound },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := small()
+			l.HeaderTime = time.Second
+			limit(&l)
+			address, b := serveStandard(t, l)
+			g := guarded{address: address}
+			peak := 0
+			for range attempts {
+				_, _ = io.WriteString(g.dial(t), "GET / HT")
+				peak = max(peak, b.Open())
+			}
+			require.LessOrEqual(t, peak, bound)
+			require.Eventually(t, func() bool { return b.Open() == 0 }, patience, 10*time.Millisecond, "all are cut off")
+			c := g.dial(t)
+			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			status, _ := answer(t, c)
+			require.Equal(t, fasthttp.StatusOK, status)
+		})
+	}
+}
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -4,17 +4,20 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/twitchtv/twirp"
 
 	"github.com/godwitcross/godwitcross/entry/follower"
+	"github.com/godwitcross/godwitcross/entry/listener"
 	"github.com/godwitcross/godwitcross/entry/peer/wire"
+	"github.com/godwitcross/godwitcross/entry/settings"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 )
 
@@ -25,8 +28,6 @@
 	// maxReadRecords and maxReadBytes bound one answer with records.
 	maxReadRecords = 1000
 	maxReadBytes   = 4 << 20
-	headerTimeout  = 2 * time.Second
-	bodyTimeout    = 5 * time.Second
 )
 
 // Records gives the applied records and snapshots of this host.
@@ -50,6 +51,8 @@
 	Log       logrus.FieldLogger
 	Exchanger *Exchanger
 	Records   Records
+	// Limits bound what one peer, or who pretends to be one, can take.
+	Limits settings.Limits
 	// Claims and Loads may be nil; claims are then answered as unknown.
 	Claims Claims
 	Loads  Loads
@@ -70,13 +73,10 @@
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{cfg: cfg}
 	s.http = &http.Server{
-		Handler:           http.MaxBytesHandler(wire.NewPeerServer(s), maxBodyBytes),
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		WriteTimeout:      SnapshotTimeout,
-		IdleTimeout:       2 * idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		Handler:  http.MaxBytesHandler(wire.NewPeerServer(s), maxBodyBytes),
+		ErrorLog: log.New(io.Discard, "", 0),
 	}
+	listener.BoundHTTP(s.http, cfg.Limits)
 	return s
 }
 
--- a/entry/settings/limits.go
+++ b/entry/settings/limits.go
@@ -42,7 +42,7 @@
 		IdleTime: time.Minute, Connections: 256, ConnectionsPerAddress: 64,
 	}
 	PeerLimits = Limits{
-		HeaderBytes: 8 << 10, HeaderTime: 5 * time.Second, BodyTime: 10 * time.Second, AnswerTime: 10 * time.Second,
+		HeaderBytes: 8 << 10, HeaderTime: 2 * time.Second, BodyTime: 3 * time.Second, AnswerTime: 10 * time.Second,
 		IdleTime: time.Minute, Connections: 2048, ConnectionsPerAddress: 64,
 	}
 )
--- a/standin/deployment/security.go
+++ b/standin/deployment/security.go
@@ -7,10 +7,15 @@
 // Security says how entry hosts know their clients. The zero value is for
 // development: plain text, and names in headers are believed.
 type Security struct {
-	// Callers and Operators are used where Encrypted is set.
+	// Callers, Operators and Peers are used where Encrypted is set.
 	Encrypted bool
 	Callers   settings.Listener
 	Operators settings.Listener
+	Peers     settings.Listener
+	// PeerAddresses are asked in place of those of the deployment.
+	PeerAddresses []string
+	// Names has names in headers believed although listeners are encrypted.
+	Names bool
 	// BootstrapTokenDigest is that of the token that publishes the first
 	// configuration.
 	BootstrapTokenDigest string
@@ -19,9 +24,12 @@
 // apply fills the security settings of an entry host.
 func (s Security) apply(to *settings.Settings) {
 	if s.Encrypted {
-		to.CallerListener, to.OperatorListener = s.Callers, s.Operators
-		to.PeerListener.Transport = settings.TransportPlainText
+		to.CallerListener, to.OperatorListener, to.PeerListener = s.Callers, s.Operators, s.Peers
+		to.Peers = s.PeerAddresses
 		to.BootstrapTokenDigest = s.BootstrapTokenDigest
+		if s.Names {
+			to.Names = settings.NamesAllowed
+		}
 		return
 	}
 	to.Names = settings.NamesAllowed
