--- a/bench/bound/table.go
+++ b/bench/bound/table.go
@@ -2,7 +2,12 @@
 // stated target, never from what was measured.
 package bound
 
-import "github.com/godwitcross/godwitcross/bench/measure"
+import (
+	"fmt"
+	"math"
+
+	"github.com/godwitcross/godwitcross/bench/measure"
+)
 
 // Bound is the target of one figure.
 type Bound struct {
@@ -15,6 +20,28 @@
 	Source string
 }
 
+// Better says which values are better: a bound from 0 is kept by lower ones, any
+// other by higher ones.
+func (b Bound) Better() measure.Direction {
+	if b.Low <= 0 {
+		return measure.Lower
+	}
+	return measure.Higher
+}
+
+// Range returns the bound as text.
+func (b Bound) Range() string {
+	switch {
+	case b.Low == b.High:
+		return fmt.Sprintf("%g", b.Low)
+	case math.IsInf(b.High, 1) || b.High == math.MaxFloat64:
+		return fmt.Sprintf("at least %g", b.Low)
+	case b.Low <= 0:
+		return fmt.Sprintf("at most %g", b.High)
+	}
+	return fmt.Sprintf("%g to %g", b.Low, b.High)
+}
+
 // Verdict is a figure beside its bound.
 type Verdict struct {
 	measure.Figure
--- a/bench/measure/measure.go
+++ b/bench/measure/measure.go
@@ -26,6 +26,9 @@
 	Unit  Unit
 	// Deterministic figures depend on the seed alone, never on the machine.
 	Deterministic bool
+	// Better says which values are better; where it is empty, the figure's bound
+	// says it.
+	Better Direction `json:",omitempty"`
 }
 
 // Options are those of every measurement.
@@ -35,6 +38,8 @@
 	Duration time.Duration
 	// Progress reports what is being done; it is never nil.
 	Progress func(text string)
+	// Chart takes pictures; it may be nil, so measurements call Plot.
+	Chart func(c Chart)
 }
 
 // Measurement is one experiment.
