test: a slow body is told from slow headers

Cause: with the body's bound taken out of the standard library's server the test still passed, since its headers were slow as well and were cut off first. Change: the head is sent at once and the body byte by byte. Figures: without the bound the test now fails (go test ./entry/listener). Conclusion: the check fires for the bound that it names.

--- a/entry/listener/bounded_test.go
+++ b/entry/listener/bounded_test.go
@@ -45,7 +45,9 @@
 		},
 		"a body byte by byte": {
 			func(l *settings.Limits) { l.HeaderTime, l.BodyTime = bound, bound },
-			func(c net.Conn) bool { return trickle(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n") },
+			func(c net.Conn) bool {
+				return trickleAfter(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n")
+			},
 		},
 		"idle after an answer": {
 			func(l *settings.Limits) { l.IdleTime = bound },
--- a/entry/listener/listener_test.go
+++ b/entry/listener/listener_test.go
@@ -96,12 +96,18 @@
 				n, ok := err.(net.Error)
 				return !ok || !n.Timeout()
 			}
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(20 * time.Millisecond)
 		}
 		text = "X-More: 1\r\n"
 	}
 }
 
+// trickleAfter sends the head at once and the body byte by byte.
+func trickleAfter(c net.Conn, head string) bool {
+	_, _ = io.WriteString(c, head)
+	return trickle(c, "body")
+}
+
 func TestSlowClientsAreCutOff(t *testing.T) {
 	const bound = 200 * time.Millisecond
 	tests := map[string]struct {
@@ -118,12 +124,14 @@
 		},
 		"a body byte by byte": {
 			func(l *settings.Limits) { l.BodyTime = bound },
-			func(c net.Conn) bool { return trickle(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n") },
+			func(c net.Conn) bool {
+				return trickleAfter(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n")
+			},
 		},
 		"a chunked body byte by byte": {
 			func(l *settings.Limits) { l.BodyTime = bound },
 			func(c net.Conn) bool {
-				return trickle(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n300\r\n")
+				return trickleAfter(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n300\r\n")
 			},
 		},
 		"idle after an answer": {
