feat: an owner submits and cancels its own jobs only

Cause: any operator could submit jobs in the other owner's name and cancel the other's jobs. Change: the entry host writes whom the author publishes for into the record, and the fold rejects a record with another owner's job as a whole; unknown operators are refused with status 403.

--- a/entry/placement/routes.go
+++ b/entry/placement/routes.go
@@ -38,7 +38,9 @@
 			return
 		}
 	}
-	p.append(ctx, s.ID, placement.KindSubmit, placement.Submit{Jobs: s.Jobs})
+	if owner, ok := p.publishesFor(ctx); ok {
+		p.append(ctx, s.ID, placement.KindSubmit, placement.Submit{Owner: owner, Jobs: s.Jobs})
+	}
 }
 
 func (p *Placement) cancel(ctx *fasthttp.RequestCtx) {
@@ -47,14 +49,26 @@
 		operator.Refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Jobs\":[...]}")
 		return
 	}
-	p.append(ctx, c.ID, placement.KindCancel, placement.Cancel{Jobs: c.Jobs})
+	if owner, ok := p.publishesFor(ctx); ok {
+		p.append(ctx, c.ID, placement.KindCancel, placement.Cancel{Owner: owner, Jobs: c.Jobs})
+	}
+}
+
+// publishesFor returns the owner whose jobs the operator may touch, or refuses.
+// The record carries the owner, so that the fold rejects what is another's.
+func (p *Placement) publishesFor(ctx *fasthttp.RequestCtx) (inventory.OwnerID, bool) {
+	owner, err := p.cfg.Fleet.Latest().Configuration.PublishesFor(operator.By(ctx))
+	if err != nil {
+		operator.Refuse(ctx, fasthttp.StatusForbidden, err.Error())
+		return "", false
+	}
+	return owner, true
 }
 
 // append adds an operator's record and answers with its verdict. The answer
 // comes only after the record is in the log.
 func (p *Placement) append(ctx *fasthttp.RequestCtx, id journal.RecordID, kind journal.Kind, body any) {
-	by := string(ctx.Request.Header.Peek(operation.HeaderOperator))
-	r, err := journal.NewRecord(id, kind, time.Now(), by, body)
+	r, err := journal.NewRecord(id, kind, time.Now(), string(operator.By(ctx)), body)
 	if err != nil {
 		operator.Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
--- a/fleet/configuration/authority.go
+++ b/fleet/configuration/authority.go
@@ -100,18 +100,15 @@
 	return nil
 }
 
-// CanChange returns an error unless the operator publishes for the owner. While
-// there are no operators everybody can.
-func (cfg Configuration) CanChange(by inventory.OperatorID, owner inventory.OwnerID) error {
+// PublishesFor returns the owner that the operator publishes for. While there
+// are no operators it is empty, which stands for every owner.
+func (cfg Configuration) PublishesFor(by inventory.OperatorID) (inventory.OwnerID, error) {
 	if len(cfg.Operators) == 0 {
-		return nil
+		return "", nil
 	}
 	author, ok := cfg.Operators[by]
 	if !ok {
-		return eris.Wrapf(ErrAuthor, "operator %q is not known", by)
+		return "", eris.Wrapf(ErrAuthor, "operator %q is not known", by)
 	}
-	if author.Owner != owner {
-		return eris.Wrapf(ErrAuthor, "operator %s publishes for %s, not for %s", by, author.Owner, owner)
-	}
-	return nil
+	return author.Owner, nil
 }
--- a/fleet/placement/record.go
+++ b/fleet/placement/record.go
@@ -28,18 +28,25 @@
 	ErrConflict = eris.New("the job ID belongs to another job")
 	ErrFull     = eris.New("the data centre holds too many jobs")
 	ErrFenced   = eris.New("only the holder of the duty writes this record")
+	ErrOwner    = eris.New("the job belongs to another owner")
 )
 
 // Submit adds jobs to the queue. A job that is known already is passed over if
 // it is the same; another job under its ID rejects the whole record.
 type Submit struct {
-	Jobs []configuration.Job
+	// Owner is whom the author publishes for; another owner's job rejects the
+	// record. It is empty where there are no operators.
+	Owner inventory.OwnerID `json:",omitempty"`
+	Jobs  []configuration.Job
 }
 
 // Cancel ends queued jobs at once and asks for the stop of started ones. A job
 // that is unknown or has ended is passed over.
 type Cancel struct {
-	Jobs []inventory.JobID
+	// Owner is whom the author publishes for; another owner's job rejects the
+	// record. It is empty where there are no operators.
+	Owner inventory.OwnerID `json:",omitempty"`
+	Jobs  []inventory.JobID
 }
 
 // Start is the decision to run a job. A worker is told only after the record
--- a/fleet/placement/reducer.go
+++ b/fleet/placement/reducer.go
@@ -185,6 +185,9 @@
 		if err := c.Validate(); err != nil {
 			return err
 		}
+		if s.Owner != "" && c.Owner != s.Owner {
+			return eris.Wrapf(ErrOwner, "%s", c.ID)
+		}
 		known, ok := fresh[c.ID]
 		if j, found := r.jobs[c.ID]; found {
 			known, ok = j.Job, true
@@ -222,6 +225,11 @@
 }
 
 func (r *Reducer) cancel(c Cancel) error {
+	for _, id := range c.Jobs {
+		if j, ok := r.jobs[id]; ok && c.Owner != "" && j.Owner != c.Owner {
+			return eris.Wrapf(ErrOwner, "%s", id)
+		}
+	}
 	for _, id := range c.Jobs {
 		j, ok := r.jobs[id]
 		switch {
