--- a/entry/identity/caller.go
+++ b/entry/identity/caller.go
@@ -15,8 +15,9 @@
 	// HeaderTenant names the tenant to the tasks behind the check. What a caller
 	// sends in it is dropped unless the settings allow names in headers.
 	HeaderTenant = "Tenant"
-	// HeaderTenantToken carries a tenant's token. It goes no further than the
-	// check; Authorization is left to the service.
+	// HeaderTenantToken carries a tenant's token where the service wants
+	// Authorization for itself; otherwise Authorization carries it as a bearer
+	// token. The token goes no further than the check.
 	HeaderTenantToken = "Tenant-Token"
 )
 
@@ -45,16 +46,30 @@
 func (c *Callers) Handler(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		h := &ctx.Request.Header
-		token := h.Peek(HeaderTenantToken)
-		id, ok := c.tokens.Find(c.state.Latest().Configuration, token)
-		named := len(token) == 0 && c.names == settings.NamesAllowed
-		h.Del(HeaderTenantToken)
+		id, proved, sent := c.who(h)
 		switch {
-		case ok:
+		case proved:
 			h.Set(HeaderTenant, string(id))
-		case !named:
+		case sent || c.names != settings.NamesAllowed:
 			h.Del(HeaderTenant)
 		}
 		next(ctx)
 	}
 }
+
+// who returns the tenant that a token proves, and whether the request brought a
+// token that is for the entry host. Such a token is removed. An Authorization
+// that proves no tenant may be the service's and stays.
+func (c *Callers) who(h *fasthttp.RequestHeader) (id inventory.TenantID, proved, sent bool) {
+	cfg := c.state.Latest().Configuration
+	if token := h.Peek(HeaderTenantToken); len(token) > 0 {
+		id, proved = c.tokens.Find(cfg, token)
+		h.Del(HeaderTenantToken)
+		return id, proved, true
+	}
+	token, _ := bearerToken(h)
+	if id, proved = c.tokens.Find(cfg, token); proved {
+		h.Del(fasthttp.HeaderAuthorization)
+	}
+	return id, proved, proved
+}
--- a/entry/identity/operator.go
+++ b/entry/identity/operator.go
@@ -80,7 +80,7 @@
 func (o *Operators) who(ctx *fasthttp.RequestCtx) (inventory.OperatorID, bool) {
 	cfg := o.state.Latest().Configuration
 	certified, isCertified := o.certified(ctx, cfg)
-	token, sent := bearerToken(ctx)
+	token, sent := bearerToken(&ctx.Request.Header)
 	if !sent {
 		if isCertified || o.names != settings.NamesAllowed {
 			return certified, isCertified
@@ -121,12 +121,12 @@
 
 // bearerToken returns the token of the request and whether it brought any
 // credentials at all. Credentials of another scheme are a token of nobody.
-func bearerToken(ctx *fasthttp.RequestCtx) ([]byte, bool) {
-	h := ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)
-	if len(h) == 0 {
+func bearerToken(h *fasthttp.RequestHeader) ([]byte, bool) {
+	value := h.Peek(fasthttp.HeaderAuthorization)
+	if len(value) == 0 {
 		return nil, false
 	}
-	token, ok := bytes.CutPrefix(h, scheme)
+	token, ok := bytes.CutPrefix(value, scheme)
 	if !ok {
 		return nil, true
 	}
