fix: an agreement lapses when its objects change, and no base lies ahead

Cause: a proposal stood however its objects changed later, so the other owner could publish it over its proposer's newer change; and a base version above the one in force passed by every check for races. Change: a proposal counts only while none of its objects changed after its base; a change or proposal whose base is after the version in force is stale. Conclusion: both were brought about first by a test that failed without the change (fleet/configuration/authority_test.go).

--- a/entry/operator/publication.go
+++ b/entry/operator/publication.go
@@ -79,7 +79,7 @@
 		return err
 	}
 	cfg := st.Configuration
-	if err := cfg.Authorize(by, c, configuration.Consents(st.Proposals, digest)); err != nil {
+	if err := cfg.Authorize(by, c, cfg.Consents(st.Proposals, digest)); err != nil {
 		return err
 	}
 	next, err := cfg.Apply(c, cfg.Version+1)
--- a/fleet/configuration/authority_test.go
+++ b/fleet/configuration/authority_test.go
@@ -52,7 +52,13 @@
 
 func (h *history) add(by string, kind journal.Kind, c Change) error {
 	h.t.Helper()
-	c.Base = Version(h.n)
+	c.Base = h.r.Current().Version
+	return h.addAt(by, kind, c)
+}
+
+// addAt is add with the base version that the change names.
+func (h *history) addAt(by string, kind journal.Kind, c Change) error {
+	h.t.Helper()
 	r, err := journal.NewRecord("r", kind, time.Unix(0, 0), by, c)
 	require.NoError(h.t, err)
 	h.n++
@@ -132,6 +138,23 @@
 	require.ErrorIs(t, h.add("bea", KindChange, region("North")), ErrAuthor, "an agreement is used once")
 }
 
+func TestAgreementIsToWhatTheProposerLookedAt(t *testing.T) {
+	give := Change{Set: hosts("c2", Host{Owner: "Campanella"})}
+	h := newHistory(t, twoOwners(t))
+	require.NoError(t, h.add("ana", KindProposal, give))
+	require.NoError(t, h.add("ana", KindChange, Change{Set: hosts("c2", Host{Owner: "Corchos", Labels: label.Set{"Kept": "yes"}})}))
+	require.ErrorIs(t, h.add("bea", KindChange, give), ErrAuthor, "the host changed after the proposal")
+	old := give
+	require.ErrorIs(t, h.addAt("ana", KindProposal, old), ErrStale)
+	ahead := give
+	ahead.Base = h.r.Current().Version + 1000
+	require.ErrorIs(t, h.addAt("ana", KindProposal, ahead), ErrStale, "a base that is not in force yet")
+	require.ErrorIs(t, h.addAt("ana", KindChange, ahead), ErrStale)
+	require.NoError(t, h.add("ana", KindProposal, give))
+	require.NoError(t, h.add("bea", KindChange, give))
+	require.Equal(t, inventory.OwnerID("Campanella"), h.r.Current().Hosts["c2"].Owner)
+}
+
 func TestProposalsOfOneOwnerDoNotPushOutTheOthers(t *testing.T) {
 	h := newHistory(t, twoOwners(t))
 	require.NoError(t, h.add("ana", KindProposal, Change{Delete: []Key{{KindDataCentre, "A"}}}))
--- a/fleet/configuration/change.go
+++ b/fleet/configuration/change.go
@@ -82,10 +82,8 @@
 	if len(touched) == 0 {
 		return cfg, ErrEmpty
 	}
-	for _, k := range touched {
-		if at := cfg.Changed[k]; at > c.Base {
-			return cfg, eris.Wrapf(ErrStale, "%s was changed by version %d, after the base version %d", k, at, c.Base)
-		}
+	if err := cfg.stale(c); err != nil {
+		return cfg, err
 	}
 	next := cfg
 	next.Version = version
@@ -112,6 +110,17 @@
 	return next, nil
 }
 
+// stale returns an error if an object that the change touches was changed after
+// its base version.
+func (cfg Configuration) stale(c Change) error {
+	for _, k := range c.Touched() {
+		if at := cfg.Changed[k]; at > c.Base {
+			return eris.Wrapf(ErrStale, "%s was changed by version %d, after the base version %d", k, at, c.Base)
+		}
+	}
+	return nil
+}
+
 // mustMatch returns which pools' selectors have to match a host after the
 // change: those that it sets, and those of the owners whose hosts it touches.
 // An owner can take back a lent host although the other's pool ends up empty.
--- a/fleet/configuration/proposal.go
+++ b/fleet/configuration/proposal.go
@@ -63,11 +63,12 @@
 	return append(waiting, p)
 }
 
-// Consents returns the owners that proposed the content of the digest.
-func Consents(waiting []Proposal, digest string) []inventory.OwnerID {
+// Consents returns the owners that proposed the content of the digest and whose
+// proposal is not stale: none of its objects changed after its base version.
+func (cfg Configuration) Consents(waiting []Proposal, digest string) []inventory.OwnerID {
 	var owners []inventory.OwnerID
 	for _, w := range waiting {
-		if w.Digest == digest {
+		if w.Digest == digest && cfg.stale(w.Change) == nil {
 			owners = append(owners, w.Owner)
 		}
 	}
--- a/fleet/configuration/reducer.go
+++ b/fleet/configuration/reducer.go
@@ -52,11 +52,15 @@
 	if err != nil {
 		return err
 	}
+	// A base that is not in force yet would hide every change made before it is.
+	if c.Base > r.current.Version {
+		return eris.Wrapf(ErrStale, "the base version %d is after version %d in force", c.Base, r.current.Version)
+	}
 	by := inventory.OperatorID(e.Record.By)
 	if e.Record.Kind == KindProposal {
 		return r.propose(e, c, by, digest)
 	}
-	if err := r.current.Authorize(by, c, Consents(r.proposals, digest)); err != nil {
+	if err := r.current.Authorize(by, c, r.current.Consents(r.proposals, digest)); err != nil {
 		return err
 	}
 	// Offsets start at 0 and version 0 is the empty configuration.
@@ -78,6 +82,9 @@
 	if len(c.Touched()) == 0 {
 		return ErrEmpty
 	}
+	if err := r.current.stale(c); err != nil {
+		return err
+	}
 	r.proposals = propose(r.proposals, Proposal{Owner: author.Owner, By: by, Offset: e.Offset, Digest: digest, Change: c})
 	return nil
 }
