--- a/standin/check/security.go
+++ b/standin/check/security.go
@@ -13,10 +13,10 @@
 	"github.com/godwitcross/godwitcross/ctl/client"
 	"github.com/godwitcross/godwitcross/entry/caller"
 	"github.com/godwitcross/godwitcross/entry/identity"
-	"github.com/godwitcross/godwitcross/entry/operator"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 	"github.com/godwitcross/godwitcross/standin/deployment"
 )
 
@@ -109,7 +109,7 @@
 	t.TokenDigests = []string{configuration.DigestToken([]byte(securedToken)).String()}
 	c := configuration.Change{Base: cfg.Version, Set: configuration.Objects{Tenants: map[inventory.TenantID]configuration.Tenant{securedTenant: t}}}
 	var v journal.Verdict
-	if err := s.operators.Post("/changes", operator.Publication{ID: "secured-token", Change: c}, &v); err != nil {
+	if err := s.operators.Post("/changes", operation.Publication{ID: "secured-token", Change: c}, &v); err != nil {
 		return eris.Wrap(err, "publishing a token's digest")
 	}
 	if v.By != securedOperator {
@@ -128,7 +128,7 @@
 	h.Owner = cfg.Operators[securedOperator].Owner
 	c := configuration.Change{Base: cfg.Version, Set: configuration.Objects{Hosts: map[inventory.HostID]configuration.Host{foreignHost: h}}}
 	var v journal.Verdict
-	err = s.operators.Post("/changes", operator.Publication{ID: "secured-foreign", Change: c}, &v)
+	err = s.operators.Post("/changes", operation.Publication{ID: "secured-foreign", Change: c}, &v)
 	if !errors.Is(err, client.ErrRefused) {
 		return eris.Wrapf(ErrWrong, "an operator took over the other owner's host: %v", err)
 	}
--- a/standin/deployment/secret_test.go
+++ b/standin/deployment/secret_test.go
@@ -14,10 +14,10 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/godwitcross/godwitcross/ctl/client"
-	"github.com/godwitcross/godwitcross/entry/operator"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 )
 
 // seen collects all that leaves an entry host. It is safe for concurrent use.
@@ -83,9 +83,9 @@
 	first.Tenants["Secretaries"] = s
 	bootstrap := client.NewClient(client.Config{Address: e.Settings.OperatorAddress, TLS: mutual, Token: root})
 	var v journal.Verdict
-	require.NoError(t, bootstrap.Post("/changes", operator.Publication{ID: "first", Change: configuration.Change{Set: first}}, &v))
+	require.NoError(t, bootstrap.Post("/changes", operation.Publication{ID: "first", Change: configuration.Change{Set: first}}, &v))
 	require.Equal(t, "bootstrap", v.By)
-	err = bootstrap.Post("/changes", operator.Publication{ID: "second", Change: configuration.Change{Base: 1, Delete: []configuration.Key{{Kind: configuration.KindTenant, Name: "Editors"}}}}, &v)
+	err = bootstrap.Post("/changes", operation.Publication{ID: "second", Change: configuration.Change{Base: 1, Delete: []configuration.Key{{Kind: configuration.KindTenant, Name: "Editors"}}}}, &v)
 	require.ErrorIs(t, err, client.ErrRefused, "the first token is good for the first configuration alone")
 	_, _ = out.Write([]byte(err.Error()))
 
