feat: a picture of latency by class and tenant through a burst

Cause: reports had no pictures yet. Change: the measurement of requests hands over one chart for each scene and contender; the names of the headers that identity proves stand once.

--- a/bench/policy/requests.go
+++ b/bench/policy/requests.go
@@ -48,6 +48,7 @@
 			o.Progress(c.name + " " + scene.name)
 			w := newWorld(c, scene, o.Seed)
 			w.run()
+			o.Plot(w.tally.latencies.chart(c.name+scene.suffix, "Latency by class and tenant through a burst: "+c.name+" "+scene.name))
 			figures = append(figures, w.figures(c.name+scene.suffix)...)
 		}
 	}
--- a/bench/policy/requests_tally.go
+++ b/bench/policy/requests_tally.go
@@ -24,10 +24,12 @@
 	// useful is the work, within the service's bursts, that went into answers
 	// before the deadline, as time of slots at the usual speed.
 	useful time.Duration
+	// latencies are for the chart.
+	latencies latencies
 }
 
 func newTally() tally {
-	return tally{classes: map[class]*classTally{classUrgent: {}, classStandard: {}}}
+	return tally{latencies: make(latencies), classes: map[class]*classTally{classUrgent: {}, classStandard: {}}}
 }
 
 // work counts the work that a slot did within bursts, at the usual speed.
@@ -92,6 +94,7 @@
 	s := t.classes[c.Class]
 	switch e.Outcome {
 	case retry.Answered:
+		t.latencies.add(c, now)
 		if !now.After(c.Deadline) {
 			s.inTime++
 		}
--- a/entry/caller/interface.go
+++ b/entry/caller/interface.go
@@ -1,13 +1,14 @@
 package caller
 
 import (
+	"github.com/godwitcross/godwitcross/entry/identity"
 	"github.com/godwitcross/godwitcross/fleet/admission"
 )
 
 // Headers of the callers' interface.
 const (
-	// HeaderTenant names the caller's tenant.
-	HeaderTenant = "Tenant"
+	// HeaderTenant names the caller's tenant, as package identity proved it.
+	HeaderTenant = identity.HeaderTenant
 	// HeaderKey makes a request that is not idempotent run at most once,
 	// however often and wherever it is sent.
 	HeaderKey = "Idempotency-Key"
--- a/entry/identity/identity_test.go
+++ b/entry/identity/identity_test.go
@@ -17,6 +17,7 @@
 	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 )
 
 // token returns a token of the least length that differs by its name.
@@ -121,7 +122,7 @@
 			o := NewOperators(stateOf(test.cfg), test.names, digests(root)[0])
 			status := ask(t, o.Handler(func(ctx *fasthttp.RequestCtx) {
 				reached = true
-				seen = string(ctx.Request.Header.Peek(HeaderOperator))
+				seen = string(ctx.Request.Header.Peek(operation.HeaderOperator))
 				require.Empty(t, ctx.Request.Header.Peek("Authorization"), "the token goes no further")
 			}), "http://h"+test.path, test.certificate, test.headers)
 			require.Equal(t, test.refused, !reached)
--- a/entry/identity/operator.go
+++ b/entry/identity/operator.go
@@ -11,12 +11,9 @@
 	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 )
 
-// HeaderOperator names the operator to the paths behind the check. What an
-// operator sends in it is dropped unless the settings allow names in headers.
-const HeaderOperator = "Operator"
-
 // Bootstrap is who publishes the first configuration, while there is no
 // operator that could.
 const Bootstrap inventory.OperatorID = "bootstrap"
@@ -55,17 +52,18 @@
 	return digests
 }
 
-// Handler returns a handler that sets HeaderOperator to the operator that is
-// proved and passes the request on without its token. Everybody else is
-// answered with status 401, but for the paths that the balancer asks.
+// Handler returns a handler that sets operation.HeaderOperator to the operator
+// that is proved, whatever was sent in it, and passes the request on without its
+// token. Everybody else is answered with status 401, but for the paths that the
+// balancer asks.
 func (o *Operators) Handler(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		id, ok := o.who(ctx)
 		h := &ctx.Request.Header
 		h.Del(fasthttp.HeaderAuthorization)
-		h.Del(HeaderOperator)
+		h.Del(operation.HeaderOperator)
 		if id != "" {
-			h.Set(HeaderOperator, string(id))
+			h.Set(operation.HeaderOperator, string(id))
 		}
 		if !ok && !openPaths[string(ctx.Path())] {
 			refuse(ctx)
@@ -85,7 +83,7 @@
 		if isCertified || o.names != settings.NamesAllowed {
 			return certified, isCertified
 		}
-		return inventory.OperatorID(ctx.Request.Header.Peek(HeaderOperator)), true
+		return inventory.OperatorID(ctx.Request.Header.Peek(operation.HeaderOperator)), true
 	}
 	borne, isBorne := o.borne(cfg, token)
 	if !isBorne || isCertified && certified != borne {
