--- a/entry/identity/operator.go
+++ b/entry/identity/operator.go
@@ -11,12 +11,9 @@
 	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 )
 
-// HeaderOperator names the operator to the paths behind the check. What an
-// operator sends in it is dropped unless the settings allow names in headers.
-const HeaderOperator = "Operator"
-
 // Bootstrap is who publishes the first configuration, while there is no
 // operator that could.
 const Bootstrap inventory.OperatorID = "bootstrap"
@@ -55,17 +52,18 @@
 	return digests
 }
 
-// Handler returns a handler that sets HeaderOperator to the operator that is
-// proved and passes the request on without its token. Everybody else is
-// answered with status 401, but for the paths that the balancer asks.
+// Handler returns a handler that sets operation.HeaderOperator to the operator
+// that is proved, whatever was sent in it, and passes the request on without its
+// token. Everybody else is answered with status 401, but for the paths that the
+// balancer asks.
 func (o *Operators) Handler(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		id, ok := o.who(ctx)
 		h := &ctx.Request.Header
 		h.Del(fasthttp.HeaderAuthorization)
-		h.Del(HeaderOperator)
+		h.Del(operation.HeaderOperator)
 		if id != "" {
-			h.Set(HeaderOperator, string(id))
+			h.Set(operation.HeaderOperator, string(id))
 		}
 		if !ok && !openPaths[string(ctx.Path())] {
 			refuse(ctx)
@@ -80,12 +78,12 @@
 func (o *Operators) who(ctx *fasthttp.RequestCtx) (inventory.OperatorID, bool) {
 	cfg := o.state.Latest().Configuration
 	certified, isCertified := o.certified(ctx, cfg)
-	token, sent := bearerToken(ctx)
+	token, sent := bearerToken(&ctx.Request.Header)
 	if !sent {
 		if isCertified || o.names != settings.NamesAllowed {
 			return certified, isCertified
 		}
-		return inventory.OperatorID(ctx.Request.Header.Peek(HeaderOperator)), true
+		return inventory.OperatorID(ctx.Request.Header.Peek(operation.HeaderOperator)), true
 	}
 	borne, isBorne := o.borne(cfg, token)
 	if !isBorne || isCertified && certified != borne {
@@ -121,12 +119,12 @@
 
 // bearerToken returns the token of the request and whether it brought any
 // credentials at all. Credentials of another scheme are a token of nobody.
-func bearerToken(ctx *fasthttp.RequestCtx) ([]byte, bool) {
-	h := ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)
-	if len(h) == 0 {
+func bearerToken(h *fasthttp.RequestHeader) ([]byte, bool) {
+	value := h.Peek(fasthttp.HeaderAuthorization)
+	if len(value) == 0 {
 		return nil, false
 	}
-	token, ok := bytes.CutPrefix(h, scheme)
+	token, ok := bytes.CutPrefix(value, scheme)
 	if !ok {
 		return nil, true
 	}
--- a/entry/placement/canceller.go
+++ b/entry/placement/canceller.go
@@ -26,10 +26,15 @@
 // errCancelsFull means that a cancellation was not recorded.
 var errCancelsFull = eris.New("too many cancellations wait; nothing was cancelled")
 
+// errCancelRejected means that the fold rejected the cancellation.
+var errCancelRejected = eris.New("cancellation rejected; nothing was cancelled")
+
 // cancellation is one operator's request.
 type cancellation struct {
-	by   inventory.OperatorID
-	jobs []inventory.JobID
+	by inventory.OperatorID
+	// owner is whom the operator publishes for; empty stands for every owner.
+	owner inventory.OwnerID
+	jobs  []inventory.JobID
 	// done takes the one answer.
 	done chan error
 }
@@ -59,17 +64,19 @@
 			return nil
 		case first := <-c.in:
 			group := c.gather(ctx, first)
-			err := c.record(ctx, group, time.Now())
-			for _, one := range group {
-				one.done <- err
+			for _, owned := range byOwner(group) {
+				err := c.record(ctx, owned, time.Now())
+				for _, one := range owned {
+					one.done <- err
+				}
 			}
 		}
 	}
 }
 
 // cancel hands a cancellation over and waits until its record was folded.
-func (c *canceller) cancel(ctx context.Context, by inventory.OperatorID, jobs []inventory.JobID) error {
-	one := cancellation{by: by, jobs: jobs, done: make(chan error, 1)}
+func (c *canceller) cancel(ctx context.Context, one cancellation) error {
+	one.done = make(chan error, 1)
 	select {
 	case c.in <- one:
 	default:
@@ -102,10 +109,28 @@
 	return group
 }
 
+// byOwner parts a group by owner, in the order in which the owners first come.
+func byOwner(group []cancellation) [][]cancellation {
+	var owners []inventory.OwnerID
+	parts := make(map[inventory.OwnerID][]cancellation)
+	for _, one := range group {
+		if _, ok := parts[one.owner]; !ok {
+			owners = append(owners, one.owner)
+		}
+		parts[one.owner] = append(parts[one.owner], one)
+	}
+	out := make([][]cancellation, len(owners))
+	for i, w := range owners {
+		out[i] = parts[w]
+	}
+	return out
+}
+
+// record adds one record for cancellations of one owner.
 func (c *canceller) record(ctx context.Context, group []cancellation, now time.Time) error {
 	ctx, stop := context.WithTimeout(ctx, answerTime)
 	defer stop()
-	var body placement.Cancel
+	body := placement.Cancel{Owner: group[0].owner}
 	for _, one := range group {
 		body.Jobs = append(body.Jobs, one.jobs...)
 		if !slices.Contains(body.Operators, one.by) {
@@ -119,6 +144,9 @@
 	if err := c.cfg.Records.Append(ctx, c.stream, r); err != nil {
 		return err
 	}
-	_, err = c.board.Await(ctx, r.ID)
+	v, err := c.board.Await(ctx, r.ID)
+	if err == nil && v.Outcome != journal.Accepted {
+		return eris.Wrap(errCancelRejected, v.Reason)
+	}
 	return err
 }
--- a/entry/placement/filler_test.go
+++ b/entry/placement/filler_test.go
@@ -207,7 +207,7 @@
 	for i := range cancelQueue {
 		c.in <- cancellation{by: "o", jobs: []inventory.JobID{inventory.JobID(fmt.Sprint("j", i))}, done: make(chan error, 1)}
 	}
-	require.ErrorIs(t, c.cancel(context.Background(), "o", []inventory.JobID{"j"}), errCancelsFull)
+	require.ErrorIs(t, c.cancel(context.Background(), cancellation{by: "o", jobs: []inventory.JobID{"j"}}), errCancelsFull)
 	before := s.board.Progress().Next
 	for len(c.in) > 0 {
 		require.NoError(t, c.record(context.Background(), c.gather(context.Background(), <-c.in), s.now))
--- a/entry/placement/routes.go
+++ b/entry/placement/routes.go
@@ -33,18 +33,21 @@
 		operator.Refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Jobs\":[...]}")
 		return
 	}
-	owner := p.ownerOf(ctx)
+	owner, ok := p.publishesFor(ctx)
+	if !ok {
+		return
+	}
 	for _, j := range s.Jobs {
 		if err := j.Validate(); err != nil {
 			operator.Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
 			return
 		}
-		if j.Owner != owner {
+		if owner != "" && j.Owner != owner {
 			operator.Refuse(ctx, fasthttp.StatusForbidden, fmt.Sprintf("job %s belongs to %s", j.ID, j.Owner))
 			return
 		}
 	}
-	p.append(ctx, s.ID, placement.KindSubmit, placement.Submit{Jobs: s.Jobs})
+	p.append(ctx, s.ID, placement.KindSubmit, placement.Submit{Owner: owner, Jobs: s.Jobs})
 }
 
 func (p *Placement) cancel(ctx *fasthttp.RequestCtx) {
@@ -53,7 +56,11 @@
 		operator.Refuse(ctx, fasthttp.StatusBadRequest, "want {\"Jobs\":[...]}")
 		return
 	}
-	switch foreign, err := p.foreign(c.Jobs, p.ownerOf(ctx)); {
+	owner, ok := p.publishesFor(ctx)
+	if !ok {
+		return
+	}
+	switch foreign, err := p.foreign(c.Jobs, owner); {
 	case err != nil:
 		operator.Refuse(ctx, fasthttp.StatusServiceUnavailable, "the job stream is busy")
 		return
@@ -63,10 +70,12 @@
 	}
 	wait, stop := context.WithTimeout(context.Background(), answerTime)
 	defer stop()
-	err := p.canceller.cancel(wait, operator.By(ctx), c.Jobs)
+	err := p.canceller.cancel(wait, cancellation{by: operator.By(ctx), owner: owner, jobs: c.Jobs})
 	switch {
 	case err == nil:
 		operator.Answer(ctx, fasthttp.StatusOK, operation.CancelAnswer{Jobs: len(c.Jobs)})
+	case errors.Is(err, errCancelRejected):
+		operator.Refuse(ctx, fasthttp.StatusConflict, err.Error())
 	case errors.Is(err, errCancelsFull) || errors.Is(err, platform.ErrNotAppended):
 		operator.Refuse(ctx, fasthttp.StatusServiceUnavailable, err.Error())
 	default:
@@ -74,19 +83,15 @@
 	}
 }
 
-// ownerOf returns the owner for whom the operator acts; empty for nobody.
-func (p *Placement) ownerOf(ctx *fasthttp.RequestCtx) inventory.OwnerID {
-	return p.cfg.Fleet.Latest().Configuration.Operators[operator.By(ctx)].Owner
-}
-
-// foreign returns a job that is known and belongs to another owner, or none.
+// foreign returns a job that is known and belongs to another owner, or none. An
+// empty owner stands for every owner.
 func (p *Placement) foreign(jobs []inventory.JobID, owner inventory.OwnerID) (inventory.JobID, error) {
 	found := inventory.JobID("")
 	c, stop := context.WithTimeout(context.Background(), askTime)
 	defer stop()
 	err := p.board.Do(c, func(r *placement.Reducer, _ *placement.Scheduler) {
 		for _, id := range jobs {
-			if j, ok := r.Job(id); ok && j.Owner != owner {
+			if j, ok := r.Job(id); ok && owner != "" && j.Owner != owner {
 				found = id
 			}
 		}
@@ -94,6 +99,17 @@
 	return found, err
 }
 
+// publishesFor returns the owner whose jobs the operator may touch, or refuses.
+// The record carries the owner, so that the fold rejects what is another's.
+func (p *Placement) publishesFor(ctx *fasthttp.RequestCtx) (inventory.OwnerID, bool) {
+	owner, err := p.cfg.Fleet.Latest().Configuration.PublishesFor(operator.By(ctx))
+	if err != nil {
+		operator.Refuse(ctx, fasthttp.StatusForbidden, err.Error())
+		return "", false
+	}
+	return owner, true
+}
+
 // append adds an operator's record and answers with its verdict. The answer
 // comes only after the record is in the log.
 func (p *Placement) append(ctx *fasthttp.RequestCtx, id journal.RecordID, kind journal.Kind, body any) {
--- a/entry/settings/limits.go
+++ b/entry/settings/limits.go
@@ -35,14 +35,14 @@
 var (
 	CallerLimits = Limits{
 		HeaderBytes: 8 << 10, HeaderTime: 5 * time.Second, BodyTime: 30 * time.Second, AnswerTime: 30 * time.Second,
-		IdleTime: time.Minute, Connections: 8192, ConnectionsPerAddress: 4096,
+		IdleTime: time.Minute, Connections: 4096, ConnectionsPerAddress: 2048,
 	}
 	OperatorLimits = Limits{
 		HeaderBytes: 8 << 10, HeaderTime: 5 * time.Second, BodyTime: 30 * time.Second, AnswerTime: 30 * time.Second,
 		IdleTime: time.Minute, Connections: 256, ConnectionsPerAddress: 64,
 	}
 	PeerLimits = Limits{
-		HeaderBytes: 8 << 10, HeaderTime: 5 * time.Second, BodyTime: 10 * time.Second, AnswerTime: 10 * time.Second,
+		HeaderBytes: 8 << 10, HeaderTime: 2 * time.Second, BodyTime: 3 * time.Second, AnswerTime: 10 * time.Second,
 		IdleTime: time.Minute, Connections: 2048, ConnectionsPerAddress: 64,
 	}
 )
--- a/standin/check/bill.go
+++ b/standin/check/bill.go
@@ -26,11 +26,14 @@
 	d.Platform.Faults.Set(fault.Fault{Kind: fault.UsageMissing, Count: 20})
 	for _, c := range []struct {
 		owner    inventory.OwnerID
+		operator inventory.OperatorID
 		team     inventory.TeamID
 		pool     string
 		dc       inventory.DataCentreID
-		operator inventory.OperatorID
-	}{{"Corchos", "Pressing", "BatchPlans", "Montevideo-1", "corchos-operator"}, {"Campanella", "Rendering", "Recordings", "Palermo", "campanella-operator"}} {
+	}{
+		{"Corchos", "corchos-operator", "Pressing", "BatchPlans", "Montevideo-1"},
+		{"Campanella", "campanella-operator", "Rendering", "Recordings", "Palermo"},
+	} {
 		host := client.New(operatorsOf(d, c.dc), c.operator)
 		j := configuration.Job{
 			ID: inventory.JobID("bill-" + string(c.owner)), Owner: c.owner, Team: c.team, Labels: label.Set{"Pool": c.pool},
