feat: slots of cut-off data centres are dealt to the hosts that reach the servers

Cause: with data centres apart each host owned a ninth of the slots of the servers that it reached and had to borrow two thirds against two others who did the same; and the bound on ejected servers, half of all, kept two thirds of failing servers of other data centres in use.

--- a/bench/load/growth.go
+++ b/bench/load/growth.go
@@ -69,7 +69,7 @@
 	for i := range list {
 		list[i] = routing.Instance{ID: inventory.InstanceID(fmt.Sprintf("%04d", i)), DataCentre: "a"}
 	}
-	t.Update(list, 0, 1, now)
+	t.Update(list, nil, now)
 	return func() {
 		if i, err := t.Choose(nil, true, now); err == nil {
 			t.Ended(i.ID, retry.ResultAnswered, time.Millisecond, now)
--- a/bench/policy/requests_server.go
+++ b/bench/policy/requests_server.go
@@ -69,9 +69,20 @@
 	if !s.leavingSeen.IsZero() && w.now.Sub(s.leavingSeen) >= leavingGrace {
 		w.tally.sentToLeaving++
 	}
+	if w.apart && h.dataCentre != s.dataCentre {
+		w.after(connectTime, func() {
+			h.Ended(c.ID, dispatch.Result{Result: retry.ResultNotSent}, w.now)
+			w.act(h)
+		})
+		return
+	}
 	way := latency(h.dataCentre, s.dataCentre)
 	back := func(r dispatch.Result) {
-		w.after(way, func() {
+		wait := way
+		if w.apart && h.dataCentre != s.dataCentre {
+			r, wait = dispatch.Result{Result: retry.ResultNoAnswer}, max(a.Until.Sub(w.now), 0)
+		}
+		w.after(wait, func() {
 			if r.Sign != routing.NoSign && s.leavingSeen.IsZero() {
 				s.leavingSeen = w.now
 			}
@@ -139,6 +150,16 @@
 var scenes = []scene{
 	{"bursts", "", func(*world) {}},
 	{"bursts with faults", ".faults", playFaults},
+	{"bursts with data centres apart", ".apart", playApart},
+}
+
+// connectTime is how long a host waits for a connection across a cut.
+const connectTime = 300 * time.Millisecond
+
+// playApart cuts all data centres off from each other for the second cycle.
+// Each goes on with its own hosts and servers.
+func playApart(w *world) {
+	w.after(cycle, func() { w.apart = true })
 }
 
 // playFaults brings the failures of the brief into the second burst of each
--- a/bench/policy/requests_world.go
+++ b/bench/policy/requests_world.go
@@ -115,6 +115,8 @@
 	calls map[admission.RequestID]*fakeCall
 	next  admission.RequestID
 	tally tally
+	// apart is set while no data centre reaches another.
+	apart bool
 }
 
 // fakeHost is an entry host around a policy.
--- a/entry/backend/pool.go
+++ b/entry/backend/pool.go
@@ -23,8 +23,9 @@
 	// restTime is how long a connection is left alone after an answer. What comes
 	// meanwhile was asked for by nobody, and the connection is not used again.
 	restTime = 2 * time.Millisecond
-	// connectTime bounds the opening of a connection.
-	connectTime = time.Second
+	// connectTime bounds the opening of a connection; many times the way between
+	// data centres of a region.
+	connectTime = 300 * time.Millisecond
 	// HeaderNotRun is set by a backend server that refused without any effect.
 	HeaderNotRun = "Not-Run"
 	// notRunTrue is the value of HeaderNotRun.
--- a/fleet/dispatch/follow.go
+++ b/fleet/dispatch/follow.go
@@ -34,7 +34,7 @@
 		spec:    spec,
 		queue:   admission.NewQueue(admission.Config{Classes: spec.Classes, Order: d.cfg.Order}),
 		gate:    admission.NewGate(),
-		table:   routing.NewTable(routing.Config{DataCentre: d.cfg.DataCentre, Slots: spec.Slots, Random: d.cfg.Random}),
+		table:   routing.NewTable(routing.Config{Name: d.cfg.Name, DataCentre: d.cfg.DataCentre, Slots: spec.Slots, Random: d.cfg.Random}),
 		retries: retry.NewBudget(d.cfg.Retries),
 	}
 }
@@ -51,12 +51,12 @@
 // follow brings the tables in line with the host list and the configuration.
 func (d *Dispatcher) follow(now time.Time) {
 	byService := make(map[inventory.ServiceID][]routing.Instance)
-	var entries []inventory.EntryID
+	var entries []routing.Host
 	for _, h := range d.hosts.Hosts {
 		switch h.Role {
 		case inventory.RoleEntry:
 			if h.State == inventory.HostLive {
-				entries = append(entries, inventory.EntryID(h.ID))
+				entries = append(entries, routing.Host{ID: inventory.EntryID(h.ID), DataCentre: h.DataCentre})
 			}
 		case inventory.RoleBackend:
 			byService[h.Service] = append(byService[h.Service], routing.Instance{
@@ -67,24 +67,22 @@
 	}
 	for _, id := range d.order {
 		s := d.services[id]
-		rank, hosts := routing.Rank(d.cfg.Name, d.sharers(entries, byService[id]))
-		s.table.Update(byService[id], rank, hosts, now)
+		s.table.Update(byService[id], d.sharers(entries, byService[id]), now)
 		d.send(s, now)
 	}
 }
 
 // sharers returns the entry hosts that share the servers: those of the regions
 // in which the servers stand.
-func (d *Dispatcher) sharers(entries []inventory.EntryID, servers []routing.Instance) []inventory.EntryID {
+func (d *Dispatcher) sharers(entries []routing.Host, servers []routing.Instance) []routing.Host {
 	regions := make(map[inventory.RegionID]bool)
 	for _, i := range servers {
 		regions[d.objects.DataCentres[i.DataCentre].Region] = true
 	}
-	var out []inventory.EntryID
-	for _, h := range d.hosts.Hosts {
-		id := inventory.EntryID(h.ID)
-		if h.Role == inventory.RoleEntry && regions[d.objects.DataCentres[h.DataCentre].Region] && slices.Contains(entries, id) {
-			out = append(out, id)
+	var out []routing.Host
+	for _, h := range entries {
+		if regions[d.objects.DataCentres[h.DataCentre].Region] {
+			out = append(out, h)
 		}
 	}
 	return out
--- a/fleet/routing/health.go
+++ b/fleet/routing/health.go
@@ -13,8 +13,8 @@
 const (
 	// maxFailures in a row eject a server.
 	maxFailures = 2
-	// maxLostShare of a service's servers are taken out at once, at most, by what
-	// one host has seen without the host list.
+	// maxLostShare of a service's servers in this data centre, or in others, are
+	// taken out at once, at most, by what one host has seen without the host list.
 	maxLostShare = 0.5
 	// signHold is how long a server that showed a sign of leaving gets nothing,
 	// unless the host list tells more. It is longer than the list's delay.
@@ -39,6 +39,10 @@
 
 func (t *Table) answered(s *server, took time.Duration) {
 	s.refusals, s.failures = 0, 0
+	if s.lost {
+		s.lost = false
+		t.deal()
+	}
 	if s.signed && s.condition == inUse {
 		s.signed, s.recycles = false, true
 	}
@@ -77,8 +81,8 @@
 	if s.condition == ejected || s.condition == leaving {
 		return
 	}
-	if !t.mayLose(1) {
-		o := t.nextEjected()
+	if !t.mayLose(s) {
+		o := t.nextEjected(s.local)
 		if o == nil {
 			return
 		}
@@ -87,14 +91,38 @@
 	s.ejections++
 	s.failures, s.samples = 0, 0
 	t.sendAway(s, ejected, now.Add(awayAfterFailure.Pause(s.ejections, t.cfg.Random)))
+	if !s.lost {
+		s.lost = true
+		t.deal()
+	}
 }
 
-// mayLose reports whether n more servers can be taken out by what this host
-// alone has seen.
-func (t *Table) mayLose(n int) bool {
-	stay, out := 0, n
+// cutOff returns the other data centres of which every server is lost. Entry
+// hosts there are taken for cut off from the servers here, so that their slots
+// are dealt to the others; a server refuses if they are not.
+func (t *Table) cutOff() map[inventory.DataCentreID]bool {
+	out := make(map[inventory.DataCentreID]bool)
 	for _, s := range t.servers {
-		if s.Leaving {
+		if s.local || s.Leaving {
+			continue
+		}
+		lost, seen := out[s.DataCentre]
+		out[s.DataCentre] = s.lost && (lost || !seen)
+	}
+	return out
+}
+
+// mayLose reports whether the server can be taken out by what this host alone
+// has seen. Servers of other data centres may all go while one of this data
+// centre is in use: the two may be cut off from each other. Otherwise at least
+// half of the servers near or far stay.
+func (t *Table) mayLose(lost *server) bool {
+	if !lost.local && t.near.Len() > 0 {
+		return true
+	}
+	stay, out := 0, 1
+	for _, s := range t.servers {
+		if s.Leaving || s.local != lost.local {
 			continue
 		}
 		stay++
@@ -105,10 +133,11 @@
 	return float64(out) <= maxLostShare*float64(stay)
 }
 
-func (t *Table) nextEjected() *server {
+// nextEjected returns the ejected server, near or far, that is due next.
+func (t *Table) nextEjected(local bool) *server {
 	var next *server
 	for _, s := range t.servers {
-		if s.condition == ejected && (next == nil || comesBackBefore(s, next)) {
+		if s.condition == ejected && s.local == local && (next == nil || comesBackBefore(s, next)) {
 			next = s
 		}
 	}
@@ -143,7 +172,7 @@
 	if !ok || sign == NoSign || s.condition == leaving || s.recycles {
 		return
 	}
-	if !t.mayLose(1) {
+	if !t.mayLose(s) {
 		return
 	}
 	s.signed = true
--- a/fleet/routing/server.go
+++ b/fleet/routing/server.go
@@ -46,6 +46,8 @@
 	limit inventory.Slots
 	// refusals and failures are counted in a row.
 	refusals, failures int
+	// lost is true from an ejection to the next answer.
+	lost bool
 	// ejections counts ejections since the server last did well for long.
 	ejections int
 	// latency is the running mean of answered requests, samples their number
--- a/fleet/routing/share.go
+++ b/fleet/routing/share.go
@@ -23,12 +23,21 @@
 	return (n - rank + hosts - 1) / hosts
 }
 
-// Rank returns the place of a host among the entry hosts and their number. A
-// host that is not listed yet is added.
-func Rank(self inventory.EntryID, listed []inventory.EntryID) (rank, hosts int) {
-	all := slices.Clone(listed)
-	if !slices.Contains(all, self) {
-		all = append(all, self)
+// Host is an entry host that shares the servers.
+type Host struct {
+	ID         inventory.EntryID
+	DataCentre inventory.DataCentreID
+}
+
+// rank returns the place of a host among the others, but for those in data
+// centres that are cut off, and their number. A host that is not listed yet is
+// added.
+func rank(self inventory.EntryID, listed []Host, cutOff map[inventory.DataCentreID]bool) (place, hosts int) {
+	all := []inventory.EntryID{self}
+	for _, h := range listed {
+		if !cutOff[h.DataCentre] {
+			all = append(all, h.ID)
+		}
 	}
 	slices.Sort(all)
 	all = slices.Compact(all)
--- a/fleet/routing/table.go
+++ b/fleet/routing/table.go
@@ -25,6 +25,8 @@
 
 // Config is what a table is built from.
 type Config struct {
+	// Name is this entry host.
+	Name       inventory.EntryID
 	DataCentre inventory.DataCentreID
 	// Slots is the limit of each instance.
 	Slots inventory.Slots
@@ -47,7 +49,10 @@
 	inFlight, borrowed inventory.Slots
 	loan               loan
 	turn               uint64
-	rank, hosts        int
+	// sharers are the entry hosts that share the servers, hosts the number of
+	// those that the slots are dealt to; at least 1.
+	sharers []Host
+	hosts   int
 }
 
 // NewTable returns a table without servers.
@@ -59,11 +64,11 @@
 	return t
 }
 
-// Update replaces the instances and this host's rank among the entry hosts. It
-// keeps what is known of servers that stay. A list that suddenly names none at
-// all is passed over: an unreachable server costs less than an empty service.
-func (t *Table) Update(instances []Instance, rank, hosts int, now time.Time) {
-	t.rank, t.hosts = rank, hosts
+// Update replaces the instances and the entry hosts that share them. It keeps
+// what is known of servers that stay. A list that suddenly names none at all is
+// passed over: an unreachable server costs less than an empty service.
+func (t *Table) Update(instances []Instance, sharers []Host, now time.Time) {
+	t.sharers = sharers
 	if len(instances) == 0 {
 		return
 	}
@@ -125,9 +130,11 @@
 		}
 	}
 	slices.SortFunc(order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	var own int
+	own, t.hosts = rank(t.cfg.Name, t.sharers, t.cutOff())
 	t.own, t.borrowed = 0, 0
 	for place, s := range order {
-		s.own = Share(t.cfg.Slots, place, t.rank, t.hosts)
+		s.own = Share(t.cfg.Slots, place, own, t.hosts)
 		if s.condition == inUse {
 			t.own += s.own
 			t.queue(s).Fix(s.entry)
@@ -237,7 +244,7 @@
 
 // Hosts returns the number of entry hosts that share the servers, at least 1.
 func (t *Table) Hosts() int {
-	return max(t.hosts, 1)
+	return t.hosts
 }
 
 // InFlight returns this host's requests at all servers.
--- a/fleet/routing/table_test.go
+++ b/fleet/routing/table_test.go
@@ -25,7 +25,7 @@
 // newTable returns a table of one entry host that owns all 8 slots of n servers.
 func newTable(n int, dcs ...inventory.DataCentreID) *Table {
 	t := NewTable(Config{DataCentre: "a", Slots: 8, Random: rand.New(rand.NewPCG(1, 1))})
-	t.Update(instances(n, dcs...), 0, 1, start)
+	t.Update(instances(n, dcs...), nil, start)
 	return t
 }
 
@@ -86,8 +86,12 @@
 }
 
 func TestBorrowing(t *testing.T) {
-	table := NewTable(Config{DataCentre: "a", Slots: 8, Random: rand.New(rand.NewPCG(1, 1))})
-	table.Update(instances(9, "a"), 0, 9, start)
+	table := NewTable(Config{Name: "0", DataCentre: "a", Slots: 8, Random: rand.New(rand.NewPCG(1, 1))})
+	var hosts []Host
+	for i := range 9 {
+		hosts = append(hosts, Host{ID: inventory.EntryID(fmt.Sprint(i)), DataCentre: "a"})
+	}
+	table.Update(instances(9, "a"), hosts, start)
 	take(t, table, 8, start)
 	_, err := table.Choose(nil, false, start)
 	require.ErrorIs(t, err, ErrBusy, "only own slots without leave to borrow")
@@ -145,6 +149,23 @@
 	}
 }
 
+// TestCutOffDataCentre loses every server of another data centre. The slots of
+// its hosts are dealt to the others until a server there answers again.
+func TestCutOffDataCentre(t *testing.T) {
+	table := NewTable(Config{Name: "0", DataCentre: "a", Slots: 8, Random: rand.New(rand.NewPCG(1, 1))})
+	table.Update(instances(4, "a", "b"), []Host{{"0", "a"}, {"1", "b"}, {"2", "b"}, {"3", "a"}}, start)
+	require.Equal(t, inventory.Slots(8), table.own)
+	fail(table, "0001", start)
+	require.Equal(t, 4, table.Hosts())
+	fail(table, "0003", start)
+	require.Equal(t, 2, table.Hosts())
+	require.Equal(t, inventory.Slots(8), table.own, "half of each server here instead of a quarter of all")
+	table.wake(start.Add(time.Minute))
+	require.Equal(t, 2, table.Hosts(), "a server that is tried again is not back yet")
+	table.Ended("0003", retry.ResultAnswered, time.Millisecond, start.Add(time.Minute))
+	require.Equal(t, 4, table.Hosts())
+}
+
 func TestSlowReturn(t *testing.T) {
 	table := newTable(2, "a")
 	fail(table, "0000", start)
@@ -181,15 +202,15 @@
 	}
 	t.Run("the host list counts whatever the number", func(t *testing.T) {
 		table := newTable(2, "a")
-		table.Update(leaving(leaving(instances(2, "a"), 0), 1), 0, 1, start)
+		table.Update(leaving(leaving(instances(2, "a"), 0), 1), nil, start)
 		_, err := table.Choose(nil, true, start.Add(time.Hour))
 		require.ErrorIs(t, err, ErrNoServer)
 	})
 	t.Run("a server that stays after all returns slowly", func(t *testing.T) {
 		table := newTable(2, "a")
-		table.Update(leaving(instances(2, "a"), 0), 0, 1, start)
+		table.Update(leaving(instances(2, "a"), 0), nil, start)
 		require.Equal(t, 1, table.Len())
-		table.Update(instances(2, "a"), 0, 1, start)
+		table.Update(instances(2, "a"), nil, start)
 		require.Equal(t, inventory.Slots(1), table.servers["0000"].limit)
 	})
 	t.Run("a server that only recycles connections is found out", func(t *testing.T) {
@@ -204,13 +225,13 @@
 	})
 	t.Run("an empty list is passed over", func(t *testing.T) {
 		table := newTable(2, "a")
-		table.Update(nil, 0, 1, start)
+		table.Update(nil, nil, start)
 		require.Equal(t, 2, table.Len())
 	})
 	t.Run("load at a server that is gone is forgotten", func(t *testing.T) {
 		table := newTable(2, "a")
 		take(t, table, 16, start)
-		table.Update(instances(1, "a"), 0, 1, start)
+		table.Update(instances(1, "a"), nil, start)
 		table.Ended("0001", retry.ResultAnswered, time.Millisecond, start)
 		require.Equal(t, inventory.Slots(8), table.InFlight())
 	})
