perf: claims of a record share its identity in memory

Cause: each claim held its record's identity and time twice; 65,536 claims of five services would have taken more than the 32 MB of a node.

Change: claims point at their group, and 32,768 are remembered of a service.

--- a/entry/caller/interface.go
+++ b/entry/caller/interface.go
@@ -27,7 +27,6 @@
 	ReasonPath     admission.Reason = "UnknownPath"
 	ReasonService  admission.Reason = "UnknownService"
 	ReasonTenant   admission.Reason = "UnknownTenant"
-	ReasonNotReady admission.Reason = "NotReady"
 	ReasonMessage  admission.Reason = "BadMessage"
 	ReasonDeadline admission.Reason = "BadDeadline"
 	ReasonKey      admission.Reason = "BadKey"
--- a/entry/caller/resolve.go
+++ b/entry/caller/resolve.go
@@ -12,6 +12,7 @@
 	"github.com/godwitcross/godwitcross/fleet/admission"
 	"github.com/godwitcross/godwitcross/fleet/claim"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/dispatch"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/retry"
 )
@@ -85,7 +86,7 @@
 func (s *Server) find(h *fasthttp.RequestHeader) (target, admission.Reason) {
 	cfg := s.cfg.State.Latest().Configuration
 	if cfg.Version == 0 && len(cfg.Services) == 0 {
-		return target{}, ReasonNotReady
+		return target{}, dispatch.ReasonNotReady
 	}
 	service, uri, ok := splitPath(h.RequestURI())
 	if !ok {
--- a/fleet/claim/table.go
+++ b/fleet/claim/table.go
@@ -14,13 +14,13 @@
 const (
 	// MaxClaims is how many claims hosts make before the oldest has reached
 	// KeyWindow; then they make none.
-	MaxClaims = 65_536
+	MaxClaims = 32_768
 	// KeyWindow is how long a key is remembered at least. The log must keep
 	// records for longer.
 	KeyWindow = 10 * time.Minute
 	// spareClaims are remembered beyond MaxClaims, for groups that hosts had on
 	// their way when the limit was reached.
-	spareClaims = 8192
+	spareClaims = 4096
 	// recentGroups is how many records are remembered to drop their repeats.
 	recentGroups = 4096
 )
@@ -43,18 +43,23 @@
 	Record journal.RecordID
 }
 
-// entry is a claim in order of its age.
-type entry struct {
-	key    Digest
+// group is the record that its claims share.
+type group struct {
 	record journal.RecordID
 	at     time.Time
 }
 
+// entry is a claim in order of its age.
+type entry struct {
+	key   Digest
+	group *group
+}
+
 // Table is the claims of one service, folded from its stream. The same records
 // give the same table on every host.
 type Table struct {
-	// holders has the record that claimed each key.
-	holders map[Digest]journal.RecordID
+	// holders has the group that claimed each key.
+	holders map[Digest]*group
 	// order has all claims, oldest first; released ones stay until their turn.
 	order  []entry
 	groups *journal.Window[journal.RecordID]
@@ -62,7 +67,7 @@
 
 // NewTable returns a table without claims.
 func NewTable() *Table {
-	return &Table{holders: make(map[Digest]journal.RecordID), groups: journal.NewWindow[journal.RecordID](recentGroups)}
+	return &Table{holders: make(map[Digest]*group), groups: journal.NewWindow[journal.RecordID](recentGroups)}
 }
 
 // Apply folds one record. The first claim of a key holds it; a release counts
@@ -76,15 +81,16 @@
 		return err
 	}
 	t.groups.Add(r.ID)
+	own := &group{record: r.ID, at: r.At}
 	for _, k := range g.Claims {
 		if _, held := t.holders[k]; held {
 			continue
 		}
-		t.holders[k] = r.ID
-		t.order = append(t.order, entry{key: k, record: r.ID, at: r.At})
+		t.holders[k] = own
+		t.order = append(t.order, entry{key: k, group: own})
 	}
 	for _, l := range g.Releases {
-		if t.holders[l.Key] == l.Record {
+		if h, ok := t.holders[l.Key]; ok && h.record == l.Record {
 			delete(t.holders, l.Key)
 		}
 	}
@@ -97,7 +103,7 @@
 	for len(t.order) > MaxClaims+spareClaims {
 		e := t.order[0]
 		t.order = t.order[1:]
-		if t.holders[e.key] == e.record {
+		if t.holders[e.key] == e.group {
 			delete(t.holders, e.key)
 		}
 	}
@@ -105,12 +111,15 @@
 
 // Holder returns the record that claimed the key.
 func (t *Table) Holder(k Digest) (journal.RecordID, bool) {
-	r, ok := t.holders[k]
-	return r, ok
+	h, ok := t.holders[k]
+	if !ok {
+		return "", false
+	}
+	return h.record, true
 }
 
 // IsFull reports whether a further claim would push one out that is younger
 // than KeyWindow.
 func (t *Table) IsFull(now time.Time) bool {
-	return len(t.order) >= MaxClaims && now.Sub(t.order[len(t.order)-MaxClaims].at) < KeyWindow
+	return len(t.order) >= MaxClaims && now.Sub(t.order[len(t.order)-MaxClaims].group.at) < KeyWindow
 }
--- a/fleet/dispatch/dispatcher.go
+++ b/fleet/dispatch/dispatcher.go
@@ -111,7 +111,7 @@
 	c := &call{Request: r, attempts: retry.Attempts{Idempotent: r.Idempotent}, queued: now}
 	s, ok := d.services[r.Service]
 	if !ok {
-		d.refuse(c, admission.Refusal{Reason: ReasonService, After: admission.MinReturn})
+		d.refuse(c, admission.Refusal{Reason: ReasonNotReady, After: admission.MinReturn})
 		return
 	}
 	c.service = s
--- a/fleet/dispatch/message.go
+++ b/fleet/dispatch/message.go
@@ -13,7 +13,8 @@
 
 // Reasons of refusals beside those of admission.
 const (
-	ReasonService   admission.Reason = "UnknownService"
+	// ReasonNotReady is for a service that the configuration brought a moment ago.
+	ReasonNotReady  admission.Reason = "NotReady"
 	ReasonNoServer  admission.Reason = "NoServer"
 	ReasonNoAnswer  admission.Reason = "NoAnswer"
 	ReasonRefused   admission.Reason = "ServersRefused"
