perf: a plan looks at few pools, and urgent jobs wait for nothing else

A plan now looks at no more than 8 pools in which something changed, holds nothing else while urgent jobs wait, and the filler decides again in the same tick once something gave way.

Submissions and cancellations are those of the operator's own owner only.

--- a/bench/bound/bounds.go
+++ b/bench/bound/bounds.go
@@ -2,10 +2,5 @@
 
 import "slices"
 
-// Table is all bounds.
+// Table is all bounds. Each subject has its own in a file of its own.
 var Table = slices.Concat(requests, fleet, placement, state)
-
-// The bounds by subject; each subject has a file of its own.
-var (
-	placement []Bound
-)
--- a/bench/policy/list.go
+++ b/bench/policy/list.go
@@ -14,4 +14,5 @@
 	waves,
 	moves,
 	capacities,
+	jobPlacement,
 }
--- a/entry/placement/filler.go
+++ b/entry/placement/filler.go
@@ -27,14 +27,13 @@
 	lastLook  = 40 * time.Second
 	// tickTime bounds one tick, so that the runner goes on renewing its duties.
 	tickTime = 1500 * time.Millisecond
-	// replanAfter is how long an empty plan stands while nothing changes.
-	replanAfter = 5 * time.Second
 )
 
 // Bounds of one tick.
 const (
 	maxStarts    = 500
 	maxLooks     = 64
+	maxPlans     = 3
 	callsAtOnce  = 16
 	defaultStart = 1 * time.Minute
 )
@@ -64,9 +63,6 @@
 	announced []placement.Start
 	// unconfirmed are own starts that no worker has confirmed, by task.
 	unconfirmed map[placement.TaskID]placement.Job
-	// planned is the scheduler's version at the last empty plan, plannedAt its time.
-	planned   int64
-	plannedAt time.Time
 }
 
 func newFiller(cfg Config, stream journal.StreamID, board *Board) *filler {
@@ -92,7 +88,7 @@
 	if err := f.recorder.Settle(ctx); err != nil {
 		return err
 	}
-	for _, step := range []func(context.Context, time.Time) error{f.adopt, f.watch, f.stop, f.fill, f.adopt, f.start} {
+	for _, step := range []func(context.Context, time.Time) error{f.adopt, f.start, f.watch, f.stop, f.fill} {
 		if err := step(ctx, now); err != nil {
 			return err
 		}
@@ -109,7 +105,7 @@
 	f.boots = make(map[inventory.WorkerID]int, len(all))
 	f.looks = make(map[inventory.WorkerID]*look)
 	f.unconfirmed = make(map[placement.TaskID]placement.Job)
-	f.announced, f.planned = nil, -1
+	f.announced = nil
 	f.recorder.Begin(epoch)
 	for _, w := range all {
 		f.boots[w.Facts.ID] = w.Reboots
@@ -125,30 +121,29 @@
 	return nil
 }
 
-// fill decides what starts and what gives way.
+// fill decides what starts and what gives way, and decides again at once when
+// something gave way or urgent jobs kept the others back.
 func (f *filler) fill(ctx context.Context, now time.Time) error {
-	var plan placement.Plan
-	var version int64
-	err := f.board.Do(ctx, func(_ *placement.Reducer, s *placement.Scheduler) {
-		version = s.Version()
-		if version == f.planned && now.Sub(f.plannedAt) < replanAfter {
-			return
+	for range maxPlans {
+		var plan placement.Plan
+		err := f.board.Do(ctx, func(_ *placement.Reducer, s *placement.Scheduler) { plan = s.Plan(now, maxStarts) })
+		if err != nil || (plan.IsEmpty() && !plan.IsPartial) {
+			return err
 		}
-		plan = s.Plan(now, maxStarts)
-	})
-	if err != nil {
-		return err
-	}
-	if len(plan.Starts)+len(plan.Reliefs)+len(plan.GiveUps) == 0 {
-		if version != f.planned || now.Sub(f.plannedAt) >= replanAfter {
-			f.planned, f.plannedAt = version, now
+		if err := f.record(ctx, now, plan); err != nil {
+			return err
+		}
+		if err := f.adopt(ctx, now); err != nil {
+			return err
+		}
+		if err := f.start(ctx, now); err != nil {
+			return err
+		}
+		if err := f.relieve(ctx, now, plan.Reliefs); err != nil {
+			return err
 		}
-		return nil
-	}
-	if err := f.record(ctx, now, plan); err != nil {
-		return err
 	}
-	return f.relieve(ctx, now, plan.Reliefs)
+	return nil
 }
 
 // record writes the starts and keeps them to be told to their workers.
--- a/entry/placement/routes.go
+++ b/entry/placement/routes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -32,11 +33,16 @@
 		operator.Refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Jobs\":[...]}")
 		return
 	}
+	owner := p.ownerOf(ctx)
 	for _, j := range s.Jobs {
 		if err := j.Validate(); err != nil {
 			operator.Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
 			return
 		}
+		if j.Owner != owner {
+			operator.Refuse(ctx, fasthttp.StatusForbidden, fmt.Sprintf("job %s belongs to %s", j.ID, j.Owner))
+			return
+		}
 	}
 	p.append(ctx, s.ID, placement.KindSubmit, placement.Submit{Jobs: s.Jobs})
 }
@@ -47,14 +53,41 @@
 		operator.Refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Jobs\":[...]}")
 		return
 	}
+	switch foreign, err := p.foreign(c.Jobs, p.ownerOf(ctx)); {
+	case err != nil:
+		operator.Refuse(ctx, fasthttp.StatusServiceUnavailable, "the job stream is busy")
+		return
+	case foreign != "":
+		operator.Refuse(ctx, fasthttp.StatusForbidden, fmt.Sprintf("job %s belongs to another owner", foreign))
+		return
+	}
 	p.append(ctx, c.ID, placement.KindCancel, placement.Cancel{Jobs: c.Jobs})
 }
 
+// ownerOf returns the owner for whom the operator acts; empty for nobody.
+func (p *Placement) ownerOf(ctx *fasthttp.RequestCtx) inventory.OwnerID {
+	return p.cfg.Fleet.Latest().Configuration.Operators[operator.By(ctx)].Owner
+}
+
+// foreign returns a job that is known and belongs to another owner, or none.
+func (p *Placement) foreign(jobs []inventory.JobID, owner inventory.OwnerID) (inventory.JobID, error) {
+	found := inventory.JobID("")
+	c, stop := context.WithTimeout(context.Background(), askTime)
+	defer stop()
+	err := p.board.Do(c, func(r *placement.Reducer, _ *placement.Scheduler) {
+		for _, id := range jobs {
+			if j, ok := r.Job(id); ok && j.Owner != owner {
+				found = id
+			}
+		}
+	})
+	return found, err
+}
+
 // append adds an operator's record and answers with its verdict. The answer
 // comes only after the record is in the log.
 func (p *Placement) append(ctx *fasthttp.RequestCtx, id journal.RecordID, kind journal.Kind, body any) {
-	by := string(ctx.Request.Header.Peek(operation.HeaderOperator))
-	r, err := journal.NewRecord(id, kind, time.Now(), by, body)
+	r, err := journal.NewRecord(id, kind, time.Now(), string(operator.By(ctx)), body)
 	if err != nil {
 		operator.Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
--- a/fleet/placement/placement_test.go
+++ b/fleet/placement/placement_test.go
@@ -353,7 +353,7 @@
 	b.end("started", OutcomeStopped)
 	require.Equal(t, Cancelled, b.job("started").State)
 	require.Zero(t, b.jobs.Open())
-	require.Empty(t, b.jobs.queues.byKey)
+	require.Empty(t, b.jobs.queues.groups)
 }
 
 func TestASubmissionIsAcceptedOnce(t *testing.T) {
--- a/fleet/placement/planner.go
+++ b/fleet/placement/planner.go
@@ -33,22 +33,16 @@
 	return len(p.plan.Starts) >= p.limit
 }
 
-// cursors returns the queues of a class whose jobs some worker could hold. The
-// others block nobody, since each is a queue of its own.
-func (p *planner) cursors(urgent bool) []*cursor {
-	var all []*cursor
-	for _, q := range p.s.jobs.queues.inOrder(urgent) {
-		c := &cursor{queue: q, pool: p.s.pool(q), job: q.first}
-		if p.s.whyNever(q.first, c.pool) == "" {
-			all = append(all, c)
-		}
-	}
-	return all
-}
-
 // urgent starts urgent jobs in order of their age and makes room for the rest.
 func (p *planner) urgent() {
-	for _, c := range p.cursors(true) {
+	if p.s.jobs.queues.urgent == 0 {
+		return
+	}
+	for _, q := range p.s.jobs.queues.urgentInOrder() {
+		c := p.cursor(q)
+		if c == nil {
+			continue
+		}
 		for !p.isFull() && p.start(c) {
 			continue
 		}
@@ -58,6 +52,16 @@
 	}
 }
 
+// cursor returns a cursor of the queue; nil if no worker could ever hold its
+// jobs. Such a queue blocks nobody, since each is a queue of its own.
+func (p *planner) cursor(q *queue) *cursor {
+	c := &cursor{queue: q, pool: p.s.pool(q), job: q.first}
+	if p.s.whyNever(q.first, c.pool) != "" {
+		return nil
+	}
+	return c
+}
+
 // start starts the cursor's next job and reports whether there was room. A job
 // that failed before and finds no worker left does not hold up the next.
 func (p *planner) start(c *cursor) bool {
@@ -109,23 +113,66 @@
 
 // undo gives the room of the plan's starts back.
 func (p *planner) undo() {
-	before := p.s.changes
 	for i, st := range p.plan.Starts {
 		j := *p.taken[i]
 		j.Start, j.Throttled = st, false
-		p.s.JobReleased(&j, st.Size)
+		p.s.give(&j, st.Size)
 	}
-	p.s.changes = before
 }
 
-// shared starts other jobs by weighted fair share: teams within their quota
+// poolsPerPlan bounds the pools of one plan, so that no plan holds up the task
+// that folds records.
+const poolsPerPlan = 8
+
+// normal plans pools in which something changed, and one more in turn, for what
+// changes by time alone.
+func (p *planner) normal() {
+	n := len(p.s.order)
+	planned := 0
+	for i := range n {
+		at := (p.s.turn + i) % n
+		pool := p.s.order[at]
+		if i > 0 && pool.version() == pool.planned {
+			continue
+		}
+		if planned == poolsPerPlan || p.isFull() {
+			p.s.turn, p.plan.IsPartial = at, true
+			return
+		}
+		planned++
+		p.one(pool)
+	}
+	p.s.turn = (p.s.turn + 1) % max(n, 1)
+}
+
+// one plans a pool and notes whether there was nothing to do.
+func (p *planner) one(pool *poolState) {
+	v, before := pool.version(), p.size()
+	p.shared(pool)
+	pool.planned = -1
+	if p.size() == before {
+		pool.planned = v
+	}
+}
+
+// size is the number of decisions of the plan.
+func (p *planner) size() int {
+	return len(p.plan.Starts) + len(p.plan.Reliefs) + len(p.plan.GiveUps)
+}
+
+// shared starts a pool's jobs by weighted fair share: teams within their quota
 // first, and the one with the smallest share before the others.
-func (p *planner) shared() {
+func (p *planner) shared(pool *poolState) {
 	h := &shareHeap{}
-	for _, c := range p.cursors(false) {
-		h.addQueue(p.s, c)
+	for _, g := range pool.groups {
+		for _, q := range g.normal {
+			if c := p.cursor(q); c != nil {
+				h.addQueue(p.s, c)
+			}
+		}
 	}
 	heap.Init(h)
+	p.waiting = p.waiting[:0]
 	for h.Len() > 0 && !p.isFull() {
 		t := h.shares[0]
 		if p.startOldest(t) {
@@ -135,6 +182,7 @@
 		}
 		heap.Pop(h)
 	}
+	p.giveBack()
 }
 
 // startOldest starts the team's oldest job that finds room. Queues without room
--- a/fleet/placement/queue.go
+++ b/fleet/placement/queue.go
@@ -95,44 +95,89 @@
 	q.n--
 }
 
-// queues is all queues that hold a job.
-type queues struct {
-	byKey map[queueKey]*queue
+// groupKey names jobs that go to the same pool.
+type groupKey struct {
+	owner  inventory.OwnerID
+	labels string
+}
+
+// group is the queues of jobs that go to the same pool. None is empty.
+type group struct {
+	labels label.Set
+	normal map[queueKey]*queue
+	urgent map[queueKey]*queue
 	// version counts additions and removals of jobs.
 	version int64
 }
 
+func (g *group) of(urgent bool) map[queueKey]*queue {
+	if urgent {
+		return g.urgent
+	}
+	return g.normal
+}
+
+// queues is all queued jobs by group.
+type queues struct {
+	groups map[groupKey]*group
+	// urgent counts queued urgent jobs.
+	urgent int
+	// version counts additions and removals of groups.
+	version int64
+}
+
 func newQueues() *queues {
-	return &queues{byKey: make(map[queueKey]*queue)}
+	return &queues{groups: make(map[groupKey]*group)}
 }
 
 func (s *queues) add(j *Job) {
 	k := keyOf(j)
-	q, ok := s.byKey[k]
+	gk := groupKey{k.owner, k.labels}
+	g, ok := s.groups[gk]
+	if !ok {
+		g = &group{labels: j.Labels, normal: make(map[queueKey]*queue), urgent: make(map[queueKey]*queue)}
+		s.groups[gk] = g
+		s.version++
+	}
+	of := g.of(k.urgent)
+	q, ok := of[k]
 	if !ok {
 		q = &queue{key: k, labels: j.Labels}
-		s.byKey[k] = q
+		of[k] = q
 	}
 	q.add(j)
-	s.version++
+	g.version++
+	if k.urgent {
+		s.urgent++
+	}
 }
 
 // remove takes a queued job out at a cost that does not depend on the number of
 // jobs.
 func (s *queues) remove(j *Job) {
 	q := j.queue
+	gk := groupKey{q.key.owner, q.key.labels}
+	g := s.groups[gk]
 	q.remove(j)
-	if q.n == 0 {
-		delete(s.byKey, q.key)
+	g.version++
+	if q.key.urgent {
+		s.urgent--
+	}
+	if q.n > 0 {
+		return
+	}
+	delete(g.of(q.key.urgent), q.key)
+	if len(g.normal)+len(g.urgent) == 0 {
+		delete(s.groups, gk)
+		s.version++
 	}
-	s.version++
 }
 
-// inOrder returns the queues of a class, that with the oldest job first.
-func (s *queues) inOrder(urgent bool) []*queue {
+// urgentInOrder returns the queues of urgent jobs, that with the oldest first.
+func (s *queues) urgentInOrder() []*queue {
 	var all []*queue
-	for _, q := range s.byKey {
-		if q.key.urgent == urgent {
+	for _, g := range s.groups {
+		for _, q := range g.urgent {
 			all = append(all, q)
 		}
 	}
--- a/fleet/placement/scheduler.go
+++ b/fleet/placement/scheduler.go
@@ -1,9 +1,12 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/label"
 )
 
 // minCores is the least that is reserved for a job.
@@ -20,14 +23,12 @@
 	used map[inventory.TeamID]inventory.Size
 	// poolOf remembers the pool of each owner's set of job labels.
 	poolOf map[groupKey]inventory.PoolID
-	// changes counts changes of the room at workers.
-	changes int64
-}
-
-// groupKey names jobs that go to the same pool.
-type groupKey struct {
-	owner  inventory.OwnerID
-	labels string
+	// order has the pools by name, and turn is the one that is planned next even
+	// if nothing changed in it.
+	order []*poolState
+	turn  int
+	// indexed is the version of the queues' groups that the pools know.
+	indexed int64
 }
 
 // NewScheduler returns a scheduler of the jobs without workers.
@@ -41,14 +42,16 @@
 // SetLayout replaces the layout and counts again what is free.
 func (s *Scheduler) SetLayout(l Layout) {
 	s.layout = l
-	s.changes++
+	s.order, s.turn, s.indexed = nil, 0, -1
 	s.pools = make(map[inventory.PoolID]*poolState, len(l.Pools))
 	s.workers = make(map[inventory.WorkerID]*workerState, len(l.Workers))
 	s.used = make(map[inventory.TeamID]inventory.Size)
 	s.poolOf = make(map[groupKey]inventory.PoolID)
 	for id, p := range l.Pools {
 		s.pools[id] = newPoolState(id, p.Owner)
+		s.order = append(s.order, s.pools[id])
 	}
+	slices.SortFunc(s.order, func(a, b *poolState) int { return cmp.Compare(a.id, b.id) })
 	members := make(map[inventory.PoolID][]*workerState)
 	for _, w := range l.Workers {
 		ws := &workerState{Worker: w, free: w.Size}
@@ -67,13 +70,21 @@
 
 // JobStarted takes the job's room from its worker.
 func (s *Scheduler) JobStarted(j *Job) {
-	s.changes++
+	if p, ok := s.pools[j.Start.Pool]; ok {
+		p.changes++
+	}
 	s.take(j.Start, j.Team, j.Template, j.Reserved())
 }
 
 // JobReleased gives room back to the job's worker.
 func (s *Scheduler) JobReleased(j *Job, room inventory.Size) {
-	s.changes++
+	if p, ok := s.pools[j.Start.Pool]; ok {
+		p.changes++
+	}
+	s.give(j, room)
+}
+
+func (s *Scheduler) give(j *Job, room inventory.Size) {
 	s.used[j.Team] = s.used[j.Team].Sub(room)
 	w, ok := s.workers[j.Start.Worker]
 	if !ok || w.pool == nil {
@@ -98,31 +109,59 @@
 	w.pool.racks[rackTemplate{w.Rack, template}]++
 }
 
-// Version changes whenever a new plan may differ from the last one.
-func (s *Scheduler) Version() int64 {
-	return s.changes + s.jobs.queues.version
+// Examined counts the workers that all searches looked at under this layout.
+func (s *Scheduler) Examined() int64 {
+	n := int64(0)
+	for _, p := range s.pools {
+		n += p.examined
+	}
+	return n
+}
+
+// Quota returns the part of a team's quota that the data centre gives.
+func (s *Scheduler) Quota(t inventory.TeamID) inventory.Size {
+	return s.layout.Teams[t].Quota
 }
 
 // pool returns the pool of a queue's jobs; nil if no selector matches.
 func (s *Scheduler) pool(q *queue) *poolState {
-	k := groupKey{q.key.owner, q.key.labels}
+	return s.poolOfGroup(groupKey{q.key.owner, q.key.labels}, q.labels)
+}
+
+func (s *Scheduler) poolOfGroup(k groupKey, labels label.Set) *poolState {
 	id, ok := s.poolOf[k]
 	if !ok {
-		id = s.match(q)
+		id = s.match(k.owner, labels)
 		s.poolOf[k] = id
 	}
 	return s.pools[id]
 }
 
 // match returns the first pool, by name, of the owner that selects the labels.
-func (s *Scheduler) match(q *queue) inventory.PoolID {
-	found := inventory.PoolID("")
-	for id, p := range s.layout.Pools {
-		if p.Owner == q.key.owner && p.Jobs.Matches(q.labels) && (found == "" || id < found) {
-			found = id
+func (s *Scheduler) match(owner inventory.OwnerID, labels label.Set) inventory.PoolID {
+	for _, p := range s.order {
+		if p.owner == owner && s.layout.Pools[p.id].Jobs.Matches(labels) {
+			return p.id
+		}
+	}
+	return ""
+}
+
+// index tells each pool the groups of jobs that go to it.
+func (s *Scheduler) index() {
+	if s.indexed == s.jobs.queues.version {
+		return
+	}
+	s.indexed = s.jobs.queues.version
+	for _, p := range s.order {
+		p.groups = p.groups[:0]
+	}
+	for k, g := range s.jobs.queues.groups {
+		if p := s.poolOfGroup(k, g.labels); p != nil {
+			p.groups = append(p.groups, g)
+			p.changes++
 		}
 	}
-	return found
 }
 
 // need returns what is reserved for a job: the learned size of its template, or
@@ -142,15 +181,25 @@
 	Reliefs []Relief
 	// GiveUps are jobs that failed on every sound worker of their pool.
 	GiveUps []inventory.JobID
+	// IsPartial is true if further pools wait for the next plan.
+	IsPartial bool
+}
+
+// IsEmpty reports whether there is nothing to do.
+func (p Plan) IsEmpty() bool {
+	return len(p.Starts)+len(p.Reliefs)+len(p.GiveUps) == 0
 }
 
 // Plan decides on at most limit starts. It changes nothing: the decisions count
-// once their record is folded.
+// once their record is folded. While urgent jobs wait, the plan holds nothing
+// else, so that they don't wait for the rest of it.
 func (s *Scheduler) Plan(now time.Time, limit int) Plan {
+	s.index()
 	p := &planner{s: s, now: now, limit: limit, relieved: make(map[inventory.WorkerID]bool)}
 	p.urgent()
-	p.shared()
-	p.giveBack()
+	if len(p.plan.Starts)+len(p.plan.Reliefs) == 0 {
+		p.normal()
+	}
 	p.undo()
 	return p.plan
 }
--- a/fleet/placement/workers.go
+++ b/fleet/placement/workers.go
@@ -45,10 +45,26 @@
 	racks map[rackTemplate]int
 	// turn is the worker at which the next search for room under pressure begins.
 	turn int
+	// groups are the queued jobs that go to the pool.
+	groups []*group
+	// changes counts changes of the pool's room and groups. planned is version()
+	// at the last plan that found nothing to do.
+	changes, planned int64
+	// examined counts the workers that searches looked at.
+	examined int64
 }
 
 func newPoolState(id inventory.PoolID, owner inventory.OwnerID) *poolState {
-	return &poolState{id: id, owner: owner, width: 1, sizes: make(map[inventory.Size]int), racks: make(map[rackTemplate]int)}
+	return &poolState{id: id, owner: owner, width: 1, sizes: make(map[inventory.Size]int), racks: make(map[rackTemplate]int), planned: -1}
+}
+
+// version changes whenever a new plan of the pool may differ from the last one.
+func (p *poolState) version() int64 {
+	v := p.changes
+	for _, g := range p.groups {
+		v += g.version
+	}
+	return v
 }
 
 // fill enters the workers, all free.
@@ -112,6 +128,7 @@
 	fewest, candidates := 0, 0
 	for b := p.bucketOf(need.Cores); b < bucketCount; b++ {
 		for _, w := range p.buckets[b] {
+			p.examined++
 			if !need.Fits(w.free) || !may(w) {
 				continue
 			}
--- a/standin/check/bill.go
+++ b/standin/check/bill.go
@@ -25,12 +25,13 @@
 	d.Platform.Faults.Set(fault.Fault{Kind: fault.UsageRepeated, Count: 40})
 	d.Platform.Faults.Set(fault.Fault{Kind: fault.UsageMissing, Count: 20})
 	for _, c := range []struct {
-		owner inventory.OwnerID
-		team  inventory.TeamID
-		pool  string
-		dc    inventory.DataCentreID
-	}{{"Corchos", "Pressing", "BatchPlans", "Montevideo-1"}, {"Campanella", "Rendering", "Recordings", "Palermo"}} {
-		host := client.New(operatorsOf(d, c.dc), "")
+		owner    inventory.OwnerID
+		team     inventory.TeamID
+		pool     string
+		dc       inventory.DataCentreID
+		operator inventory.OperatorID
+	}{{"Corchos", "Pressing", "BatchPlans", "Montevideo-1", "corchos-operator"}, {"Campanella", "Rendering", "Recordings", "Palermo", "campanella-operator"}} {
+		host := client.New(operatorsOf(d, c.dc), c.operator)
 		j := configuration.Job{
 			ID: inventory.JobID("bill-" + string(c.owner)), Owner: c.owner, Team: c.team, Labels: label.Set{"Pool": c.pool},
 			Template: "bill", Command: "run 1h", Declared: inventory.Size{Cores: 32_000, Memory: inventory.Gibibyte},
