test: a job runs once through each failure of the log, the workers and the holder

Faults found and mended: a start whose answer was lost could run a second time when its worker restarted before it was asked again, since the worker no longer knew it (a worker's word counts only while its number of restarts is that of the decision); and jobs of one broken template, packed on one worker after the other, put all of them in quarantine.

--- /dev/null
+++ b/entry/placement/filler_test.go
@@ -0,0 +1,149 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/placement"
+)
+
+// init makes the random sequences the same in every run.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "60")
+}
+
+func TestAJobRunsOnceThroughEachFailure(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		failure func(s *site)
+		// once and again are the states of a non-idempotent and an idempotent job
+		// after the failure, and runs how often the idempotent one ran.
+		once, again placement.State
+		runs        int
+	}{
+		{"nothing fails", func(s *site) { s.tick("e1") }, placement.Done, placement.Done, 1},
+		{"the log's answer is lost after the effect", func(s *site) { s.log.lost = 1; s.tick("e1"); s.tick("e1") }, placement.Done, placement.Done, 1},
+		{"the log refuses the start", func(s *site) { s.log.refused = 1; s.tick("e1"); s.tick("e1") }, placement.Done, placement.Done, 1},
+		{"the worker's answer is lost after the effect", func(s *site) { s.workers.lost = 2; s.tick("e1"); s.tick("e1") }, placement.Done, placement.Done, 1},
+		{"the start arrives late", func(s *site) { s.workers.cut = 2; s.tick("e1"); s.tick("e1"); s.workers.arrive() }, placement.Done, placement.Done, 1},
+		{"the holder is lost before it told the worker, and its start arrives late", func(s *site) {
+			s.workers.cut = 2
+			s.tick("e1")
+			s.claim("e2")
+			s.tick("e2")
+			s.workers.arrive()
+		}, placement.Done, placement.Done, 1},
+		{"two holders race", func(s *site) { s.claim("e2"); s.tick("e1"); s.tick("e2"); s.tick("e1") }, placement.Done, placement.Done, 1},
+		{"the lease lapses while the holder is paused", func(s *site) { s.tick("e1"); s.pass(taskTerm + time.Second) }, placement.Unknown, placement.Done, 2},
+		{"the worker restarts", func(s *site) { s.tick("e1"); s.workers.restart(s.job("once").Start.Worker) }, placement.Unknown, placement.Done, 2},
+		{"the worker restarts before it hears of the start", func(s *site) {
+			s.workers.cut = 2
+			s.tick("e1")
+			s.workers.restart(s.job("once").Start.Worker)
+		}, placement.Unknown, placement.Done, 1},
+		{"the worker is gone", func(s *site) {
+			s.tick("e1")
+			s.workers.all[s.job("once").Start.Worker].gone = true
+			for range 8 {
+				s.pass(taskTerm / 4)
+				s.tick("e1")
+			}
+		}, placement.Unknown, placement.Done, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t, 2)
+			defer s.stop()
+			s.workers.runTime = 150 * time.Second
+			s.submit("once", false)
+			s.submit("again", true)
+			c.failure(s)
+			for range 24 {
+				s.pass(20 * time.Second)
+				s.tick("e1")
+				s.tick("e2")
+			}
+			require.Equal(t, c.once, s.job("once").State, s.job("once").Reason)
+			require.Equal(t, c.again, s.job("again").State, s.job("again").Reason)
+			require.LessOrEqual(t, s.workers.runs["once"], 1)
+			require.Equal(t, c.runs, s.workers.runs["again"])
+		})
+	}
+}
+
+func TestACancelledJobIsStoppedOnItsWorker(t *testing.T) {
+	s := newSite(t, 1)
+	defer s.stop()
+	s.submit("once", false)
+	s.tick("e1")
+	for range 3 {
+		s.record(placement.KindCancel, placement.Cancel{Jobs: []inventory.JobID{"once"}})
+	}
+	s.workers.lost = 1
+	s.tick("e1")
+	require.Equal(t, placement.Started, s.job("once").State, "the answer to the stop was lost")
+	s.tick("e1")
+	require.Equal(t, placement.Cancelled, s.job("once").State)
+}
+
+func TestRandomFailuresLoseNoJobAndDoubleNone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSite(t, 3)
+		defer s.stop()
+		s.workers.runTime = 50 * time.Second
+		accepted := make(map[string]bool)
+		holder := func(t *rapid.T) string { return rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "holder") }
+		worker := func(t *rapid.T) inventory.WorkerID {
+			return rapid.SampledFrom([]inventory.WorkerID{"w0", "w1", "w2"}).Draw(t, "worker")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				id := fmt.Sprint("j", len(accepted))
+				accepted[id] = rapid.Bool().Draw(t, "idempotent")
+				s.submit(id, accepted[id])
+			},
+			"cancel": func(t *rapid.T) {
+				s.record(placement.KindCancel, placement.Cancel{Jobs: []inventory.JobID{inventory.JobID(fmt.Sprint("j", rapid.IntRange(0, 9).Draw(t, "job")))}})
+			},
+			"tick":    func(t *rapid.T) { s.tick(holder(t)) },
+			"claim":   func(t *rapid.T) { s.claim(holder(t)) },
+			"pass":    func(t *rapid.T) { s.pass(time.Duration(rapid.IntRange(1, 90).Draw(t, "seconds")) * time.Second) },
+			"restart": func(t *rapid.T) { s.workers.restart(worker(t)) },
+			"gone":    func(t *rapid.T) { w := s.workers.all[worker(t)]; w.gone = !w.gone },
+			"lost":    func(t *rapid.T) { s.workers.lost = rapid.IntRange(0, 3).Draw(t, "calls") },
+			"cut":     func(t *rapid.T) { s.workers.cut = rapid.IntRange(0, 3).Draw(t, "calls") },
+			"arrive":  func(*rapid.T) { s.workers.arrive() },
+			"log": func(t *rapid.T) {
+				s.log.lost, s.log.refused = rapid.IntRange(0, 1).Draw(t, "lost"), rapid.IntRange(0, 1).Draw(t, "refused")
+			},
+			"": func(t *rapid.T) {
+				for id, idempotent := range accepted {
+					require.NotEmpty(t, s.job(id).State, "an accepted job is lost")
+					if !idempotent {
+						require.LessOrEqual(t, s.workers.runs[id], 1, "a non-idempotent job ran twice")
+					}
+				}
+			},
+		})
+		s.workers.lost, s.workers.cut, s.log.lost, s.log.refused = 0, 0, 0, 0
+		for _, w := range s.workers.all {
+			w.gone = false
+		}
+		s.claim("e1")
+		for range 60 {
+			s.pass(30 * time.Second)
+			s.tick("e1")
+		}
+		for id := range accepted {
+			j := s.job(id)
+			require.True(t, j.HasEnded(), "job %s is still %s: %v", id, j.State, s.failed)
+		}
+	})
+}
--- a/entry/placement/watch.go
+++ b/entry/placement/watch.go
@@ -139,7 +139,8 @@
 }
 
 // withdraw makes sure that a task which its worker does not know is never run
-// there, and records that.
+// there, and records that. Only a worker that has not restarted since the start
+// was decided can say that the task never ran.
 func (f *filler) withdraw(found *findings, w inventory.WorkerID, j placement.Job, now time.Time) {
 	t, err := f.cfg.Workers.CommandTask(w, j.Task(), placement.VerbStop, f.command())
 	if err != nil {
@@ -147,7 +148,18 @@
 		f.lookSoon(w, now)
 		return
 	}
+	s, err := f.cfg.Workers.RenewTasks(w, f.command())
+	if err != nil {
+		f.cfg.Log.WithError(err).WithField("Task", j.Task()).Warn("withdrawing a start failed")
+		f.lookSoon(w, now)
+		return
+	}
 	delete(f.unconfirmed, j.Task())
+	f.boots[w] = s.Reboots
+	if s.Reboots != j.Start.Boot {
+		found.lose([]placement.Job{j}, "the worker has restarted")
+		return
+	}
 	found.add(j, t, now)
 }
 
--- a/fleet/bill/bill_test.go
+++ b/fleet/bill/bill_test.go
@@ -281,7 +281,7 @@
 			"run":     run,
 			"deliver": deliver,
 			"transfer": func(t *rapid.T) {
-				s.transfer(rapid.SampledFrom(names).Draw(t, "host"), rapid.SampledFrom(owners).Draw(t, "owner"), now)
+				s.transfer(rapid.SampledFrom(names).Draw(t, "host"), rapid.SampledFrom(owners).Draw(t, "owner"), max(1000, now-Moment(rapid.Int64Range(0, 200_000).Draw(t, "ago"))))
 			},
 			"close": func(t *rapid.T) {
 				s.seal(now - Moment(rapid.Int64Range(0, 50_000).Draw(t, "ago")))
--- a/fleet/placement/health.go
+++ b/fleet/placement/health.go
@@ -81,12 +81,17 @@
 	return false
 }
 
-// quarantine takes the worker out and clears what it failed.
+// quarantine takes the worker out and clears what it failed. If that was one
+// template alone, the fault may still be the template's, so its count stays.
 func (h *Health) quarantine(w inventory.WorkerID, at time.Time) {
 	h.Quarantined[w] = at
-	for _, f := range h.Workers[w] {
+	failures := h.Workers[w]
+	isMixed := slices.ContainsFunc(failures, func(f Failure) bool { return f.Template != failures[0].Template })
+	for _, f := range failures {
 		drop(h.Jobs, f.Job, w)
-		drop(h.Templates, f.Template, w)
+		if isMixed {
+			drop(h.Templates, f.Template, w)
+		}
 	}
 }
 
--- a/fleet/placement/placement_test.go
+++ b/fleet/placement/placement_test.go
@@ -236,6 +236,21 @@
 			require.Equal(t, Done, b.job(fmt.Sprint("good", i)).State)
 		}
 	})
+	t.Run("a template that fails everywhere quarantines no worker that runs nothing else", func(t *testing.T) {
+		b := newStream(t, 8)
+		for i := range 40 {
+			bad := job(fmt.Sprint("bad", i), 10_000)
+			bad.Template = "broken"
+			b.submit(bad)
+		}
+		for range 30 {
+			for _, st := range b.start() {
+				b.end(string(st.Job), OutcomeFailed)
+			}
+		}
+		require.Empty(t, b.jobs.health.Quarantined)
+		require.Zero(t, b.jobs.Open())
+	})
 	t.Run("a job that failed on all of a small pool is given up", func(t *testing.T) {
 		b := newStream(t, 2)
 		b.submit(job("j", 1000))
@@ -338,6 +353,18 @@
 		require.Equal(t, inventory.JobID("b"), r.For)
 		require.Equal(t, inventory.TeamID("A"), b.job(string(r.Job)).Team)
 	}
+	t.Run("a team that would borrow itself gets nothing back", func(t *testing.T) {
+		b := newStream(t, 1)
+		b.s.SetLayout(l)
+		b.submit(job("a0", 40_000))
+		greedy := job("b0", 24_000)
+		greedy.Team = "B"
+		b.submit(greedy)
+		require.Len(t, b.start(), 2)
+		greedy.ID = "b1"
+		b.submit(greedy)
+		require.Empty(t, b.s.Plan(b.now, 10).Reliefs)
+	})
 }
 
 func TestCancellationsAreIdempotentAndReachEveryState(t *testing.T) {
