--- a/entry/follower/stream.go
+++ b/entry/follower/stream.go
@@ -20,44 +20,38 @@
 type StreamState interface {
 	Fold() *journal.Fold
 	Holdings() map[lease.Duty]lease.Holding
-}
-
-// Progress is how far a stream is folded.
-type Progress struct {
-	Holdings map[lease.Duty]lease.Holding
-	// Next is the offset of the first record that is not applied, End the end of
-	// the stream as last seen.
-	Next journal.Offset
-	End  journal.Offset
-	// Recent holds the last verdicts, oldest first.
-	Recent []journal.Verdict
+	Checkpoint() journal.Checkpoint
 }
 
 // StreamConfig is what a stream's follower is built from.
 type StreamConfig[S StreamState] struct {
 	Log    logrus.FieldLogger
 	Stream journal.StreamID
-	State  S
-	In     <-chan platform.Batch
+	// New returns a state at offset 0. It is called again for each snapshot.
+	New func() S
+	In  <-chan platform.Batch
 	// Every and Tick run a function on the task again and again; Tick may be nil.
 	Every time.Duration
-	Tick  func()
+	Tick  func(S)
 }
 
 // Stream owns the state of one stream that is too large to be copied. Others
 // ask it by functions that run on its task and must return quickly.
 type Stream[S StreamState] struct {
 	cfg       StreamConfig[S]
+	state     S
 	questions chan func()
-	out       *view.Box[Progress]
+	// oldest and end are the offsets that the log keeps, as last seen.
+	oldest, end journal.Offset
+	out         *view.Box[State]
 }
 
 // NewStream returns a task that folds batches and answers questions.
 func NewStream[S StreamState](cfg StreamConfig[S]) *Stream[S] {
 	if cfg.Tick == nil {
-		cfg.Every, cfg.Tick = time.Hour, func() {}
+		cfg.Every, cfg.Tick = time.Hour, func(S) {}
 	}
-	return &Stream[S]{cfg: cfg, questions: make(chan func(), questionQueue), out: view.NewBox(Progress{})}
+	return &Stream[S]{cfg: cfg, state: cfg.New(), questions: make(chan func(), questionQueue), out: view.NewBox(State{})}
 }
 
 // Name returns the task's name.
@@ -78,22 +72,61 @@
 		case ask := <-s.questions:
 			ask()
 		case <-t.C:
-			s.cfg.Tick()
+			s.cfg.Tick(s.state)
 		}
 	}
 }
 
-// Progress returns how far the stream is folded.
-func (s *Stream[S]) Progress() Progress {
+// Progress returns how far the stream is folded and who holds its duties.
+func (s *Stream[S]) Progress() State {
 	return s.out.Latest()
 }
 
+// View returns the box in which the progress is published.
+func (s *Stream[S]) View() *view.Box[State] {
+	return s.out
+}
+
+// Snapshot returns the state as it is now.
+func (s *Stream[S]) Snapshot(ctx context.Context) (journal.Snapshot, error) {
+	var taken journal.Snapshot
+	var failed error
+	err := s.Do(ctx, func(state S) { taken, failed = state.Fold().Snapshot(s.cfg.Stream) })
+	if err != nil {
+		return journal.Snapshot{}, err
+	}
+	return taken, failed
+}
+
+// Restore replaces the state by a snapshot that is ahead of it and returns the
+// offset up to which the state is applied then.
+func (s *Stream[S]) Restore(ctx context.Context, from journal.Snapshot, _ time.Time) (journal.Offset, error) {
+	var next journal.Offset
+	var failed error
+	err := s.Do(ctx, func(state S) {
+		next = state.Fold().Next()
+		if from.Next <= next {
+			return
+		}
+		fresh := s.cfg.New()
+		if failed = fresh.Fold().Restore(from); failed != nil {
+			return
+		}
+		s.state, next = fresh, from.Next
+		s.publish()
+	})
+	if err != nil {
+		return 0, err
+	}
+	return next, failed
+}
+
 // Do runs a function on the task and waits for its end. The function keeps
 // nothing of the state that it sees.
 func (s *Stream[S]) Do(ctx context.Context, ask func(S)) error {
 	done := make(chan struct{})
 	question := func() {
-		ask(s.cfg.State)
+		ask(s.state)
 		close(done)
 	}
 	select {
@@ -128,7 +161,7 @@
 }
 
 func (s *Stream[S]) apply(b platform.Batch) {
-	fold := s.cfg.State.Fold()
+	fold := s.state.Fold()
 	for i, raw := range b.Records {
 		o := b.First + journal.Offset(i)
 		if o < fold.Next() {
@@ -143,5 +176,14 @@
 			s.cfg.Log.WithFields(logrus.Fields{"Stream": s.cfg.Stream, "Verdict": v}).Warn("record not accepted")
 		}
 	}
-	s.out.Publish(Progress{Holdings: s.cfg.State.Holdings(), Next: fold.Next(), End: max(b.End, fold.Next()), Recent: fold.Recent()})
+	s.oldest, s.end = b.Oldest, b.End
+	s.publish()
+}
+
+func (s *Stream[S]) publish() {
+	fold := s.state.Fold()
+	s.out.Publish(State{
+		Holdings: s.state.Holdings(), Checkpoint: s.state.Checkpoint(), Next: fold.Next(),
+		Oldest: s.oldest, End: max(s.end, fold.Next()), Digest: fold.Digest(), Counts: fold.Counts(), Recent: fold.Recent(),
+	})
 }
--- a/entry/placement/board.go
+++ b/entry/placement/board.go
@@ -31,7 +31,8 @@
 	dataCentre inventory.DataCentreID
 	fleet      *view.Box[follower.State]
 	hosts      *view.Box[inventory.HostList]
-	scheduler  *placement.Scheduler
+	// scheduler plans the jobs of state, and is made anew with it.
+	scheduler *placement.Scheduler
 	// version, pools and live are what the scheduler's layout was made from.
 	version configuration.Version
 	pools   *pool.View
@@ -40,14 +41,20 @@
 
 // newBoard returns a board that folds the batches of in.
 func newBoard(cfg Config, stream journal.StreamID, in <-chan platform.Batch) *Board {
-	jobs := state.NewJobs()
-	b := &Board{dataCentre: cfg.DataCentre, fleet: cfg.Fleet, hosts: cfg.Hosts, scheduler: placement.NewScheduler(jobs.Placement)}
+	b := &Board{dataCentre: cfg.DataCentre, fleet: cfg.Fleet, hosts: cfg.Hosts}
 	b.Stream = follower.NewStream(follower.StreamConfig[*state.Jobs]{
-		Log: cfg.Log, Stream: stream, State: jobs, In: in, Every: layoutEvery, Tick: b.refreshLayout,
+		Log: cfg.Log, Stream: stream, New: b.newState, In: in, Every: layoutEvery, Tick: func(*state.Jobs) { b.refreshLayout() },
 	})
 	return b
 }
 
+// newState returns a state with a scheduler that has no layout yet.
+func (b *Board) newState() *state.Jobs {
+	jobs := state.NewJobs()
+	b.scheduler, b.pools = placement.NewScheduler(jobs.Placement), nil
+	return jobs
+}
+
 // Do runs a function on the board's task and waits for its end.
 func (b *Board) Do(ctx context.Context, ask func(*placement.Reducer, *placement.Scheduler)) error {
 	return b.Stream.Do(ctx, func(s *state.Jobs) { ask(s.Placement, b.scheduler) })
--- a/entry/placement/config.go
+++ b/entry/placement/config.go
@@ -10,6 +10,7 @@
 	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/operator"
 	"github.com/godwitcross/godwitcross/entry/platform"
+	"github.com/godwitcross/godwitcross/entry/snapshot"
 	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
@@ -68,13 +69,20 @@
 	stream := journal.StreamJobs(cfg.DataCentre)
 	p := &Placement{cfg: cfg, stream: stream, board: newBoard(cfg, stream, batches)}
 	p.tasks = []Task{
-		platform.NewReader(cfg.Log, cfg.Source, p.stream, 0, batches),
+		platform.NewReader(cfg.Log, cfg.Source, p.stream, 0, batches).RestoreWith(snapshot.NewLoader(snapshot.LoaderConfig{
+			Log: cfg.Log, Stream: p.stream, Source: cfg.Source, Target: p.board, Peers: snapshot.NoPeers{},
+		}).Restore),
 		p.board,
 		duty.NewRunner(duty.Config{
 			Log: cfg.Log, Name: cfg.Name, Stream: p.stream, Records: cfg.Records,
 			Holdings: func() duty.Holdings { return p.board.Progress().Holdings },
 			Hosts:    cfg.EntryHosts,
-			Work:     []duty.Work{newFiller(cfg, p.stream, p.board)},
+			Work: []duty.Work{
+				snapshot.NewWriter(snapshot.WriterConfig{
+					Log: cfg.Log, Name: cfg.Name, State: p.board.View(), Source: p.board, Records: cfg.Records, Doubt: snapshot.NoDoubt,
+				}),
+				newFiller(cfg, p.stream, p.board),
+			},
 		}),
 	}
 	return p
--- a/entry/placement/filler_test.go
+++ b/entry/placement/filler_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/placement"
+	"github.com/godwitcross/godwitcross/fleet/state"
 )
 
 // init makes the random sequences the same in every run.
@@ -147,3 +149,29 @@
 		}
 	})
 }
+
+func TestAHostThatStartsFromASnapshotGoesOn(t *testing.T) {
+	s := newSite(t, 1)
+	defer s.stop()
+	s.submit("once", false)
+	s.tick("e1")
+	s.submit("next", true)
+	taken, err := s.board.Snapshot(context.Background())
+	require.NoError(t, err)
+
+	other := newSite(t, 1)
+	defer other.stop()
+	next, err := other.board.Restore(context.Background(), taken, other.now)
+	require.NoError(t, err)
+	require.Equal(t, taken.Next, next)
+	require.NoError(t, other.board.Stream.Do(context.Background(), func(*state.Jobs) { other.board.refreshLayout() }))
+	other.log.n, other.workers, other.records = next, s.workers, s.records
+	require.Equal(t, s.job("once"), other.job("once"))
+	for _, f := range other.holders {
+		f.cfg.Workers = s.workers
+	}
+	other.claim("e2")
+	other.tick("e2")
+	require.Equal(t, placement.Started, other.job("next").State)
+	require.Equal(t, map[string]int{"once": 1, "next": 1}, s.workers.runs)
+}
--- a/entry/usage/config.go
+++ b/entry/usage/config.go
@@ -12,6 +12,7 @@
 	"github.com/godwitcross/godwitcross/entry/follower"
 	"github.com/godwitcross/godwitcross/entry/operator"
 	"github.com/godwitcross/godwitcross/entry/platform"
+	"github.com/godwitcross/godwitcross/entry/snapshot"
 	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
@@ -66,15 +67,22 @@
 func New(cfg Config) *Usage {
 	batches := make(chan platform.Batch, batchQueue)
 	u := &Usage{cfg: cfg, stream: journal.StreamUsage(cfg.DataCentre)}
-	u.book = follower.NewStream(follower.StreamConfig[*state.Usage]{Log: cfg.Log, Stream: u.stream, State: state.NewUsage(), In: batches})
+	u.book = follower.NewStream(follower.StreamConfig[*state.Usage]{Log: cfg.Log, Stream: u.stream, New: state.NewUsage, In: batches})
 	u.tasks = []Task{
-		platform.NewReader(cfg.Log, cfg.Source, u.stream, 0, batches),
+		platform.NewReader(cfg.Log, cfg.Source, u.stream, 0, batches).RestoreWith(snapshot.NewLoader(snapshot.LoaderConfig{
+			Log: cfg.Log, Stream: u.stream, Source: cfg.Source, Target: u.book, Peers: snapshot.NoPeers{},
+		}).Restore),
 		u.book,
 		duty.NewRunner(duty.Config{
 			Log: cfg.Log, Name: cfg.Name, Stream: u.stream, Records: cfg.Records,
 			Holdings: func() duty.Holdings { return u.book.Progress().Holdings },
 			Hosts:    cfg.EntryHosts,
-			Work:     []duty.Work{newCollector(cfg, u.stream, u.book)},
+			Work: []duty.Work{
+				snapshot.NewWriter(snapshot.WriterConfig{
+					Log: cfg.Log, Name: cfg.Name, State: u.book.View(), Source: u.book, Records: cfg.Records, Doubt: snapshot.NoDoubt,
+				}),
+				newCollector(cfg, u.stream, u.book),
+			},
 		}),
 	}
 	return u
--- a/fleet/state/usage.go
+++ b/fleet/state/usage.go
@@ -9,14 +9,15 @@
 // Usage is the state folded from a data centre's usage stream. Its leases are
 // its own, so that fencing depends on nothing but this stream.
 type Usage struct {
-	Bill  *bill.Reducer
-	Lease *lease.Reducer
-	fold  *journal.Fold
+	Bill        *bill.Reducer
+	Lease       *lease.Reducer
+	Checkpoints *journal.Checkpoints
+	fold        *journal.Fold
 }
 
 // NewUsage returns the state at offset 0.
 func NewUsage() *Usage {
-	u := &Usage{Bill: bill.NewReducer(), Lease: lease.NewReducer()}
+	u := &Usage{Bill: bill.NewReducer(), Lease: lease.NewReducer(), Checkpoints: &journal.Checkpoints{}}
 	u.fold = journal.NewFold(u.Lease, u.reducers()...)
 	return u
 }
@@ -31,10 +32,16 @@
 	return u.Lease.Holdings()
 }
 
+// Checkpoint returns the newest snapshot that the stream knows of.
+func (u *Usage) Checkpoint() journal.Checkpoint {
+	return u.Checkpoints.Last()
+}
+
 // reducers lists the parts of the state.
 func (u *Usage) reducers() []journal.Reducer {
 	return []journal.Reducer{
 		u.Bill,
 		u.Lease,
+		u.Checkpoints,
 	}
 }
