feat: floods of cancellations are gathered, and draining hosts are evacuated

Each cancellation was a record of its own; 4,096 that wait together are now five records, and a further one is refused as not run. A checkpointed job began anew on its next worker; its next start now names the checkpoint it goes on from. Jobs that hold up the drain of their host for more than a minute are checkpointed and go on elsewhere, so that a wave does not wait for them.

--- a/ctl/command/jobs.go
+++ b/ctl/command/jobs.go
@@ -107,15 +107,15 @@
 			if cmd.Args().Len() == 0 {
 				return badInput(eris.New("want at least one job"))
 			}
-			x := operation.Cancellation{ID: recordID("")}
+			var x operation.Cancellation
 			for _, a := range cmd.Args().Slice() {
 				x.Jobs = append(x.Jobs, inventory.JobID(a))
 			}
-			var v journal.Verdict
-			if err := c.Post("/jobs/cancel", x, &v); err != nil {
+			var a operation.CancelAnswer
+			if err := c.Post("/jobs/cancel", x, &a); err != nil {
 				return exit(err)
 			}
-			fmt.Fprintf(cmd.Root().Writer, "asked for the end of %d jobs\n", len(x.Jobs))
+			fmt.Fprintf(cmd.Root().Writer, "asked for the end of %d jobs\n", a.Jobs)
 			return nil
 		},
 	}
--- /dev/null
+++ b/entry/placement/canceller.go
@@ -0,0 +1,124 @@
+package placement
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
+	"github.com/godwitcross/godwitcross/fleet/placement"
+)
+
+// Bounds of gathering cancellations.
+const (
+	// cancelQueue is how many cancellations wait; a further one is refused.
+	cancelQueue = 4096
+	// gatherTime is how long the first of a group waits for others.
+	gatherTime = 50 * time.Millisecond
+	// gatherJobs is how many jobs one record names, but for one long list.
+	gatherJobs = 1000
+)
+
+// errCancelsFull means that a cancellation was not recorded.
+var errCancelsFull = eris.New("too many cancellations wait; nothing was cancelled")
+
+// cancellation is one operator's request.
+type cancellation struct {
+	by   inventory.OperatorID
+	jobs []inventory.JobID
+	// done takes the one answer.
+	done chan error
+}
+
+// canceller gathers cancellations, so that a flood becomes few records.
+type canceller struct {
+	cfg    Config
+	stream journal.StreamID
+	board  *Board
+	in     chan cancellation
+}
+
+func newCanceller(cfg Config, stream journal.StreamID, board *Board) *canceller {
+	return &canceller{cfg: cfg, stream: stream, board: board, in: make(chan cancellation, cancelQueue)}
+}
+
+// Name returns the task's name.
+func (c *canceller) Name() string {
+	return "cancellations"
+}
+
+// Run gathers and records until the context ends.
+func (c *canceller) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case first := <-c.in:
+			group := c.gather(ctx, first)
+			err := c.record(ctx, group, time.Now())
+			for _, one := range group {
+				one.done <- err
+			}
+		}
+	}
+}
+
+// cancel hands a cancellation over and waits until its record was folded.
+func (c *canceller) cancel(ctx context.Context, by inventory.OperatorID, jobs []inventory.JobID) error {
+	one := cancellation{by: by, jobs: jobs, done: make(chan error, 1)}
+	select {
+	case c.in <- one:
+	default:
+		return errCancelsFull
+	}
+	select {
+	case err := <-one.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// gather returns the first cancellation and those that come soon after it.
+func (c *canceller) gather(ctx context.Context, first cancellation) []cancellation {
+	group, jobs := []cancellation{first}, len(first.jobs)
+	t := time.NewTimer(gatherTime)
+	defer t.Stop()
+	for jobs < gatherJobs {
+		select {
+		case next := <-c.in:
+			group = append(group, next)
+			jobs += len(next.jobs)
+		case <-t.C:
+			return group
+		case <-ctx.Done():
+			return group
+		}
+	}
+	return group
+}
+
+func (c *canceller) record(ctx context.Context, group []cancellation, now time.Time) error {
+	ctx, stop := context.WithTimeout(ctx, answerTime)
+	defer stop()
+	var body placement.Cancel
+	for _, one := range group {
+		body.Jobs = append(body.Jobs, one.jobs...)
+		if !slices.Contains(body.Operators, one.by) {
+			body.Operators = append(body.Operators, one.by)
+		}
+	}
+	r, err := journal.NewRecord(journal.RecordID(uuid.NewString()), placement.KindCancel, now, string(c.cfg.Name), body)
+	if err != nil {
+		return err
+	}
+	if err := c.cfg.Records.Append(ctx, c.stream, r); err != nil {
+		return err
+	}
+	_, err = c.board.Await(ctx, r.ID)
+	return err
+}
--- a/entry/placement/config.go
+++ b/entry/placement/config.go
@@ -57,10 +57,11 @@
 
 // Placement is the tasks and operators' paths of a data centre's jobs.
 type Placement struct {
-	cfg    Config
-	stream journal.StreamID
-	board  *Board
-	tasks  []Task
+	cfg       Config
+	stream    journal.StreamID
+	board     *Board
+	canceller *canceller
+	tasks     []Task
 }
 
 // New returns the placement of a data centre.
@@ -68,11 +69,13 @@
 	batches := make(chan platform.Batch, batchQueue)
 	stream := journal.StreamJobs(cfg.DataCentre)
 	p := &Placement{cfg: cfg, stream: stream, board: newBoard(cfg, stream, batches)}
+	p.canceller = newCanceller(cfg, stream, p.board)
 	p.tasks = []Task{
 		platform.NewReader(cfg.Log, cfg.Source, p.stream, 0, batches).RestoreWith(snapshot.NewLoader(snapshot.LoaderConfig{
 			Log: cfg.Log, Stream: p.stream, Source: cfg.Source, Target: p.board, Peers: snapshot.NoPeers{},
 		}).Restore),
 		p.board,
+		p.canceller,
 		duty.NewRunner(duty.Config{
 			Log: cfg.Log, Name: cfg.Name, Stream: p.stream, Records: cfg.Records,
 			Holdings: func() duty.Holdings { return p.board.Progress().Holdings },
--- a/entry/placement/fake_test.go
+++ b/entry/placement/fake_test.go
@@ -179,7 +179,7 @@
 		if !ok {
 			t = &fakeTask{Task: platform.Task{ID: task, State: platform.TaskRunning, Starts: 1, Peak: s.Size}, until: f.now.Add(s.Term), ends: f.now.Add(f.runTime)}
 			w.tasks[task] = t
-			if s.Command != "resume" {
+			if s.Resume == "" {
 				f.runs[s.Command]++
 			}
 		}
--- a/entry/placement/filler.go
+++ b/entry/placement/filler.go
@@ -25,6 +25,9 @@
 	// firstLook and lastLook bound the time between two looks at a worker.
 	firstLook = 250 * time.Millisecond
 	lastLook  = 40 * time.Second
+	// evacuateAfter is how long the jobs of a draining host may go on before they
+	// are checkpointed.
+	evacuateAfter = 60 * time.Second
 	// tickTime bounds one tick, so that the runner goes on renewing its duties.
 	tickTime = 1500 * time.Millisecond
 )
@@ -88,7 +91,7 @@
 	if err := f.recorder.Settle(ctx); err != nil {
 		return err
 	}
-	for _, step := range []func(context.Context, time.Time) error{f.adopt, f.start, f.watch, f.stop, f.fill} {
+	for _, step := range []func(context.Context, time.Time) error{f.adopt, f.start, f.watch, f.stop, f.evacuate, f.fill} {
 		if err := step(ctx, now); err != nil {
 			return err
 		}
--- a/entry/placement/filler_test.go
+++ b/entry/placement/filler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/placement"
+	"github.com/godwitcross/godwitcross/fleet/pool"
 	"github.com/godwitcross/godwitcross/fleet/state"
 )
 
@@ -175,3 +177,40 @@
 	require.Equal(t, placement.Started, other.job("next").State)
 	require.Equal(t, map[string]int{"once": 1, "next": 1}, s.workers.runs)
 }
+
+func TestJobsOfADrainingHostGoOnElsewhere(t *testing.T) {
+	s := newSite(t, 2)
+	defer s.stop()
+	s.submit("once", false)
+	s.tick("e1")
+	from := s.job("once").Start.Worker
+	f := s.holders["e1"]
+	st := f.cfg.Fleet.Latest()
+	hosts := maps.Clone(st.Pools.Hosts)
+	hosts[from.Host()] = pool.Host{Pool: "Bells", DataCentre: "Palermo", Phase: pool.Draining, GrantedAt: s.now}
+	st.Pools = &pool.View{Hosts: hosts, Active: map[inventory.HostID]struct{}{from.Host(): {}}}
+	f.cfg.Fleet.Publish(st)
+	require.NoError(t, s.board.Stream.Do(context.Background(), func(*state.Jobs) { s.board.refreshLayout() }))
+	s.tick("e1")
+	require.Equal(t, from, s.job("once").Start.Worker, "a short job may end where it is")
+	s.pass(evacuateAfter)
+	s.tick("e1")
+	require.Equal(t, placement.Started, s.job("once").State)
+	require.NotEqual(t, from, s.job("once").Start.Worker)
+	require.Equal(t, 1, s.workers.runs["once"], "it goes on from its checkpoint")
+}
+
+func TestAFloodOfCancellationsBecomesFewRecords(t *testing.T) {
+	s := newSite(t, 1)
+	defer s.stop()
+	c := newCanceller(s.holders["e1"].cfg, "Jobs.Palermo", s.board)
+	for i := range cancelQueue {
+		c.in <- cancellation{by: "o", jobs: []inventory.JobID{inventory.JobID(fmt.Sprint("j", i))}, done: make(chan error, 1)}
+	}
+	require.ErrorIs(t, c.cancel(context.Background(), "o", []inventory.JobID{"j"}), errCancelsFull)
+	before := s.board.Progress().Next
+	for len(c.in) > 0 {
+		require.NoError(t, c.record(context.Background(), c.gather(context.Background(), <-c.in), s.now))
+	}
+	require.EqualValues(t, (cancelQueue+gatherJobs-1)/gatherJobs, s.board.Progress().Next-before)
+}
--- a/entry/placement/routes.go
+++ b/entry/placement/routes.go
@@ -49,8 +49,8 @@
 
 func (p *Placement) cancel(ctx *fasthttp.RequestCtx) {
 	var c operation.Cancellation
-	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil || c.ID == "" || len(c.Jobs) == 0 {
-		operator.Refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Jobs\":[...]}")
+	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil || len(c.Jobs) == 0 {
+		operator.Refuse(ctx, fasthttp.StatusBadRequest, "want {\"Jobs\":[...]}")
 		return
 	}
 	switch foreign, err := p.foreign(c.Jobs, p.ownerOf(ctx)); {
@@ -61,7 +61,17 @@
 		operator.Refuse(ctx, fasthttp.StatusForbidden, fmt.Sprintf("job %s belongs to another owner", foreign))
 		return
 	}
-	p.append(ctx, c.ID, placement.KindCancel, placement.Cancel{Jobs: c.Jobs})
+	wait, stop := context.WithTimeout(context.Background(), answerTime)
+	defer stop()
+	err := p.canceller.cancel(wait, operator.By(ctx), c.Jobs)
+	switch {
+	case err == nil:
+		operator.Answer(ctx, fasthttp.StatusOK, operation.CancelAnswer{Jobs: len(c.Jobs)})
+	case errors.Is(err, errCancelsFull) || errors.Is(err, platform.ErrNotAppended):
+		operator.Refuse(ctx, fasthttp.StatusServiceUnavailable, err.Error())
+	default:
+		operator.Refuse(ctx, fasthttp.StatusGatewayTimeout, err.Error())
+	}
 }
 
 // ownerOf returns the owner for whom the operator acts; empty for nobody.
--- a/entry/placement/start.go
+++ b/entry/placement/start.go
@@ -73,7 +73,7 @@
 		runTime = defaultStart
 	}
 	return f.cfg.Workers.StartTask(j.Start.Worker, j.Task(), platform.TaskStart{
-		Epoch: f.epoch, Boot: j.Start.Boot, Term: taskTerm, Size: j.Start.Size, RunTime: runTime, Command: j.Command,
+		Epoch: f.epoch, Boot: j.Start.Boot, Term: taskTerm, Size: j.Start.Size, RunTime: runTime, Command: j.Command, Resume: j.Checkpoint,
 	})
 }
 
--- a/entry/platform/workers.go
+++ b/entry/platform/workers.go
@@ -46,6 +46,9 @@
 	Size    inventory.Size
 	RunTime time.Duration
 	Command string
+	// Resume is the task whose checkpoint this one goes on from; empty to begin
+	// anew.
+	Resume placement.TaskID `json:",omitempty"`
 }
 
 // TaskCommand is a command to a task or, as a renewal, to all of a worker.
--- a/fleet/operation/message.go
+++ b/fleet/operation/message.go
@@ -52,12 +52,17 @@
 	Jobs []configuration.Job
 }
 
-// Cancellation is the body of POST /jobs/cancel.
+// Cancellation is the body of POST /jobs/cancel. A repeat has no effect.
 type Cancellation struct {
-	ID   journal.RecordID
 	Jobs []inventory.JobID
 }
 
+// CancelAnswer is the answer to POST /jobs/cancel.
+type CancelAnswer struct {
+	// Jobs is how many jobs were named.
+	Jobs int
+}
+
 // JobSummary is the answer to GET /jobs.
 type JobSummary struct {
 	DataCentre inventory.DataCentreID
--- a/fleet/placement/job.go
+++ b/fleet/placement/job.go
@@ -45,9 +45,10 @@
 	// Cancelling means that a started job is to be stopped.
 	Cancelling bool `json:",omitempty"`
 	Throttled  bool `json:",omitempty"`
-	// Checkpointed means that the next attempt goes on from a checkpoint.
-	Checkpointed bool   `json:",omitempty"`
-	Reason       string `json:",omitempty"`
+	// Checkpoint is the attempt from whose checkpoint the next one goes on; empty
+	// if it begins anew.
+	Checkpoint TaskID `json:",omitempty"`
+	Reason     string `json:",omitempty"`
 
 	// queue is set exactly while the job is queued; previous and next are its
 	// neighbours there.
--- a/fleet/placement/record.go
+++ b/fleet/placement/record.go
@@ -40,6 +40,8 @@
 // that is unknown or has ended is passed over.
 type Cancel struct {
 	Jobs []inventory.JobID
+	// Operators asked for it.
+	Operators []inventory.OperatorID `json:",omitempty"`
 }
 
 // Start is the decision to run a job. A worker is told only after the record
--- a/fleet/placement/reducer.go
+++ b/fleet/placement/reducer.go
@@ -355,7 +355,9 @@
 	case j.mayRunAgain(e.Outcome):
 		j.State = Queued
 		j.Reason = e.Reason
-		j.Checkpointed = j.Checkpointed || e.Outcome == OutcomeCheckpointed
+		if e.Outcome == OutcomeCheckpointed {
+			j.Checkpoint = j.Task()
+		}
 		r.queues.add(j)
 	default:
 		r.finish(j, endState(e.Outcome), e.Reason)
--- a/standin/check/bill.go
+++ b/standin/check/bill.go
@@ -43,7 +43,7 @@
 		if err := await(func() error { return checkBill(host, c.owner) }); err != nil {
 			return eris.Wrapf(err, "data centre %s", c.dc)
 		}
-		if err := host.Post("/jobs/cancel", operation.Cancellation{ID: "end-" + journal.RecordID(j.ID), Jobs: []inventory.JobID{j.ID}}, &v); err != nil {
+		if err := host.Post("/jobs/cancel", operation.Cancellation{Jobs: []inventory.JobID{j.ID}}, &operation.CancelAnswer{}); err != nil {
 			return err
 		}
 	}
--- a/standin/check/job.go
+++ b/standin/check/job.go
@@ -40,7 +40,7 @@
 	if err := awaitJob(c, "check-job", core.Done); err != nil {
 		return err
 	}
-	if err := c.Post("/jobs/cancel", operation.Cancellation{ID: "check-cancel", Jobs: []inventory.JobID{"check-long"}}, &v); err != nil {
+	if err := c.Post("/jobs/cancel", operation.Cancellation{Jobs: []inventory.JobID{"check-long"}}, &operation.CancelAnswer{}); err != nil {
 		return err
 	}
 	if err := awaitJob(c, "check-long", core.Cancelled); err != nil {
--- a/standin/platform/fleet.go
+++ b/standin/platform/fleet.go
@@ -46,6 +46,8 @@
 	// RunTime is how long the stand-in lets the task run.
 	RunTime time.Duration
 	Command string
+	// Resume is the task whose checkpoint this one goes on from.
+	Resume string
 }
 
 // Task is a task on a worker.
--- a/standin/platform/task.go
+++ b/standin/platform/task.go
@@ -138,6 +138,9 @@
 			runTime = d
 		}
 	}
+	if old := p.Fleet.checkpointed(s.Resume); old != nil {
+		runTime = old.Ends.Sub(old.from)
+	}
 	t := &Task{ID: id, State: TaskRunning, Epoch: s.Epoch, Size: s.Size, Peak: s.Size, Until: now.Add(s.Term), Ends: now.Add(runTime), from: now}
 	if old, ok := w.Tasks[id]; ok {
 		t.Starts, t.Used = old.Starts, old.Used
@@ -150,6 +153,16 @@
 	return t
 }
 
+// checkpointed returns a checkpointed task of any worker; nil if there is none.
+func (f *Fleet) checkpointed(id string) *Task {
+	for _, w := range f.workers {
+		if t, ok := w.Tasks[id]; ok && t.State == TaskCheckpointed {
+			return t
+		}
+	}
+	return nil
+}
+
 func (p *Platform) commandTask(ctx *fasthttp.RequestCtx, w *Worker, id, verb string) {
 	var c command
 	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
