--- a/entry/follower/stream.go
+++ b/entry/follower/stream.go
@@ -43,7 +43,9 @@
 	questions chan func()
 	// oldest and end are the offsets that the log keeps, as last seen.
 	oldest, end journal.Offset
-	out         *view.Box[State]
+	// readAt is when the log last answered.
+	readAt time.Time
+	out    *view.Box[State]
 }
 
 // NewStream returns a task that folds batches and answers questions.
@@ -68,7 +70,7 @@
 		case <-ctx.Done():
 			return nil
 		case b := <-s.cfg.In:
-			s.apply(b)
+			s.apply(b, time.Now())
 		case ask := <-s.questions:
 			ask()
 		case <-t.C:
@@ -160,7 +162,7 @@
 	}
 }
 
-func (s *Stream[S]) apply(b platform.Batch) {
+func (s *Stream[S]) apply(b platform.Batch, now time.Time) {
 	fold := s.state.Fold()
 	for i, raw := range b.Records {
 		o := b.First + journal.Offset(i)
@@ -176,7 +178,7 @@
 			s.cfg.Log.WithFields(logrus.Fields{"Stream": s.cfg.Stream, "Verdict": v}).Warn("record not accepted")
 		}
 	}
-	s.oldest, s.end = b.Oldest, b.End
+	s.oldest, s.end, s.readAt = b.Oldest, b.End, now
 	s.publish()
 }
 
@@ -184,6 +186,6 @@
 	fold := s.state.Fold()
 	s.out.Publish(State{
 		Holdings: s.state.Holdings(), Checkpoint: s.state.Checkpoint(), Next: fold.Next(),
-		Oldest: s.oldest, End: max(s.end, fold.Next()), Digest: fold.Digest(), Counts: fold.Counts(), Recent: fold.Recent(),
+		Oldest: s.oldest, ReadAt: s.readAt, End: max(s.end, fold.Next()), Digest: fold.Digest(), Counts: fold.Counts(), Recent: fold.Recent(),
 	})
 }
--- a/entry/placement/config.go
+++ b/entry/placement/config.go
@@ -76,6 +76,7 @@
 		}).Restore),
 		p.board,
 		p.canceller,
+		newRenewer(cfg, p.board),
 		duty.NewRunner(duty.Config{
 			Log: cfg.Log, Name: cfg.Name, Stream: p.stream, Records: cfg.Records,
 			Holdings: func() duty.Holdings { return p.board.Progress().Holdings },
--- a/entry/placement/evacuate.go
+++ b/entry/placement/evacuate.go
@@ -9,17 +9,21 @@
 	"github.com/godwitcross/godwitcross/fleet/pool"
 )
 
-// evacuate checkpoints jobs that hold up the drain of their host, so that they
-// go on elsewhere. Short jobs end by themselves before.
+// evacuate checkpoints jobs that would hold up the drain of their host, so that
+// they go on elsewhere.
 func (f *filler) evacuate(ctx context.Context, now time.Time) error {
-	hosts := f.draining(now)
-	if len(hosts) == 0 {
+	ends := f.drainEnds()
+	if len(ends) == 0 {
 		return nil
 	}
 	var jobs []placement.Job
 	err := f.board.Do(ctx, func(r *placement.Reducer, _ *placement.Scheduler) {
-		for _, h := range hosts {
-			jobs = append(jobs, r.StartedOn(h.Worker())...)
+		for host, end := range ends {
+			for _, j := range r.StartedOn(host.Worker()) {
+				if outlasts(r, j, end, now) {
+					jobs = append(jobs, j)
+				}
+			}
 		}
 	})
 	if err != nil || len(jobs) == 0 {
@@ -28,18 +32,29 @@
 	return f.commandAll(ctx, now, jobs[:min(len(jobs), maxLooks)], func(placement.Job) placement.Verb { return placement.VerbCheckpoint })
 }
 
-// draining returns the hosts of the data centre whose drain is due.
-func (f *filler) draining(now time.Time) []inventory.HostID {
+// outlasts reports whether the job still runs at the end, or will by what is
+// learned of its template.
+func outlasts(r *placement.Reducer, j placement.Job, end, now time.Time) bool {
+	if !now.Before(end) {
+		return true
+	}
+	expected, known := r.Template(j.Template).RunTime()
+	return known && j.StartedAt.Add(expected).After(end)
+}
+
+// drainEnds returns until when jobs may go on, for each draining host of the
+// data centre.
+func (f *filler) drainEnds() map[inventory.HostID]time.Time {
 	pools := f.cfg.Fleet.Latest().Pools
 	if pools == nil {
 		return nil
 	}
-	var due []inventory.HostID
+	ends := make(map[inventory.HostID]time.Time)
 	for id := range pools.Active {
 		h := pools.Hosts[id]
-		if h.Phase == pool.Draining && h.DataCentre == f.cfg.DataCentre && now.Sub(h.GrantedAt) >= evacuateAfter {
-			due = append(due, id)
+		if h.Phase == pool.Draining && h.DataCentre == f.cfg.DataCentre {
+			ends[id] = h.GrantedAt.Add(evacuateAfter)
 		}
 	}
-	return due
+	return ends
 }
--- a/entry/placement/fake_test.go
+++ b/entry/placement/fake_test.go
@@ -250,6 +250,7 @@
 	cfg := Config{
 		Log: quiet, Name: "e1", DataCentre: "Palermo", Metrics: metric.NewRegistry(), Records: s.log, Workers: s.workers,
 		Fleet: view.NewBox(fleetState(workers)), Hosts: view.NewBox(hostList(workers)),
+		EntryHosts: func() []inventory.EntryID { return []inventory.EntryID{"e1"} },
 	}
 	s.board = newBoard(cfg, "Jobs.Palermo", s.log.out)
 	s.board.refreshLayout()
--- a/entry/placement/filler_test.go
+++ b/entry/placement/filler_test.go
@@ -214,3 +214,21 @@
 	}
 	require.EqualValues(t, (cancelQueue+gatherJobs-1)/gatherJobs, s.board.Progress().Next-before)
 }
+
+func TestStartedJobsGoOnWhileTheLogIsAway(t *testing.T) {
+	s := newSite(t, 1)
+	defer s.stop()
+	s.workers.runTime = 10 * time.Minute
+	s.submit("once", false)
+	s.tick("e1")
+	r := newRenewer(s.holders["e1"].cfg, s.board)
+	away := s.now
+	for s.now.Sub(away) < 15*time.Minute {
+		s.pass(renewLook)
+		r.step(context.Background(), s.now, away)
+	}
+	s.claim("e2")
+	s.tick("e2")
+	require.Equal(t, placement.Done, s.job("once").State)
+	require.Equal(t, 1, s.workers.runs["once"])
+}
--- a/entry/placement/start.go
+++ b/entry/placement/start.go
@@ -47,7 +47,7 @@
 	var mu sync.Mutex
 	found := &findings{}
 	var refused []placement.Job
-	f.each(ctx, len(jobs), func(i int) {
+	each(ctx, len(jobs), func(i int) {
 		t, err := f.startTask(jobs[i])
 		mu.Lock()
 		defer mu.Unlock()
--- a/entry/placement/watch.go
+++ b/entry/placement/watch.go
@@ -57,7 +57,7 @@
 func (f *filler) renew(ctx context.Context, workers []inventory.WorkerID) map[inventory.WorkerID]*platform.WorkerStatus {
 	var mu sync.Mutex
 	answers := make(map[inventory.WorkerID]*platform.WorkerStatus, len(workers))
-	f.each(ctx, len(workers), func(i int) {
+	each(ctx, len(workers), func(i int) {
 		s, err := f.cfg.Workers.RenewTasks(workers[i], f.command())
 		if err != nil {
 			f.cfg.Log.WithError(err).WithField("Worker", workers[i]).Warn("renewing the leases of a worker failed")
@@ -71,7 +71,7 @@
 }
 
 // each calls the function for 0 to n-1, several at once, until the context ends.
-func (f *filler) each(ctx context.Context, n int, call func(i int)) {
+func each(ctx context.Context, n int, call func(i int)) {
 	g := &errgroup.Group{}
 	g.SetLimit(callsAtOnce)
 	for i := range n {
@@ -238,7 +238,7 @@
 func (f *filler) commandAll(ctx context.Context, now time.Time, jobs []placement.Job, verb func(placement.Job) placement.Verb) error {
 	var mu sync.Mutex
 	found := &findings{}
-	f.each(ctx, len(jobs), func(i int) {
+	each(ctx, len(jobs), func(i int) {
 		t, err := f.give(jobs[i], verb(jobs[i]))
 		if err != nil {
 			f.cfg.Log.WithError(err).WithField("Task", jobs[i].Task()).Warn("commanding a task failed")
--- /dev/null
+++ b/fleet/placement/reader.go
@@ -0,0 +1,80 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/godwitcross/godwitcross/fleet/inventory"
+)
+
+// Job returns a job, which the caller must not change.
+func (r *Reducer) Job(id inventory.JobID) (*Job, bool) {
+	j, ok := r.jobs[id]
+	return j, ok
+}
+
+// Open returns the number of jobs that have not ended.
+func (r *Reducer) Open() int {
+	return r.open
+}
+
+// Jobs returns all remembered jobs in order of acceptance.
+func (r *Reducer) Jobs() []*Job {
+	all := make([]*Job, 0, len(r.jobs))
+	for _, j := range r.jobs {
+		all = append(all, j)
+	}
+	slices.SortFunc(all, func(a, b *Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	return all
+}
+
+// StartedJobs returns the started jobs in order of acceptance.
+func (r *Reducer) StartedJobs() []*Job {
+	var all []*Job
+	for _, of := range r.started {
+		for _, j := range of {
+			all = append(all, j)
+		}
+	}
+	slices.SortFunc(all, func(a, b *Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	return all
+}
+
+// StartedOn returns copies of the started jobs of a worker.
+func (r *Reducer) StartedOn(w inventory.WorkerID) []Job {
+	out := make([]Job, 0, len(r.started[w]))
+	for _, j := range r.started[w] {
+		out = append(out, *j)
+	}
+	return out
+}
+
+// BusyWorkers returns the workers with started jobs.
+func (r *Reducer) BusyWorkers() []inventory.WorkerID {
+	out := make([]inventory.WorkerID, 0, len(r.started))
+	for w := range r.started {
+		out = append(out, w)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Stopping returns copies of the started jobs that are to be stopped.
+func (r *Reducer) Stopping() []Job {
+	out := make([]Job, 0, len(r.cancelling))
+	for _, j := range r.cancelling {
+		out = append(out, *j)
+	}
+	return out
+}
+
+// Template returns what is learned about a template; nil if nothing is.
+func (r *Reducer) Template(name string) *Template {
+	return r.templates[name]
+}
+
+// IsQuarantined reports whether the worker is given no jobs.
+func (r *Reducer) IsQuarantined(w inventory.WorkerID) bool {
+	_, ok := r.health.Quarantined[w]
+	return ok
+}
--- a/fleet/placement/reducer.go
+++ b/fleet/placement/reducer.go
@@ -1,9 +1,7 @@
 package placement
 
 import (
-	"cmp"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -72,78 +70,6 @@
 	r.observer = o
 }
 
-// Job returns a job, which the caller must not change.
-func (r *Reducer) Job(id inventory.JobID) (*Job, bool) {
-	j, ok := r.jobs[id]
-	return j, ok
-}
-
-// Open returns the number of jobs that have not ended.
-func (r *Reducer) Open() int {
-	return r.open
-}
-
-// Jobs returns all remembered jobs in order of acceptance.
-func (r *Reducer) Jobs() []*Job {
-	all := make([]*Job, 0, len(r.jobs))
-	for _, j := range r.jobs {
-		all = append(all, j)
-	}
-	slices.SortFunc(all, func(a, b *Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
-	return all
-}
-
-// StartedJobs returns the started jobs in order of acceptance.
-func (r *Reducer) StartedJobs() []*Job {
-	var all []*Job
-	for _, of := range r.started {
-		for _, j := range of {
-			all = append(all, j)
-		}
-	}
-	slices.SortFunc(all, func(a, b *Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
-	return all
-}
-
-// StartedOn returns copies of the started jobs of a worker.
-func (r *Reducer) StartedOn(w inventory.WorkerID) []Job {
-	out := make([]Job, 0, len(r.started[w]))
-	for _, j := range r.started[w] {
-		out = append(out, *j)
-	}
-	return out
-}
-
-// BusyWorkers returns the workers with started jobs.
-func (r *Reducer) BusyWorkers() []inventory.WorkerID {
-	out := make([]inventory.WorkerID, 0, len(r.started))
-	for w := range r.started {
-		out = append(out, w)
-	}
-	slices.Sort(out)
-	return out
-}
-
-// Stopping returns copies of the started jobs that are to be stopped.
-func (r *Reducer) Stopping() []Job {
-	out := make([]Job, 0, len(r.cancelling))
-	for _, j := range r.cancelling {
-		out = append(out, *j)
-	}
-	return out
-}
-
-// Template returns what is learned about a template; nil if nothing is.
-func (r *Reducer) Template(name string) *Template {
-	return r.templates[name]
-}
-
-// IsQuarantined reports whether the worker is given no jobs.
-func (r *Reducer) IsQuarantined(w inventory.WorkerID) bool {
-	_, ok := r.health.Quarantined[w]
-	return ok
-}
-
 // Kinds returns the kinds of records that the reducer folds.
 func (r *Reducer) Kinds() []journal.Kind {
 	return []journal.Kind{KindSubmit, KindCancel, KindStart, KindThrottle, KindEnd, KindGiveUp}
@@ -375,43 +301,3 @@
 		r.ended = r.ended[1:]
 	}
 }
-
-// marshalled is the form of the state in snapshots.
-type marshalled struct {
-	Jobs      []*Job
-	Ended     []inventory.JobID
-	Sequence  int64
-	Templates map[string]*Template
-	Health    *Health
-}
-
-// MarshalState returns the jobs and what was learned.
-func (r *Reducer) MarshalState() ([]byte, error) {
-	return json.Marshal(marshalled{Jobs: r.Jobs(), Ended: r.ended, Sequence: r.sequence, Templates: r.templates, Health: r.health})
-}
-
-// UnmarshalState replaces the state and builds its indexes again.
-func (r *Reducer) UnmarshalState(b []byte) error {
-	m := marshalled{Health: newHealth()}
-	if err := json.Unmarshal(b, &m); err != nil {
-		return err
-	}
-	r.reset()
-	r.ended, r.sequence, r.health = m.Ended, m.Sequence, m.Health
-	if m.Templates != nil {
-		r.templates = m.Templates
-	}
-	for _, j := range m.Jobs {
-		r.jobs[j.ID] = j
-		if !j.HasEnded() {
-			r.open++
-		}
-		if j.State == Queued {
-			r.queues.add(j)
-		}
-		if j.State == Started {
-			r.hold(j)
-		}
-	}
-	return nil
-}
