fix: a listed worker that the fold does not know ended the host

Hosts of the pools' state are pointers now, so a worker on the host list without a place in the configuration was a nil pointer for the layout of placement. It is passed over; the tests' host list has such a stranger.

--- a/entry/placement/fake_test.go
+++ b/entry/placement/fake_test.go
@@ -280,21 +280,24 @@
 	if err != nil {
 		panic(err)
 	}
-	st := follower.State{Pools: &pool.View{Hosts: make(map[inventory.HostID]pool.Host)}}
+	st := follower.State{Pools: &pool.View{Hosts: make(map[inventory.HostID]*pool.Host)}}
 	st.Configuration.Version = 1
 	st.Configuration.Pools = map[inventory.PoolID]configuration.Pool{"Bells": {Owner: "Campanella", Jobs: jobs}}
 	st.Configuration.Teams = map[inventory.TeamID]configuration.Team{"Rendering": {Owner: "Campanella", Weight: 1}}
 	st.Configuration.Hosts = make(map[inventory.HostID]configuration.Host)
 	for i := range workers {
 		id := inventory.HostID(fmt.Sprintf("w%d", i))
-		st.Pools.Hosts[id] = pool.Host{Pool: "Bells", DataCentre: "Palermo"}
+		st.Pools.Hosts[id] = &pool.Host{Pool: "Bells", DataCentre: "Palermo"}
 		st.Configuration.Hosts[id] = configuration.Host{Owner: "Campanella", DataCentre: "Palermo", Rack: "r1", Size: inventory.Size{Cores: 4000, Memory: 8 * inventory.Gibibyte}}
 	}
 	return st
 }
 
 func hostList(workers int) inventory.HostList {
-	l := inventory.HostList{At: time.Unix(1, 0)}
+	// One listed host is not in the configuration.
+	l := inventory.HostList{At: time.Unix(1, 0), Hosts: []inventory.ListedHost{
+		{ID: "stranger", Role: inventory.RoleWorker, State: inventory.HostLive, DataCentre: "Palermo"},
+	}}
 	for i := range workers {
 		l.Hosts = append(l.Hosts, inventory.ListedHost{ID: inventory.HostID(fmt.Sprintf("w%d", i)), Role: inventory.RoleWorker, State: inventory.HostLive, DataCentre: "Palermo"})
 	}
--- a/entry/placement/filler_test.go
+++ b/entry/placement/filler_test.go
@@ -187,7 +187,7 @@
 	f := s.holders["e1"]
 	st := f.cfg.Fleet.Latest()
 	hosts := maps.Clone(st.Pools.Hosts)
-	hosts[from.Host()] = pool.Host{Pool: "Bells", DataCentre: "Palermo", Phase: pool.Draining, GrantedAt: s.now}
+	hosts[from.Host()] = &pool.Host{Pool: "Bells", DataCentre: "Palermo", Phase: pool.Draining, GrantedAt: s.now}
 	st.Pools = &pool.View{Hosts: hosts, Active: map[inventory.HostID]struct{}{from.Host(): {}}}
 	f.cfg.Fleet.Publish(st)
 	require.NoError(t, s.board.Stream.Do(context.Background(), func(*state.Jobs) { s.board.refreshLayout() }))
