--- a/entry/placement/fake_test.go
+++ b/entry/placement/fake_test.go
@@ -66,10 +66,13 @@
 
 // fakeWorker keeps the promises of the platform's workers.
 type fakeWorker struct {
-	boot  int
-	gone  bool
-	epoch journal.Epoch
-	tasks map[placement.TaskID]*fakeTask
+	boot int
+	gone bool
+	// closed workers refuse new tasks; refused counts these.
+	closed  bool
+	refused int
+	epoch   journal.Epoch
+	tasks   map[placement.TaskID]*fakeTask
 }
 
 // fakeWorkers is all workers of the data centre.
@@ -173,6 +176,10 @@
 	var out platform.Task
 	err := f.call(id, s.Epoch, func(w *fakeWorker) error {
 		t, ok := w.tasks[task]
+		if !ok && w.closed {
+			w.refused++
+			return platform.ErrUnavailable
+		}
 		if !ok && s.Boot != w.boot {
 			return platform.ErrRefused
 		}
@@ -287,7 +294,10 @@
 }
 
 func hostList(workers int) inventory.HostList {
-	l := inventory.HostList{At: time.Unix(1, 0)}
+	// One listed host is not in the configuration.
+	l := inventory.HostList{At: time.Unix(1, 0), Hosts: []inventory.ListedHost{
+		{ID: "stranger", Role: inventory.RoleWorker, State: inventory.HostLive, DataCentre: "Palermo"},
+	}}
 	for i := range workers {
 		l.Hosts = append(l.Hosts, inventory.ListedHost{ID: inventory.HostID(fmt.Sprintf("w%d", i)), Role: inventory.RoleWorker, State: inventory.HostLive, DataCentre: "Palermo"})
 	}
