--- a/fleet/pool/planner.go
+++ b/fleet/pool/planner.go
@@ -21,7 +21,7 @@
 	// MaxCommands bounds the commands of one plan; the rest waits for the next.
 	MaxCommands = 256
 	// checkEvery is the time between two forecasts of a wave that is due.
-	checkEvery = 2 * time.Second
+	checkEvery = 10 * time.Second
 )
 
 // Input is what a plan is made from.
@@ -167,6 +167,9 @@
 			continue
 		}
 		if isDue(in.Now, w, pass) {
+			if _, open := wave.NewWindow(w).Open(in.Now); !open {
+				continue
+			}
 			if s, ok := p.check(in, id); ok && s.State == WaveDue {
 				out = append(out, Decision{KindPass, Pass{Wave: id, Pass: s.Pass + 1, Forecast: s.Forecast}})
 			}
@@ -271,15 +274,22 @@
 }
 
 // candidates returns the hosts of a pool that the pass has still to reboot, in
-// order. Failed hosts are left out until they come back.
+// order.
 func candidates(v *View, p inventory.PoolID, pass wave.Progress) []wave.Candidate {
+	all := unordered(v, p, pass)
+	wave.Order(all, v)
+	return all
+}
+
+// unordered returns the hosts of a pool that the pass has still to reboot. Failed
+// hosts are left out until they come back.
+func unordered(v *View, p inventory.PoolID, pass wave.Progress) []wave.Candidate {
 	var all []wave.Candidate
 	for _, id := range v.members[p] {
 		if v.isLeft(id, pass) {
 			all = append(all, wave.Candidate{Host: id, Place: v.Hosts[id].Place()})
 		}
 	}
-	wave.Order(all, v)
 	return all
 }
 
--- a/fleet/pool/status.go
+++ b/fleet/pool/status.go
@@ -60,7 +60,7 @@
 	}
 	var left []wave.Candidate
 	for _, p := range w.Pools {
-		left = append(left, candidates(v, p, scope)...)
+		left = append(left, unordered(v, p, scope)...)
 	}
 	s.Left, s.Failed = len(left), v.failedIn(w.Pools)
 	end, err := wave.Check(now, w, left, v, hostDuration(w, p))
