--- a/entry/keeper/keeper.go
+++ b/entry/keeper/keeper.go
@@ -24,6 +24,9 @@
 	// askEveryHost is added for each host of the last answer.
 	askEvery     = 250 * time.Millisecond
 	askEveryHost = 10 * time.Millisecond
+	// planEveryHost is the least time between two plans for each disturbed host,
+	// which bounds the processor time of a wave over the whole fleet.
+	planEveryHost = time.Millisecond
 	// commandsAtOnce bounds the commands that are on their way together.
 	commandsAtOnce = 16
 	// foldWait is how long the keeper waits to read its own records back before
@@ -63,6 +66,8 @@
 	silent bool
 	// drained is the number of hosts in the platform's last answer.
 	drained int
+	// planned is when the last plan was made.
+	planned time.Time
 	// asked is when the platform was last asked.
 	asked time.Time
 	// waiting are the records of this keeper that were not read back yet.
@@ -91,6 +96,10 @@
 	if st.Pools == nil || k.isWaiting(st, now) {
 		return nil
 	}
+	if now.Sub(k.planned) < time.Duration(len(st.Pools.Active))*planEveryHost {
+		return nil
+	}
+	k.planned = now
 	in := pool.Input{Now: now, Configuration: st.Configuration, View: st.Pools, List: k.cfg.List()}
 	if now.Sub(k.asked) >= askEvery+time.Duration(k.drained)*askEveryHost {
 		k.ask(now)
