perf: breaches look only at domains with unavailable hosts

Cause: each view asked for the limit of every domain, and the measurement looked at every fake host on each tick.

--- a/bench/policy/fleet_world.go
+++ b/bench/policy/fleet_world.go
@@ -69,7 +69,9 @@
 	reducer *pool.Reducer
 	planner *pool.Planner
 	hosts   map[inventory.HostID]*fleetHost
-	told    *pool.Told
+	// busy holds the hosts that were commanded and may not be admitted.
+	busy map[inventory.HostID]bool
+	told *pool.Told
 	// asked is when the platform was last asked, and drained the number of hosts
 	// in its answer.
 	asked   time.Time
@@ -146,7 +148,7 @@
 func newFleetWorld(s fleetShape, seed uint64) (*fleetWorld, error) {
 	w := &fleetWorld{
 		now: time.Date(2026, 3, 2, 21, 59, 0, 0, time.UTC), planner: pool.NewPlanner(), told: pool.NewTold(),
-		hosts: make(map[inventory.HostID]*fleetHost),
+		hosts: make(map[inventory.HostID]*fleetHost), busy: make(map[inventory.HostID]bool),
 	}
 	w.reducer = pool.NewReducer(w)
 	o, err := s.objects()
@@ -204,8 +206,12 @@
 	}
 	w.asked = w.now
 	var list []pool.PlatformHost
-	for id, h := range w.hosts {
-		if h.advance(w.now); h.state == pool.PlatformDrained {
+	for id := range w.busy {
+		h := w.hosts[id]
+		if h.advance(w.now); h.state == pool.PlatformAdmitted {
+			delete(w.busy, id)
+		}
+		if h.state == pool.PlatformDrained {
 			list = append(list, pool.PlatformHost{ID: id, State: h.state, Reboot: h.reboot})
 		}
 	}
@@ -223,6 +229,7 @@
 			continue
 		}
 		h.command(c, w.now)
+		w.busy[c.Host] = true
 		w.told.Answered(w.now, pool.PlatformHost{ID: c.Host, State: h.state, Reboot: h.reboot})
 	}
 	for _, d := range w.planner.Decisions(in) {
--- a/fleet/budget/ledger.go
+++ b/fleet/budget/ledger.go
@@ -235,6 +235,9 @@
 func (l *Ledger) Breaches() []Breach {
 	var out []Breach
 	for d, c := range l.counts {
+		if c.Unavailable() == 0 {
+			continue
+		}
 		if limit := l.Limit(d); c.Unavailable() > limit {
 			out = append(out, Breach{Domain: d, Limit: limit, Count: c})
 		}
