feat: pictures of the buffer against demand and of a wave against its lower bound

Cause: reports had only the latency of requests. Change: the measurements of capacity and waves hand over a chart each.

--- a/bench/policy/fleet_capacity.go
+++ b/bench/policy/fleet_capacity.go
@@ -76,9 +76,11 @@
 	// idle and missing are in host seconds, needed as well.
 	idle, missing, needed float64
 	moves                 int
+	trace                 heldTrace
 }
 
 func (c *capacityResult) count(held, demand capacity.Hosts) {
+	c.trace.add(held, demand)
 	c.needed += float64(demand)
 	c.idle += float64(max(held-demand, 0))
 	c.missing += float64(max(demand-held, 0))
@@ -184,6 +186,7 @@
 			runPolicy(p.make(), demand, &results[i])
 		}
 	}
+	o.Plot(bufferChart(results[len(results)-1].trace, oracle.trace))
 	f := func(name string, v float64, u measure.Unit) measure.Figure {
 		return measure.Figure{Name: "capacity." + name, Value: v, Unit: u, Deterministic: true}
 	}
--- a/bench/policy/fleet_wave.go
+++ b/bench/policy/fleet_wave.go
@@ -39,6 +39,10 @@
 	late     int
 	repeated int
 	overruns int
+	// progress, longest and lowerBound are for the chart.
+	progress   waveTrace
+	longest    inventory.WaveID
+	lowerBound time.Duration
 }
 
 var waves = measure.Measurement{
@@ -51,6 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
+	o.Plot(ours.waveChart())
 	o.Progress("rounds as a baseline")
 	rounds, err := runWaves(baselineShape, o.Seed, 1, permitRounds)
 	if err != nil {
@@ -98,7 +103,7 @@
 	begin := w.now
 	outages := outagesOf(rand.New(rand.NewPCG(seed, 3)), begin, days, shape.hosts, letterFailures*shape.hosts/letterHosts, letterRestarts*shape.hosts/letterHosts)
 	changes := changesOf(outages)
-	result := waveResult{}
+	result := waveResult{progress: make(waveTrace)}
 	measured := make(map[inventory.WaveID]bool)
 	for w.now.Before(begin.Add(time.Duration(days) * 24 * time.Hour)) {
 		for len(changes) > 0 && !changes[0].at.After(w.now) {
@@ -113,6 +118,9 @@
 		}
 		v := w.reducer.View()
 		for id, p := range v.Waves {
+			if !p.Started.IsZero() && !measured[id] {
+				result.progress.add(id, w.now.Sub(p.Started), len(p.Rebooted))
+			}
 			if p.Finished.IsZero() || measured[id] {
 				continue
 			}
@@ -120,7 +128,9 @@
 			took := p.Finished.Sub(p.Started)
 			bound := lowerBound(w, v, p.Rebooted, p.Started, outages)
 			result.ratio = max(result.ratio, took.Seconds()/bound.Seconds())
-			result.rollOut = max(result.rollOut, took)
+			if took > result.rollOut {
+				result.rollOut, result.longest, result.lowerBound = took, id, bound
+			}
 		}
 		w.now = w.now.Add(fleetTick)
 		if w.isQuiet(v) {
