fix: workers that refuse, do not answer, came later or restarted unnoticed

A worker that the holder did not know got no job and held up the plan, one that refused was asked four times a second, and one that had restarted while idle would have ended non-idempotent jobs as Unknown although they never ran. Unknown workers are asked for their restarts first, refusing and silent ones are left alone for 5 s, and a start whose first call was refused never ran.

--- a/entry/placement/fake_test.go
+++ b/entry/placement/fake_test.go
@@ -66,10 +66,13 @@
 
 // fakeWorker keeps the promises of the platform's workers.
 type fakeWorker struct {
-	boot  int
-	gone  bool
-	epoch journal.Epoch
-	tasks map[placement.TaskID]*fakeTask
+	boot int
+	gone bool
+	// closed workers refuse new tasks; refused counts these.
+	closed  bool
+	refused int
+	epoch   journal.Epoch
+	tasks   map[placement.TaskID]*fakeTask
 }
 
 // fakeWorkers is all workers of the data centre.
@@ -173,6 +176,10 @@
 	var out platform.Task
 	err := f.call(id, s.Epoch, func(w *fakeWorker) error {
 		t, ok := w.tasks[task]
+		if !ok && w.closed {
+			w.refused++
+			return platform.ErrUnavailable
+		}
 		if !ok && s.Boot != w.boot {
 			return platform.ErrRefused
 		}
--- a/entry/placement/filler.go
+++ b/entry/placement/filler.go
@@ -25,6 +25,9 @@
 	// firstLook and lastLook bound the time between two looks at a worker.
 	firstLook = 250 * time.Millisecond
 	lastLook  = 40 * time.Second
+	// avoidFor is how long a worker that refused a start or did not answer is given
+	// no jobs.
+	avoidFor = 5 * time.Second
 	// evacuateAfter is how long the jobs of a draining host may go on before they
 	// are checkpointed.
 	evacuateAfter = 60 * time.Second
@@ -66,6 +69,9 @@
 	announced []placement.Start
 	// unconfirmed are own starts that no worker has confirmed, by task.
 	unconfirmed map[placement.TaskID]placement.Job
+	// uncertain are those of which a call had no answer, so that the worker may
+	// have run them.
+	uncertain map[placement.TaskID]bool
 }
 
 func newFiller(cfg Config, stream journal.StreamID, board *Board) *filler {
@@ -83,7 +89,7 @@
 func (f *filler) Tick(ctx context.Context, now time.Time, epoch journal.Epoch) error {
 	ctx, cancel := context.WithTimeout(ctx, tickTime)
 	defer cancel()
-	if f.epoch != epoch {
+	if f.boots == nil || f.epoch != epoch {
 		if err := f.begin(ctx, now, epoch); err != nil {
 			return err
 		}
@@ -108,6 +114,7 @@
 	f.boots = make(map[inventory.WorkerID]int, len(all))
 	f.looks = make(map[inventory.WorkerID]*look)
 	f.unconfirmed = make(map[placement.TaskID]placement.Job)
+	f.uncertain = make(map[placement.TaskID]bool)
 	f.announced = nil
 	f.recorder.Begin(epoch)
 	for _, w := range all {
@@ -156,6 +163,9 @@
 			return err
 		}
 	}
+	if err := f.learnBoots(ctx, now, plan.Starts); err != nil {
+		return err
+	}
 	starts := make([]placement.Start, 0, len(plan.Starts))
 	for _, s := range plan.Starts {
 		boot, ok := f.boots[s.Worker]
@@ -179,6 +189,44 @@
 	return err
 }
 
+// learnBoots asks workers that are new to this holder how often they restarted.
+// Those that don't answer are given no jobs for a while.
+func (f *filler) learnBoots(ctx context.Context, now time.Time, starts []placement.Start) error {
+	asked := make(map[inventory.WorkerID]bool)
+	var unknown []inventory.WorkerID
+	for _, s := range starts {
+		if _, ok := f.boots[s.Worker]; !ok && !asked[s.Worker] {
+			asked[s.Worker] = true
+			unknown = append(unknown, s.Worker)
+		}
+	}
+	if len(unknown) == 0 {
+		return nil
+	}
+	answers := f.renew(ctx, unknown)
+	var silent []inventory.WorkerID
+	for _, w := range unknown {
+		if s := answers[w]; s != nil {
+			f.boots[w] = s.Reboots
+			continue
+		}
+		silent = append(silent, w)
+	}
+	return f.avoid(ctx, now, silent)
+}
+
+// avoid gives workers no jobs for a while.
+func (f *filler) avoid(ctx context.Context, now time.Time, workers []inventory.WorkerID) error {
+	if len(workers) == 0 {
+		return nil
+	}
+	return f.board.Do(ctx, func(_ *placement.Reducer, s *placement.Scheduler) {
+		for _, w := range workers {
+			s.Avoid(w, now.Add(avoidFor))
+		}
+	})
+}
+
 // lookSoon makes the worker be looked at within the first pause.
 func (f *filler) lookSoon(w inventory.WorkerID, now time.Time) {
 	l, ok := f.looks[w]
--- a/entry/placement/filler_test.go
+++ b/entry/placement/filler_test.go
@@ -232,3 +232,41 @@
 	require.Equal(t, placement.Done, s.job("once").State)
 	require.Equal(t, 1, s.workers.runs["once"])
 }
+
+func TestAWorkerThatTakesNoTasksIsLeftAlone(t *testing.T) {
+	s := newSite(t, 2)
+	defer s.stop()
+	s.workers.all["w0"].closed, s.workers.all["w1"].closed = true, true
+	s.submit("once", false)
+	for range 20 {
+		s.pass(250 * time.Millisecond)
+		s.tick("e1")
+	}
+	require.Equal(t, 2, s.workers.all["w0"].refused+s.workers.all["w1"].refused, "each is asked once in 5 s")
+	require.Equal(t, placement.Queued, s.job("once").State)
+	s.workers.all["w0"].closed = false
+	s.pass(avoidFor)
+	s.tick("e1")
+	require.Equal(t, placement.Started, s.job("once").State)
+}
+
+func TestWorkersThatCameLaterOrRestartedUnnoticedAreGivenJobs(t *testing.T) {
+	for name, unnoticed := range map[string]bool{"came later": false, "restarted unnoticed": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1)
+			defer s.stop()
+			s.tick("e1")
+			if !unnoticed {
+				delete(s.holders["e1"].boots, "w0")
+			}
+			s.workers.restart("w0")
+			s.submit("once", false)
+			s.tick("e1")
+			s.pass(avoidFor)
+			s.tick("e1")
+			require.Equal(t, placement.Started, s.job("once").State)
+			require.Equal(t, 1, s.job("once").Start.Boot)
+			require.Equal(t, 1, s.workers.runs["once"])
+		})
+	}
+}
--- a/entry/placement/start.go
+++ b/entry/placement/start.go
@@ -8,6 +8,7 @@
 
 	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/platform"
+	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/placement"
 )
 
@@ -46,23 +47,39 @@
 	}
 	var mu sync.Mutex
 	found := &findings{}
-	var refused []placement.Job
+	var refused, never []placement.Job
 	each(ctx, len(jobs), func(i int) {
 		t, err := f.startTask(jobs[i])
 		mu.Lock()
 		defer mu.Unlock()
+		isFirst := !f.uncertain[jobs[i].Task()]
 		switch {
 		case err == nil:
 			f.confirm(jobs[i])
 			found.add(jobs[i], t, now)
-		case errors.Is(err, platform.ErrRefused) || errors.Is(err, platform.ErrUnavailable):
+		case isFirst && isRefusal(err):
+			never = append(never, jobs[i])
+		case isRefusal(err):
 			refused = append(refused, jobs[i])
 		default:
+			f.uncertain[jobs[i].Task()] = true
 			f.cfg.Log.WithError(err).WithField("Task", jobs[i].Task()).Warn("a start had no answer and will be repeated")
 		}
 	})
+	var refusing []inventory.WorkerID
 	for _, j := range refused {
 		f.withdraw(found, j.Start.Worker, j, now)
+		refusing = append(refusing, j.Start.Worker)
+	}
+	for _, j := range never {
+		f.forget(j)
+		// The worker may have restarted unnoticed.
+		delete(f.boots, j.Start.Worker)
+		refusing = append(refusing, j.Start.Worker)
+		found.ends = append(found.ends, placement.End{Job: j.ID, Attempt: j.Attempt, Outcome: placement.OutcomeNotRun, Reason: "the worker refused the task"})
+	}
+	if err := f.avoid(ctx, now, refusing); err != nil {
+		return err
 	}
 	return f.report(ctx, now, found)
 }
@@ -77,9 +94,20 @@
 	})
 }
 
+// isRefusal reports whether the worker answered that it did nothing.
+func isRefusal(err error) bool {
+	return errors.Is(err, platform.ErrRefused) || errors.Is(err, platform.ErrUnavailable)
+}
+
+// forget drops a start that needs no further telling.
+func (f *filler) forget(j placement.Job) {
+	delete(f.unconfirmed, j.Task())
+	delete(f.uncertain, j.Task())
+}
+
 // confirm notes that the worker has the task.
 func (f *filler) confirm(j placement.Job) {
-	delete(f.unconfirmed, j.Task())
+	f.forget(j)
 	class := "Standard"
 	if j.Urgent {
 		class = "Urgent"
--- a/entry/placement/watch.go
+++ b/entry/placement/watch.go
@@ -36,8 +36,15 @@
 		return err
 	}
 	found := &findings{}
+	var silent []inventory.WorkerID
 	for _, w := range due {
 		f.judge(found, w, answers[w], jobs[w], now)
+		if answers[w] == nil {
+			silent = append(silent, w)
+		}
+	}
+	if err := f.avoid(ctx, now, silent); err != nil {
+		return err
 	}
 	return f.report(ctx, now, found)
 }
@@ -121,14 +128,14 @@
 func (f *filler) judgeJob(found *findings, w inventory.WorkerID, s *platform.WorkerStatus, j placement.Job, now time.Time) {
 	t, known := s.Tasks[j.Task()]
 	if known {
-		delete(f.unconfirmed, j.Task())
+		f.forget(j)
 		found.add(j, t, now)
 		return
 	}
 	_, telling := f.unconfirmed[j.Task()]
 	switch {
 	case j.Start.Boot != s.Reboots:
-		delete(f.unconfirmed, j.Task())
+		f.forget(j)
 		found.lose([]placement.Job{j}, "the worker has restarted")
 	case telling:
 	case j.Epoch == f.epoch:
@@ -154,7 +161,7 @@
 		f.lookSoon(w, now)
 		return
 	}
-	delete(f.unconfirmed, j.Task())
+	f.forget(j)
 	f.boots[w] = s.Reboots
 	if s.Reboots != j.Start.Boot {
 		found.lose([]placement.Job{j}, "the worker has restarted")
--- a/fleet/placement/explain.go
+++ b/fleet/placement/explain.go
@@ -53,14 +53,14 @@
 	for o := j.previous; o != nil; o = o.previous {
 		e.Ahead++
 	}
-	may := func(w *workerState) bool { return s.jobs.health.mayTry(j, w, now) }
+	may := func(w *workerState) bool { return s.mayTry(j, w, now) }
 	switch {
 	case e.Ahead > 0:
 		e.Reason = fmt.Sprintf("waits behind %d jobs of its team and template", e.Ahead)
 	case p.find(e.Need, j.Template, may) != nil:
 		e.Reason = "is about to start"
 	case !p.hasAny(may):
-		e.Reason = "every worker of the pool is in quarantine or failed the job"
+		e.Reason = "every worker of the pool is in quarantine, failed the job, or takes no jobs now"
 	case s.isBorrowing(j.Team, e.Need):
 		e.Reason = fmt.Sprintf("team %s is at its quota and the pool has no room to lend", j.Team)
 	default:
--- a/fleet/placement/scheduler.go
+++ b/fleet/placement/scheduler.go
@@ -27,13 +27,16 @@
 	// if nothing changed in it.
 	order []*poolState
 	turn  int
+	// avoided has until when a worker is given no jobs, since it did not take or
+	// answer the last.
+	avoided map[inventory.WorkerID]time.Time
 	// indexed is the version of the queues' groups that the pools know.
 	indexed int64
 }
 
 // NewScheduler returns a scheduler of the jobs without workers.
 func NewScheduler(jobs *Reducer) *Scheduler {
-	s := &Scheduler{jobs: jobs}
+	s := &Scheduler{jobs: jobs, avoided: make(map[inventory.WorkerID]time.Time)}
 	jobs.Observe(s)
 	s.SetLayout(Layout{})
 	return s
@@ -109,6 +112,16 @@
 	w.pool.racks[rackTemplate{w.Rack, template}]++
 }
 
+// Avoid gives a worker no jobs until a moment.
+func (s *Scheduler) Avoid(w inventory.WorkerID, until time.Time) {
+	s.avoided[w] = until
+}
+
+// mayTry reports whether the worker may be given the job now.
+func (s *Scheduler) mayTry(j *Job, w *workerState, now time.Time) bool {
+	return !now.Before(s.avoided[w.ID]) && s.jobs.health.mayTry(j, w, now)
+}
+
 // Examined counts the workers that all searches looked at under this layout.
 func (s *Scheduler) Examined() int64 {
 	n := int64(0)
