--- a/ctl/command/bill.go
+++ b/ctl/command/bill.go
@@ -59,36 +59,69 @@
 			&cli.StringFlag{Name: "expect", Usage: "OFFSET:DIGEST of the chain that was kept earlier", Destination: &o.expected},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			var b Bill
-			host := c.Clients()[0]
-			if err := host.Get("/bill", &b); err != nil {
-				return exit(err)
-			}
-			if !o.verify && o.save == "" {
-				return printBill(cmd.Root().Writer, c.Output, b)
-			}
-			return o.check(cmd.Root().Writer, host, b)
+			return o.run(cmd.Root().Writer, c)
 		},
 	}
 }
 
-func printBill(w io.Writer, output string, b Bill) error {
-	lines := b.Open.Lines
+// run shows, saves or verifies the bill of each data centre whose host is named.
+func (o *billOptions) run(w io.Writer, c *Connection) error {
+	if len(c.Entries) > 1 && (o.save != "" || o.records != "" || o.expected != "") {
+		return badInput(eris.New("--save, --records and --expect are for one data centre; name one --entry"))
+	}
+	var all []Bill
+	for _, host := range c.Clients() {
+		var b Bill
+		if err := host.Get("/bill", &b); err != nil {
+			return exit(err)
+		}
+		all = append(all, b)
+		if !o.verify && o.save == "" {
+			continue
+		}
+		if err := o.check(w, host, b); err != nil {
+			return err
+		}
+	}
+	if o.verify || o.save != "" {
+		return nil
+	}
+	return printBills(w, c.Output, all)
+}
+
+// printBills writes the bill of each data centre and the owners' shares of all.
+func printBills(w io.Writer, output string, all []Bill) error {
 	if output == "json" {
-		return json.NewEncoder(w).Encode(b)
+		return json.NewEncoder(w).Encode(all)
 	}
-	fmt.Fprintf(w, "%s from %s to %s, chain %d:%s\n", b.DataCentre, b.Open.From.Time().Format(time.RFC3339), b.Open.To.Time().Format(time.RFC3339), b.Open.Chain.Offset, b.Open.Chain.Digest)
-	const header = "OWNER\tPOOL\tHOST HOURS\tCORE HOURS\tUSED\tIDLE\tLATE"
-	if err := printAll(w, output, lines, header, billLine); err != nil {
-		return err
+	lines := make(map[inventory.DataCentreID][]bill.Line)
+	for _, b := range all {
+		if _, ok := lines[b.DataCentre]; ok {
+			continue
+		}
+		lines[b.DataCentre] = b.Open.Lines
+		if err := printBill(w, output, b); err != nil {
+			return err
+		}
 	}
-	fmt.Fprintln(w)
-	if err := printAll(w, output, bill.ByOwner(lines), header, billLine); err != nil {
+	var sum []bill.Line
+	for _, of := range lines {
+		sum = append(sum, of...)
+	}
+	return printAll(w, output, bill.ByOwner(sum), billHeader, billLine)
+}
+
+const billHeader = "OWNER\tPOOL\tHOST HOURS\tCORE HOURS\tUSED\tIDLE\tLATE"
+
+func printBill(w io.Writer, output string, b Bill) error {
+	fmt.Fprintf(w, "%s from %s to %s, chain %d:%s\n", b.DataCentre, b.Open.From.Time().Format(time.RFC3339), b.Open.To.Time().Format(time.RFC3339), b.Open.Chain.Offset, b.Open.Chain.Digest)
+	if err := printAll(w, output, b.Open.Lines, billHeader, billLine); err != nil {
 		return err
 	}
 	if b.Refused > 0 {
 		fmt.Fprintf(w, "%d reports were not counted; see --output json\n", b.Refused)
 	}
+	fmt.Fprintln(w)
 	return nil
 }
 
@@ -128,7 +161,7 @@
 	if err := verifyBill(records, b, o.expected); err != nil {
 		return exit(err)
 	}
-	fmt.Fprintf(w, "verified: %d records give the same bill to the last unit; keep the chain %d:%s\n", len(records), b.Open.Chain.Offset, b.Open.Chain.Digest)
+	fmt.Fprintf(w, "%s verified: %d records give the same bill to the last unit; keep the chain %d:%s\n", b.DataCentre, len(records), b.Open.Chain.Offset, b.Open.Chain.Digest)
 	return nil
 }
 
--- a/entry/placement/routes.go
+++ b/entry/placement/routes.go
@@ -124,24 +124,15 @@
 }
 
 func (p *Placement) list(ctx *fasthttp.RequestCtx) {
-	s := operation.JobSummary{DataCentre: p.cfg.DataCentre, Counts: make(map[placement.State]int)}
+	s := operation.JobSummary{DataCentre: p.cfg.DataCentre}
 	team := inventory.TeamID(ctx.QueryArgs().Peek("Team"))
 	c, stop := context.WithTimeout(context.Background(), askTime)
 	defer stop()
-	err := p.board.Do(c, func(r *placement.Reducer, _ *placement.Scheduler) {
-		for _, j := range r.Jobs() {
-			if team != "" && j.Team != team {
-				continue
-			}
-			s.Counts[j.State]++
-			s.Jobs = append(s.Jobs, *j)
-		}
-	})
+	err := p.board.Do(c, func(r *placement.Reducer, _ *placement.Scheduler) { s.Jobs, s.Counts = r.Last(maxListed, team) })
 	if err != nil {
 		operator.Refuse(ctx, fasthttp.StatusServiceUnavailable, "the job stream is busy")
 		return
 	}
-	s.Jobs = s.Jobs[max(0, len(s.Jobs)-maxListed):]
 	operator.Answer(ctx, fasthttp.StatusOK, s)
 }
 
--- a/fleet/placement/reader.go
+++ b/fleet/placement/reader.go
@@ -28,6 +28,32 @@
 	return all
 }
 
+// Last returns copies of the last n accepted jobs of a team, or of all teams if
+// it is empty, in order of acceptance, and the number of its jobs in each state.
+func (r *Reducer) Last(n int, team inventory.TeamID) ([]Job, map[State]int) {
+	counts := make(map[State]int)
+	var last []*Job
+	bySequence := func(a, b *Job) int { return cmp.Compare(a.Sequence, b.Sequence) }
+	for _, j := range r.jobs {
+		if team != "" && j.Team != team {
+			continue
+		}
+		counts[j.State]++
+		last = append(last, j)
+		if len(last) >= 2*n {
+			slices.SortFunc(last, bySequence)
+			last = append(last[:0], last[len(last)-n:]...)
+		}
+	}
+	slices.SortFunc(last, bySequence)
+	last = last[max(0, len(last)-n):]
+	out := make([]Job, len(last))
+	for i, j := range last {
+		out[i] = *j
+	}
+	return out, counts
+}
+
 // StartedJobs returns the started jobs in order of acceptance.
 func (r *Reducer) StartedJobs() []*Job {
 	var all []*Job
