fix: a listed worker that the fold does not know ended the host

Hosts of the pools' state are pointers now, so a worker on the host list without a place in the configuration was a nil pointer for the layout of placement. It is passed over; the tests' host list has such a stranger.

--- a/entry/placement/board.go
+++ b/entry/placement/board.go
@@ -69,7 +69,10 @@
 	b.version, b.pools, b.live = st.Configuration.Version, st.Pools, live
 	poolOf := func(id inventory.HostID) (inventory.PoolID, bool) {
 		h, ok := st.Pools.Hosts[id]
-		return h.Pool, ok
+		if !ok {
+			return "", false
+		}
+		return h.Pool, true
 	}
 	b.scheduler.SetLayout(placement.NewLayout(st.Configuration, b.dataCentre, poolOf, func(id inventory.HostID) bool { return live[id] }))
 }
@@ -79,7 +82,8 @@
 	live := make(map[inventory.HostID]bool)
 	for _, h := range b.hosts.Latest().Hosts {
 		isHere := h.Role == inventory.RoleWorker && h.DataCentre == b.dataCentre
-		if isHere && h.State == inventory.HostLive && pools.Hosts[h.ID].Phase == pool.InService {
+		folded, known := pools.Hosts[h.ID]
+		if isHere && known && h.State == inventory.HostLive && folded.Phase == pool.InService {
 			live[h.ID] = true
 		}
 	}
--- a/entry/placement/evacuate.go
+++ b/entry/placement/evacuate.go
@@ -51,8 +51,8 @@
 	}
 	ends := make(map[inventory.HostID]time.Time)
 	for id := range pools.Active {
-		h := pools.Hosts[id]
-		if h.Phase == pool.Draining && h.DataCentre == f.cfg.DataCentre {
+		h, known := pools.Hosts[id]
+		if known && h.Phase == pool.Draining && h.DataCentre == f.cfg.DataCentre {
 			ends[id] = h.GrantedAt.Add(evacuateAfter)
 		}
 	}
--- a/entry/placement/fake_test.go
+++ b/entry/placement/fake_test.go
@@ -294,7 +294,10 @@
 }
 
 func hostList(workers int) inventory.HostList {
-	l := inventory.HostList{At: time.Unix(1, 0)}
+	// One listed host is not in the configuration.
+	l := inventory.HostList{At: time.Unix(1, 0), Hosts: []inventory.ListedHost{
+		{ID: "stranger", Role: inventory.RoleWorker, State: inventory.HostLive, DataCentre: "Palermo"},
+	}}
 	for i := range workers {
 		l.Hosts = append(l.Hosts, inventory.ListedHost{ID: inventory.HostID(fmt.Sprintf("w%d", i)), Role: inventory.RoleWorker, State: inventory.HostLive, DataCentre: "Palermo"})
 	}
--- a/entry/usage/collector_test.go
+++ b/entry/usage/collector_test.go
@@ -94,7 +94,7 @@
 	var st follower.State
 	st.Configuration.Pools = map[inventory.PoolID]configuration.Pool{"Bells": {Owner: "Campanella"}, "Prices": {Owner: "Corchos"}}
 	st.Configuration.Hosts = map[inventory.HostID]configuration.Host{"h": {Size: inventory.Size{Cores: 64_000}}}
-	st.Pools = &pool.View{Hosts: map[inventory.HostID]pool.Host{"h": {Pool: p, DataCentre: "Palermo", Owned: since}, "far": {Pool: p, DataCentre: "Catania"}}}
+	st.Pools = &pool.View{Hosts: map[inventory.HostID]*pool.Host{"h": {Pool: p, DataCentre: "Palermo", Owned: since}, "far": {Pool: p, DataCentre: "Catania"}}}
 	o.fleet.Publish(st)
 }
 
