--- a/fleet/placement/job.go
+++ b/fleet/placement/job.go
@@ -36,12 +36,12 @@
 	AcceptedAt time.Time
 	State      State
 	// Attempt counts accepted starts.
-	Attempt int
+	Attempt int `json:",omitzero"`
 	// Start is the last accepted start and Epoch that of its record.
-	Start Start
-	Epoch journal.Epoch
+	Start Start         `json:",omitzero"`
+	Epoch journal.Epoch `json:",omitzero"`
 	// StartedAt is the time of the last start record.
-	StartedAt time.Time
+	StartedAt time.Time `json:",omitzero"`
 	// Cancelling means that a started job is to be stopped.
 	Cancelling bool `json:",omitempty"`
 	Throttled  bool `json:",omitempty"`
--- a/fleet/placement/queue.go
+++ b/fleet/placement/queue.go
@@ -146,6 +146,8 @@
 		of[k] = q
 	}
 	q.add(j)
+	// Jobs of a queue share what is equal in all of them.
+	j.Labels, j.Owner, j.Team, j.Template = g.labels, q.key.owner, q.key.team, q.key.template
 	g.version++
 	if k.urgent {
 		s.urgent++
--- a/fleet/placement/snapshot.go
+++ b/fleet/placement/snapshot.go
@@ -1,11 +1,22 @@
 package placement
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
+
+	"github.com/rotisserie/eris"
 
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 )
 
+// maxStateBytes bounds the unpacked state.
+const maxStateBytes = 512 << 20
+
+// ErrState is returned for a state that cannot be read.
+var ErrState = eris.New("unreadable state of jobs")
+
 // marshalled is the form of the state in snapshots.
 type marshalled struct {
 	Jobs      []*Job
@@ -15,17 +26,51 @@
 	Health    *Health
 }
 
-// MarshalState returns the jobs and what was learned.
+// MarshalState returns the jobs and what was learned, compressed, since a long
+// queue would not fit into a snapshot otherwise.
 func (r *Reducer) MarshalState() ([]byte, error) {
-	return json.Marshal(marshalled{Jobs: r.Jobs(), Ended: r.ended, Sequence: r.sequence, Templates: r.templates, Health: r.health})
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, eris.Wrap(err, "packing the jobs")
+	}
+	err = json.NewEncoder(w).Encode(marshalled{Jobs: r.Jobs(), Ended: r.ended, Sequence: r.sequence, Templates: r.templates, Health: r.health})
+	if err == nil {
+		err = w.Close()
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "packing the jobs")
+	}
+	return json.Marshal(b.Bytes())
+}
+
+// unpack returns the plain form of a marshalled state.
+func unpack(state []byte) ([]byte, error) {
+	var packed []byte
+	if err := json.Unmarshal(state, &packed); err != nil {
+		return nil, eris.Wrapf(ErrState, "%s", err)
+	}
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, eris.Wrapf(ErrState, "%s", err)
+	}
+	plain, err := io.ReadAll(io.LimitReader(r, maxStateBytes+1))
+	if err != nil || len(plain) > maxStateBytes {
+		return nil, eris.Wrapf(ErrState, "%d bytes read: %v", len(plain), err)
+	}
+	return plain, nil
 }
 
 // UnmarshalState replaces the state and builds its indexes again.
 func (r *Reducer) UnmarshalState(b []byte) error {
-	m := marshalled{Health: newHealth()}
-	if err := json.Unmarshal(b, &m); err != nil {
+	plain, err := unpack(b)
+	if err != nil {
 		return err
 	}
+	m := marshalled{Health: newHealth()}
+	if err := json.Unmarshal(plain, &m); err != nil {
+		return eris.Wrapf(ErrState, "%s", err)
+	}
 	r.reset()
 	r.ended, r.sequence, r.health = m.Ended, m.Sequence, m.Health
 	if m.Templates != nil {
