--- a/bench/policy/placement.go
+++ b/bench/policy/placement.go
@@ -136,17 +136,41 @@
 	w.submit(20_000, allTeams()[:fleetTeams/2])
 	w.fill()
 	w.submit(20_000, allTeams()[fleetTeams/2:])
+	base := newFirstFit(w.layout(workers), w.jobs.Placement.Jobs())
+	baseHeld := make(map[inventory.TeamID]inventory.Size)
+	for _, j := range base.run(func(j *placement.Job) inventory.Size { return w.real[j.ID] }) {
+		baseHeld[j.Team] = baseHeld[j.Team].Add(j.Declared)
+	}
 	began := w.now
-	short := w.short()
-	for short > 0 && w.now.Sub(began) < 5*time.Minute {
+	for w.short() > 0 && w.now.Sub(began) < 5*time.Minute {
 		w.now = w.now.Add(dutyTick)
 		w.tick()
-		short = w.short()
 	}
+	_, held := w.used()
 	return []measure.Figure{
-		{Name: "placement.teams_short_of_quota", Value: float64(short), Unit: measure.Count, Deterministic: true},
+		{Name: "placement.teams_short_of_quota", Value: float64(w.short()), Unit: measure.Count, Deterministic: true},
+		{Name: "placement.first_fit_teams_short_of_quota", Value: float64(w.shortOf(baseHeld)), Unit: measure.Count, Deterministic: true},
 		{Name: "placement.give_back", Value: milliseconds(w.now.Sub(began)), Unit: measure.Milliseconds, Deterministic: true},
+		{Name: "placement.share_spread", Value: w.spread(held), Unit: measure.Ratio, Deterministic: true},
+	}
+}
+
+// spread is the largest share of any team, of the resource of which it holds
+// most, divided by the smallest.
+func (w *jobWorld) spread(held map[inventory.TeamID]inventory.Size) float64 {
+	least, most := 0.0, 0.0
+	for t := range w.teams {
+		quota, h := w.scheduler.Quota(teamName(t)), held[teamName(t)]
+		share := max(float64(h.Cores)/float64(quota.Cores), float64(h.Memory)/float64(quota.Memory))
+		if t == 0 {
+			least, most = share, share
+		}
+		least, most = min(least, share), max(most, share)
+	}
+	if least == 0 {
+		return 0
 	}
+	return most / least
 }
 
 // quotaSlack is the part of its quota by which a team may fall short, since jobs
@@ -157,6 +181,10 @@
 // every resource.
 func (w *jobWorld) short() int {
 	_, held := w.used()
+	return w.shortOf(held)
+}
+
+func (w *jobWorld) shortOf(held map[inventory.TeamID]inventory.Size) int {
 	waiting := make(map[inventory.TeamID]bool)
 	for _, j := range w.queued() {
 		waiting[j.Team] = true
--- a/entry/usage/collector_test.go
+++ b/entry/usage/collector_test.go
@@ -111,6 +111,34 @@
 	return s
 }
 
+func TestAMonthIsClosedOnceItsReportsAreIn(t *testing.T) {
+	month := time.Date(2026, time.December, 1, 0, 0, 0, 0, time.UTC)
+	o := newOffice(t)
+	o.now = month.Add(-time.Hour)
+	o.own("Bells", o.now)
+	report := func(at time.Time) []platform.UsageReport {
+		return []platform.UsageReport{{At: at, Used: 4000 * at.Sub(month.Add(-time.Hour)).Milliseconds()}}
+	}
+	closed := func() []bill.Statement {
+		var s []bill.Statement
+		require.NoError(t, o.book.Do(context.Background(), func(u *state.Usage) { s = u.Bill.Statements() }))
+		return s
+	}
+	o.meter.told = report(month.Add(-time.Hour))
+	require.NoError(t, o.tick(time.Second))
+	o.now = month.Add(closeAfter)
+	o.meter.told = report(month.Add(-time.Minute))
+	require.NoError(t, o.tick(time.Minute))
+	require.Empty(t, closed(), "the last report is from before the end")
+	o.meter.told = report(month.Add(time.Minute))
+	require.NoError(t, o.tick(time.Minute))
+	require.Len(t, closed(), 1)
+	require.Equal(t, bill.MomentOf(month), closed()[0].To)
+	require.Equal(t, bill.CoreTime(4000*time.Hour.Milliseconds()), bill.Sum(closed()[0].Lines).Used)
+	require.NoError(t, o.tick(time.Minute))
+	require.Len(t, closed(), 1, "once")
+}
+
 func TestUsageIsCollectedThroughEachFailure(t *testing.T) {
 	at := func(n int) platform.UsageReport {
 		n = min(n, 40)
