fix: a verdict could be missed when many records came at once

Who waited for a verdict looked for it among the last 256, so in a flood an accepted submission could be answered with 504, and a repeat under the same ID always was once its first verdict had gone. The waiter is entered before the append now and told by the fold's task; a repeated submission is answered by whether its jobs are known.

--- a/entry/duty/recorder.go
+++ b/entry/duty/recorder.go
@@ -19,12 +19,10 @@
 
 // RecorderConfig is what a recorder is built from.
 type RecorderConfig struct {
-	Name    inventory.EntryID
-	Stream  journal.StreamID
-	Duty    lease.Duty
-	Records RecordAppender
-	// Await waits until a record was folded and returns its verdict.
-	Await func(ctx context.Context, id journal.RecordID) (journal.Verdict, error)
+	Name inventory.EntryID
+	Duty lease.Duty
+	// Record appends a record and waits for its verdict.
+	Record func(ctx context.Context, r journal.Record) (journal.Verdict, error)
 }
 
 // Recorder writes the records of a duty's holder one after the other, each read
@@ -80,18 +78,15 @@
 
 func (r *Recorder) append(ctx context.Context, rec journal.Record) error {
 	r.pending = &rec
-	if err := r.cfg.Records.Append(ctx, r.cfg.Stream, rec); err != nil {
-		if errors.Is(err, platform.ErrNotAppended) {
-			r.pending = nil
-		}
-		return eris.Wrapf(err, "appending %s", rec.Kind)
+	v, err := r.cfg.Record(ctx, rec)
+	if errors.Is(err, platform.ErrNotAppended) {
+		r.pending = nil
 	}
-	v, err := r.cfg.Await(ctx, rec.ID)
 	if err != nil {
-		return eris.Wrapf(err, "reading %s back", rec.Kind)
+		return eris.Wrapf(err, "recording %s", rec.Kind)
 	}
 	r.pending = nil
-	if v.Outcome != journal.Accepted {
+	if v.Outcome != journal.Accepted && v.Outcome != journal.Duplicate {
 		return eris.Wrapf(ErrNotAccepted, "%s: %s", rec.Kind, v.Reason)
 	}
 	return nil
--- a/entry/follower/stream.go
+++ b/entry/follower/stream.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/godwitcross/godwitcross/entry/platform"
@@ -17,6 +19,14 @@
 // makes askers wait.
 const questionQueue = 64
 
+// ErrNotRead means that a record was appended but not read back in time.
+var ErrNotRead = eris.New("the record was appended but not read back yet")
+
+// RecordAppender adds a record to a stream of the log.
+type RecordAppender interface {
+	Append(ctx context.Context, stream journal.StreamID, r journal.Record) error
+}
+
 // StreamState is the state folded from one stream.
 type StreamState interface {
 	Fold() *journal.Fold
@@ -62,11 +72,15 @@
 type Stream[S StreamState] struct {
 	cfg       StreamConfig[S]
 	questions chan func()
-	out       *view.Box[Progress]
-	end       journal.Offset
-	oldest    journal.Offset
-	readAt    time.Time
-	guard     guard
+	// waiters are told the verdict on a record.
+	waiters map[journal.RecordID][]chan journal.Verdict
+	// ended is closed when Run returns.
+	ended  chan struct{}
+	out    *view.Box[Progress]
+	end    journal.Offset
+	oldest journal.Offset
+	readAt time.Time
+	guard  guard
 	// broken is set if a snapshot was restored in part; it ends the task.
 	broken error
 }
@@ -76,7 +90,11 @@
 	if cfg.Tick == nil {
 		cfg.Every, cfg.Tick = time.Hour, func() {}
 	}
-	return &Stream[S]{cfg: cfg, questions: make(chan func(), questionQueue), out: view.NewBox(Progress{}), guard: guard{log: cfg.Log.WithField("Stream", cfg.Stream)}}
+	return &Stream[S]{
+		cfg: cfg, questions: make(chan func(), questionQueue), out: view.NewBox(Progress{}),
+		waiters: make(map[journal.RecordID][]chan journal.Verdict), ended: make(chan struct{}),
+		guard: guard{log: cfg.Log.WithField("Stream", cfg.Stream)},
+	}
 }
 
 // Name returns the task's name.
@@ -86,6 +104,7 @@
 
 // Run folds and answers until the context ends.
 func (s *Stream[S]) Run(ctx context.Context) error {
+	defer close(s.ended)
 	t := time.NewTicker(s.cfg.Every)
 	defer t.Stop()
 	for s.broken == nil {
@@ -159,32 +178,80 @@
 	}
 	select {
 	case s.questions <- question:
+	case <-s.ended:
+		return ErrEnded
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	select {
 	case <-done:
 		return nil
+	case <-s.ended:
+		return ErrEnded
 	case <-ctx.Done():
 		// The function may still run; its caller gives up what it would have set.
 		return ctx.Err()
 	}
 }
 
-// Await waits until the record was folded and returns its verdict.
-func (s *Stream[S]) Await(ctx context.Context, id journal.RecordID) (journal.Verdict, error) {
-	for {
-		p, changed := s.out.Watch()
-		for _, v := range p.Recent {
-			if v.ID == id && v.Outcome != journal.Duplicate {
-				return v, nil
-			}
+// Record appends a record and waits for its verdict, which it cannot miss however
+// many records come at once. A record that was folded before has its first
+// verdict while that is among the recent ones, and Duplicate otherwise.
+func (s *Stream[S]) Record(ctx context.Context, records RecordAppender, r journal.Record) (journal.Verdict, error) {
+	verdict := make(chan journal.Verdict, 1)
+	if err := s.Do(ctx, func(S) { s.waiters[r.ID] = append(s.waiters[r.ID], verdict) }); err != nil {
+		return journal.Verdict{}, eris.Wrapf(platform.ErrNotAppended, "record %s: %s", r.ID, err)
+	}
+	defer s.leave(r.ID, verdict)
+	if err := records.Append(ctx, s.cfg.Stream, r); err != nil {
+		return journal.Verdict{}, err
+	}
+	select {
+	case v := <-verdict:
+		return s.first(v), nil
+	case <-ctx.Done():
+		return journal.Verdict{}, eris.Wrapf(ErrNotRead, "record %s: %s", r.ID, ctx.Err())
+	case <-s.ended:
+		return journal.Verdict{}, eris.Wrapf(ErrNotRead, "record %s", r.ID)
+	}
+}
+
+// leave forgets a waiter. It does not wait: a stream that has ended needs no
+// tidying.
+func (s *Stream[S]) leave(id journal.RecordID, verdict chan journal.Verdict) {
+	forget := func() {
+		left := slices.DeleteFunc(s.waiters[id], func(o chan journal.Verdict) bool { return o == verdict })
+		s.waiters[id] = left
+		if len(left) == 0 {
+			delete(s.waiters, id)
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return journal.Verdict{}, ctx.Err()
+	}
+	select {
+	case s.questions <- forget:
+	case <-s.ended:
+	}
+}
+
+// first returns the first verdict on the record if it is among the recent ones.
+func (s *Stream[S]) first(v journal.Verdict) journal.Verdict {
+	if v.Outcome != journal.Duplicate {
+		return v
+	}
+	for _, o := range s.Progress().Recent {
+		if o.ID == v.ID && o.Outcome != journal.Duplicate {
+			return o
+		}
+	}
+	return v
+}
+
+// answer tells waiters their verdicts, once the state behind them is published.
+func (s *Stream[S]) answer(verdicts []journal.Verdict) {
+	for _, v := range verdicts {
+		for _, w := range s.waiters[v.ID] {
+			w <- v
 		}
+		delete(s.waiters, v.ID)
 	}
 }
 
@@ -193,6 +260,7 @@
 	s.end, s.oldest = max(s.end, b.End), max(s.oldest, b.Oldest)
 	fold := s.cfg.State.Fold()
 	s.guard.look(fold, b)
+	verdicts := make([]journal.Verdict, 0, len(b.Records))
 	for i, raw := range b.Records {
 		if s.guard.fault != "" {
 			break
@@ -206,11 +274,13 @@
 			s.cfg.Log.WithError(err).WithField("Stream", s.cfg.Stream).Error("the stream has a gap")
 			return
 		}
+		verdicts = append(verdicts, v)
 		if v.Outcome != journal.Accepted {
 			s.cfg.Log.WithFields(logrus.Fields{"Stream": s.cfg.Stream, "Verdict": v}).Warn("record not accepted")
 		}
 	}
 	s.publish()
+	s.answer(verdicts)
 }
 
 func (s *Stream[S]) publish() {
--- a/entry/placement/canceller.go
+++ b/entry/placement/canceller.go
@@ -36,14 +36,13 @@
 
 // canceller gathers cancellations, so that a flood becomes few records.
 type canceller struct {
-	cfg    Config
-	stream journal.StreamID
-	board  *Board
-	in     chan cancellation
+	cfg   Config
+	board *Board
+	in    chan cancellation
 }
 
-func newCanceller(cfg Config, stream journal.StreamID, board *Board) *canceller {
-	return &canceller{cfg: cfg, stream: stream, board: board, in: make(chan cancellation, cancelQueue)}
+func newCanceller(cfg Config, board *Board) *canceller {
+	return &canceller{cfg: cfg, board: board, in: make(chan cancellation, cancelQueue)}
 }
 
 // Name returns the task's name.
@@ -116,9 +115,6 @@
 	if err != nil {
 		return err
 	}
-	if err := c.cfg.Records.Append(ctx, c.stream, r); err != nil {
-		return err
-	}
-	_, err = c.board.Await(ctx, r.ID)
+	_, err = c.board.Record(ctx, c.cfg.Records, r)
 	return err
 }
--- a/entry/placement/config.go
+++ b/entry/placement/config.go
@@ -69,7 +69,7 @@
 	batches := make(chan platform.Batch, batchQueue)
 	stream := journal.StreamJobs(cfg.DataCentre)
 	p := &Placement{cfg: cfg, stream: stream, board: newBoard(cfg, stream, batches)}
-	p.canceller = newCanceller(cfg, stream, p.board)
+	p.canceller = newCanceller(cfg, p.board)
 	kept := snapshot.ForStream(snapshot.StreamConfig{
 		Log: cfg.Log, Name: cfg.Name, Stream: stream, Metrics: cfg.Metrics, Source: cfg.Source, Records: cfg.Records,
 	}, p.board.Stream)
@@ -83,7 +83,7 @@
 			Log: cfg.Log, Name: cfg.Name, Stream: p.stream, Records: cfg.Records,
 			Holdings: func() duty.Holdings { return p.board.Progress().Holdings },
 			Hosts:    cfg.EntryHosts,
-			Work:     []duty.Work{newFiller(cfg, p.stream, p.board), kept.Writer},
+			Work:     []duty.Work{newFiller(cfg, p.board), kept.Writer},
 		}),
 	}
 	return p
--- a/entry/placement/fake_test.go
+++ b/entry/placement/fake_test.go
@@ -269,7 +269,7 @@
 	}()
 	s.stop = func() { cancel(); <-ended }
 	for _, name := range []string{"e1", "e2"} {
-		s.holders[name] = newFiller(cfg, "Jobs.Palermo", s.board)
+		s.holders[name] = newFiller(cfg, s.board)
 	}
 	s.claim("e1")
 	return s
@@ -311,9 +311,8 @@
 	require.NoError(s.t, err)
 	lost, refused := s.log.lost, s.log.refused
 	s.log.lost, s.log.refused = 0, 0
-	require.NoError(s.t, s.log.Append(context.Background(), "", r))
+	v, err := s.board.Record(context.Background(), s.log, r)
 	s.log.lost, s.log.refused = lost, refused
-	v, err := s.board.Await(context.Background(), r.ID)
 	require.NoError(s.t, err)
 	require.Equal(s.t, journal.Accepted, v.Outcome, v.Reason)
 }
--- a/entry/placement/filler.go
+++ b/entry/placement/filler.go
@@ -74,9 +74,12 @@
 	uncertain map[placement.TaskID]bool
 }
 
-func newFiller(cfg Config, stream journal.StreamID, board *Board) *filler {
+func newFiller(cfg Config, board *Board) *filler {
 	return &filler{cfg: cfg, board: board, recorder: duty.NewRecorder(duty.RecorderConfig{
-		Name: cfg.Name, Stream: stream, Duty: DutyPlacement, Records: cfg.Records, Await: board.Await,
+		Name: cfg.Name, Duty: DutyPlacement,
+		Record: func(ctx context.Context, r journal.Record) (journal.Verdict, error) {
+			return board.Record(ctx, cfg.Records, r)
+		},
 	})}
 }
 
--- a/entry/placement/filler_test.go
+++ b/entry/placement/filler_test.go
@@ -11,7 +11,9 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/godwitcross/godwitcross/entry/platform"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
+	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/placement"
 	"github.com/godwitcross/godwitcross/fleet/pool"
 	"github.com/godwitcross/godwitcross/fleet/state"
@@ -203,7 +205,7 @@
 func TestAFloodOfCancellationsBecomesFewRecords(t *testing.T) {
 	s := newSite(t, 1)
 	defer s.stop()
-	c := newCanceller(s.holders["e1"].cfg, "Jobs.Palermo", s.board)
+	c := newCanceller(s.holders["e1"].cfg, s.board)
 	for i := range cancelQueue {
 		c.in <- cancellation{by: "o", jobs: []inventory.JobID{inventory.JobID(fmt.Sprint("j", i))}, done: make(chan error, 1)}
 	}
@@ -270,3 +272,36 @@
 		})
 	}
 }
+
+func TestAVerdictIsNotMissedAmongManyRecords(t *testing.T) {
+	s := newSite(t, 1)
+	defer s.stop()
+	r, err := journal.NewRecord("first", placement.KindCancel, s.now, "o", placement.Cancel{})
+	require.NoError(t, err)
+	crowd := appendFunc(func(first journal.Record) error {
+		batch := platform.Batch{First: s.log.n}
+		for n := range journal.RecentSize + 1 {
+			raw, err := first.Encode()
+			require.NoError(t, err)
+			batch.Records = append(batch.Records, raw)
+			first.ID = journal.RecordID(fmt.Sprint("other", n))
+		}
+		s.log.n += journal.Offset(len(batch.Records))
+		batch.End = s.log.n
+		s.log.out <- batch
+		return nil
+	})
+	v, err := s.board.Record(context.Background(), crowd, r)
+	require.NoError(t, err)
+	require.Equal(t, journal.Accepted, v.Outcome)
+	for _, recent := range s.board.Progress().Recent {
+		require.NotEqual(t, r.ID, recent.ID, "the verdict is no longer among the recent ones")
+	}
+}
+
+// appendFunc is a log that is one function.
+type appendFunc func(r journal.Record) error
+
+func (f appendFunc) Append(_ context.Context, _ journal.StreamID, r journal.Record) error {
+	return f(r)
+}
--- a/entry/placement/routes.go
+++ b/entry/placement/routes.go
@@ -11,6 +11,7 @@
 
 	"github.com/godwitcross/godwitcross/entry/operator"
 	"github.com/godwitcross/godwitcross/entry/platform"
+	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/operation"
@@ -44,7 +45,7 @@
 			return
 		}
 	}
-	p.append(ctx, s.ID, placement.KindSubmit, placement.Submit{Jobs: s.Jobs})
+	p.record(ctx, s)
 }
 
 func (p *Placement) cancel(ctx *fasthttp.RequestCtx) {
@@ -94,35 +95,40 @@
 	return found, err
 }
 
-// append adds an operator's record and answers with its verdict. The answer
-// comes only after the record is in the log.
-func (p *Placement) append(ctx *fasthttp.RequestCtx, id journal.RecordID, kind journal.Kind, body any) {
-	r, err := journal.NewRecord(id, kind, time.Now(), string(operator.By(ctx)), body)
+// record adds a submission and answers with its verdict. The answer comes only
+// after the record is in the log.
+func (p *Placement) record(ctx *fasthttp.RequestCtx, s operation.Submission) {
+	r, err := journal.NewRecord(s.ID, placement.KindSubmit, time.Now(), string(operator.By(ctx)), placement.Submit{Jobs: s.Jobs})
 	if err != nil {
 		operator.Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
 	c, stop := context.WithTimeout(context.Background(), answerTime)
 	defer stop()
-	if err := p.cfg.Records.Append(c, p.stream, r); err != nil {
-		status := fasthttp.StatusServiceUnavailable
-		if errors.Is(err, platform.ErrUncertain) {
-			status = fasthttp.StatusGatewayTimeout
-		}
-		operator.Refuse(ctx, status, err.Error())
-		return
-	}
-	v, err := p.board.Await(c, id)
+	v, err := p.board.Record(c, p.cfg.Records, r)
 	switch {
+	case errors.Is(err, platform.ErrNotAppended):
+		operator.Refuse(ctx, fasthttp.StatusServiceUnavailable, err.Error())
 	case err != nil:
-		operator.Refuse(ctx, fasthttp.StatusGatewayTimeout, "the record was appended but not read back yet")
-	case v.Outcome != journal.Accepted:
-		operator.Answer(ctx, fasthttp.StatusConflict, v)
-	default:
+		operator.Refuse(ctx, fasthttp.StatusGatewayTimeout, err.Error())
+	case v.Outcome == journal.Accepted || (v.Outcome == journal.Duplicate && p.hasAccepted(c, s.Jobs)):
 		operator.Answer(ctx, fasthttp.StatusOK, v)
+	default:
+		operator.Answer(ctx, fasthttp.StatusConflict, v)
 	}
 }
 
+// hasAccepted reports whether all jobs are known as they are.
+func (p *Placement) hasAccepted(ctx context.Context, jobs []configuration.Job) bool {
+	all := true
+	err := p.board.Do(ctx, func(r *placement.Reducer, _ *placement.Scheduler) {
+		for _, j := range jobs {
+			all = all && r.Has(j)
+		}
+	})
+	return err == nil && all
+}
+
 func (p *Placement) list(ctx *fasthttp.RequestCtx) {
 	s := operation.JobSummary{DataCentre: p.cfg.DataCentre}
 	team := inventory.TeamID(ctx.QueryArgs().Peek("Team"))
--- a/entry/usage/collector.go
+++ b/entry/usage/collector.go
@@ -56,9 +56,12 @@
 	sealed time.Time
 }
 
-func newCollector(cfg Config, stream journal.StreamID, book *follower.Stream[*state.Usage]) *collector {
+func newCollector(cfg Config, book *follower.Stream[*state.Usage]) *collector {
 	return &collector{cfg: cfg, book: book, recorder: duty.NewRecorder(duty.RecorderConfig{
-		Name: cfg.Name, Stream: stream, Duty: DutyUsage, Records: cfg.Records, Await: book.Await,
+		Name: cfg.Name, Duty: DutyUsage,
+		Record: func(ctx context.Context, r journal.Record) (journal.Verdict, error) {
+			return book.Record(ctx, cfg.Records, r)
+		},
 	})}
 }
 
--- a/entry/usage/collector_test.go
+++ b/entry/usage/collector_test.go
@@ -71,8 +71,8 @@
 	o.fleet = view.NewBox(follower.State{})
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
-	o.book = follower.NewStream(follower.StreamConfig[*state.Usage]{Log: quiet, Stream: "Usage.Palermo", New: state.NewUsage, In: o.log.out})
-	o.collector = newCollector(Config{Log: quiet, Name: "e1", DataCentre: "Palermo", Records: o.log, Workers: o.meter, Fleet: o.fleet}, "Usage.Palermo", o.book)
+	o.book = follower.NewStream(follower.StreamConfig[*state.Usage]{Log: quiet, Stream: "Usage.Palermo", State: state.NewUsage(), In: o.log.out})
+	o.collector = newCollector(Config{Log: quiet, Name: "e1", DataCentre: "Palermo", Records: o.log, Workers: o.meter, Fleet: o.fleet}, o.book)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -83,8 +83,7 @@
 	o.own("Bells", o.now)
 	r, err := journal.NewRecord("claim", lease.KindClaim, o.now, "e1", lease.Claim{Duty: DutyUsage, Holder: "e1"})
 	require.NoError(t, err)
-	require.NoError(t, o.log.Append(context.Background(), "", r))
-	_, err = o.book.Await(context.Background(), "claim")
+	_, err = o.book.Record(context.Background(), o.log, r)
 	require.NoError(t, err)
 	return o
 }
--- a/entry/usage/config.go
+++ b/entry/usage/config.go
@@ -81,7 +81,7 @@
 			Log: cfg.Log, Name: cfg.Name, Stream: u.stream, Records: cfg.Records,
 			Holdings: func() duty.Holdings { return u.book.Progress().Holdings },
 			Hosts:    cfg.EntryHosts,
-			Work:     []duty.Work{newCollector(cfg, u.stream, u.book), kept.Writer},
+			Work:     []duty.Work{newCollector(cfg, u.book), kept.Writer},
 		}),
 	}
 	return u
--- a/entry/usage/routes.go
+++ b/entry/usage/routes.go
@@ -106,18 +106,12 @@
 func (u *Usage) appendAndAnswer(ctx *fasthttp.RequestCtx, r journal.Record) {
 	c, stop := context.WithTimeout(context.Background(), answerTime)
 	defer stop()
-	if err := u.cfg.Records.Append(c, u.stream, r); err != nil {
-		status := fasthttp.StatusServiceUnavailable
-		if errors.Is(err, platform.ErrUncertain) {
-			status = fasthttp.StatusGatewayTimeout
-		}
-		operator.Refuse(ctx, status, err.Error())
-		return
-	}
-	v, err := u.book.Await(c, r.ID)
+	v, err := u.book.Record(c, u.cfg.Records, r)
 	switch {
+	case errors.Is(err, platform.ErrNotAppended):
+		operator.Refuse(ctx, fasthttp.StatusServiceUnavailable, err.Error())
 	case err != nil:
-		operator.Refuse(ctx, fasthttp.StatusGatewayTimeout, "the record was appended but not read back yet")
+		operator.Refuse(ctx, fasthttp.StatusGatewayTimeout, err.Error())
 	case v.Outcome != journal.Accepted:
 		operator.Answer(ctx, fasthttp.StatusConflict, v)
 	default:
--- a/fleet/placement/reader.go
+++ b/fleet/placement/reader.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/godwitcross/godwitcross/fleet/configuration"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 )
 
@@ -13,6 +14,12 @@
 	return j, ok
 }
 
+// Has reports whether the job is known as it is.
+func (r *Reducer) Has(c configuration.Job) bool {
+	j, ok := r.jobs[c.ID]
+	return ok && sameJob(j.Job, c)
+}
+
 // Open returns the number of jobs that have not ended.
 func (r *Reducer) Open() int {
 	return r.open
