--- a/entry/placement/board.go
+++ b/entry/placement/board.go
@@ -82,11 +82,8 @@
 	live := make(map[inventory.HostID]bool)
 	for _, h := range b.hosts.Latest().Hosts {
 		isHere := h.Role == inventory.RoleWorker && h.DataCentre == b.dataCentre
-		if !isHere || h.State != inventory.HostLive {
-			continue
-		}
-		// The list may name a worker that no configuration knows.
-		if p, known := pools.Hosts[h.ID]; known && p.Phase == pool.InService {
+		folded, known := pools.Hosts[h.ID]
+		if isHere && known && h.State == inventory.HostLive && folded.Phase == pool.InService {
 			live[h.ID] = true
 		}
 	}
--- a/entry/usage/collector_test.go
+++ b/entry/usage/collector_test.go
@@ -72,7 +72,7 @@
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	o.book = follower.NewStream(follower.StreamConfig[*state.Usage]{Log: quiet, Stream: "Usage.Palermo", State: state.NewUsage(), In: o.log.out})
-	o.collector = newCollector(Config{Log: quiet, Name: "e1", DataCentre: "Palermo", Records: o.log, Workers: o.meter, Fleet: o.fleet}, "Usage.Palermo", o.book)
+	o.collector = newCollector(Config{Log: quiet, Name: "e1", DataCentre: "Palermo", Records: o.log, Workers: o.meter, Fleet: o.fleet}, o.book)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -83,8 +83,7 @@
 	o.own("Bells", o.now)
 	r, err := journal.NewRecord("claim", lease.KindClaim, o.now, "e1", lease.Claim{Duty: DutyUsage, Holder: "e1"})
 	require.NoError(t, err)
-	require.NoError(t, o.log.Append(context.Background(), "", r))
-	_, err = o.book.Await(context.Background(), "claim")
+	_, err = o.book.Record(context.Background(), o.log, r)
 	require.NoError(t, err)
 	return o
 }
@@ -111,6 +110,34 @@
 	return s
 }
 
+func TestAMonthIsClosedOnceItsReportsAreIn(t *testing.T) {
+	month := time.Date(2026, time.December, 1, 0, 0, 0, 0, time.UTC)
+	o := newOffice(t)
+	o.now = month.Add(-time.Hour)
+	o.own("Bells", o.now)
+	report := func(at time.Time) []platform.UsageReport {
+		return []platform.UsageReport{{At: at, Used: 4000 * at.Sub(month.Add(-time.Hour)).Milliseconds()}}
+	}
+	closed := func() []bill.Statement {
+		var s []bill.Statement
+		require.NoError(t, o.book.Do(context.Background(), func(u *state.Usage) { s = u.Bill.Statements() }))
+		return s
+	}
+	o.meter.told = report(month.Add(-time.Hour))
+	require.NoError(t, o.tick(time.Second))
+	o.now = month.Add(closeAfter)
+	o.meter.told = report(month.Add(-time.Minute))
+	require.NoError(t, o.tick(time.Minute))
+	require.Empty(t, closed(), "the last report is from before the end")
+	o.meter.told = report(month.Add(time.Minute))
+	require.NoError(t, o.tick(time.Minute))
+	require.Len(t, closed(), 1)
+	require.Equal(t, bill.MomentOf(month), closed()[0].To)
+	require.Equal(t, bill.CoreTime(4000*time.Hour.Milliseconds()), bill.Sum(closed()[0].Lines).Used)
+	require.NoError(t, o.tick(time.Minute))
+	require.Len(t, closed(), 1, "once")
+}
+
 func TestUsageIsCollectedThroughEachFailure(t *testing.T) {
 	at := func(n int) platform.UsageReport {
 		n = min(n, 40)
