--- a/bench/policy/requests.go
+++ b/bench/policy/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/godwitcross/godwitcross/bench/measure"
@@ -41,17 +42,30 @@
 	}
 }
 
+// runRequests runs each policy through its scenes. The worlds share nothing, so
+// they run side by side and give the same figures in any order.
 func runRequests(o measure.Options) ([]measure.Figure, error) {
-	var figures []measure.Figure
+	type run struct {
+		world       *world
+		name, title string
+	}
+	var runs []run
 	for _, c := range contenders {
 		for _, scene := range c.scenes {
 			o.Progress(c.name + " " + scene.name)
-			w := newWorld(c, scene, o.Seed)
-			w.run()
-			o.Plot(w.tally.latencies.chart(c.name+scene.suffix, "Latency by class and tenant through a burst: "+c.name+" "+scene.name))
-			figures = append(figures, w.figures(c.name+scene.suffix)...)
+			runs = append(runs, run{world: newWorld(c, scene, o.Seed), name: c.name + scene.suffix, title: c.name + " " + scene.name})
 		}
 	}
+	var wg sync.WaitGroup
+	for _, r := range runs {
+		wg.Go(r.world.run)
+	}
+	wg.Wait()
+	var figures []measure.Figure
+	for _, r := range runs {
+		o.Plot(r.world.tally.latencies.chart(r.name, "Latency by class and tenant through a burst: "+r.title))
+		figures = append(figures, r.world.figures(r.name)...)
+	}
 	return figures, nil
 }
 
