--- a/entry/peer/exchanger.go
+++ b/entry/peer/exchanger.go
@@ -61,13 +61,15 @@
 	sequence int64
 	// unasked are the seeds without an outcome so far.
 	unasked map[string]bool
+	// states are those that were last logged.
+	states map[inventory.EntryID]membership.State
 }
 
 // NewExchanger returns a task that knows the seeds only.
 func NewExchanger(cfg ExchangerConfig) *Exchanger {
 	e := &Exchanger{
 		cfg: cfg, messages: make(chan message), outcomes: make(chan outcome), ended: make(chan struct{}),
-		unasked: make(map[string]bool),
+		unasked: make(map[string]bool), states: make(map[inventory.EntryID]membership.State),
 	}
 	for _, s := range cfg.Seeds {
 		e.unasked[s] = true
@@ -172,6 +174,7 @@
 func (e *Exchanger) publish(now time.Time) {
 	peers := e.cfg.Table.Peers(now)
 	e.cfg.Out.Publish(View{At: now, Peers: peers, Asked: len(e.unasked) == 0})
+	e.logChanges(peers)
 	counts := map[membership.State]int64{membership.Alive: 0, membership.Suspect: 0, membership.Gone: 0}
 	views := make(map[inventory.DataCentreID]map[uint32]bool)
 	for _, p := range peers {
@@ -189,6 +192,18 @@
 	}
 }
 
+// logChanges logs each peer whose state is another than before.
+func (e *Exchanger) logChanges(peers []membership.Peer) {
+	states := make(map[inventory.EntryID]membership.State, len(peers))
+	for _, p := range peers {
+		states[p.Name] = p.State
+		if was := e.states[p.Name]; was != p.State {
+			e.cfg.Log.WithFields(logrus.Fields{"Peer": p.Name, "State": p.State, "Before": was, "Incarnation": p.Incarnation}).Info("a peer changed its state")
+		}
+	}
+	e.states = states
+}
+
 // leave tells the peers that this host goes, so that none of them waits.
 func (e *Exchanger) leave(now time.Time) {
 	h := e.own(now)
