perf: measurements of decisions run four at a time

Change: measurements of the policy group run side by side, results stay in order; those of load and capacity run alone.

--- a/bench/command/app.go
+++ b/bench/command/app.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/godwitcross/godwitcross/bench/capacity"
 	"github.com/godwitcross/godwitcross/bench/known"
@@ -25,8 +26,15 @@
 	output   string
 	folder   string
 	knownRed string
+	// sideBySide is how many measurements run at once; at least 1. Those that
+	// measure processor time run alone.
+	sideBySide int
 }
 
+// policySideBySide is how many measurements of decisions run at once. Their
+// verdicts are in virtual time and don't depend on it.
+const policySideBySide = 4
+
 // New returns the command line.
 func New() *cli.Command {
 	return &cli.Command{
@@ -34,9 +42,9 @@
 		Usage:       "measure decisions, load and capacity",
 		Description: "Exit codes: 0 all figures within their bounds, 1 failed or past a bound.",
 		Commands: []*cli.Command{
-			newGroup("policy", "decisions in virtual time, the same figures every time", policy.Measurements),
-			newGroup("load", "requests over loopback sockets", load.Measurements),
-			newGroup("capacity", "growth of state, messages, processor time and memory", capacity.Measurements),
+			newGroup("policy", "decisions in virtual time, the same figures every time", policySideBySide, policy.Measurements),
+			newGroup("load", "requests over loopback sockets", 1, load.Measurements),
+			newGroup("capacity", "growth of state, messages, processor time and memory", 1, capacity.Measurements),
 			newWhole(),
 			newBounds(),
 			newCompare(),
@@ -45,8 +53,8 @@
 	}
 }
 
-func newGroup(name, usage string, all []measure.Measurement) *cli.Command {
-	o := &options{}
+func newGroup(name, usage string, sideBySide int, all []measure.Measurement) *cli.Command {
+	o := &options{sideBySide: sideBySide}
 	return &cli.Command{
 		Name: name, Usage: usage, ArgsUsage: "[MEASUREMENT...]",
 		Flags: []cli.Flag{
@@ -71,30 +79,67 @@
 	}
 }
 
+// result is what one measurement returned.
+type result struct {
+	figures []measure.Figure
+	charts  []measure.Chart
+}
+
+// run runs the named measurements, or all, some of them side by side, and returns
+// what they measured in their order.
 func run(all []measure.Measurement, names []string, o options) ([]measure.Figure, []measure.Chart, error) {
+	chosen, err := choose(all, names)
+	if err != nil {
+		return nil, nil, err
+	}
+	results := make([]result, len(chosen))
+	var g errgroup.Group
+	g.SetLimit(o.sideBySide)
+	for i, m := range chosen {
+		g.Go(func() error {
+			var err error
+			results[i], err = runOne(m, o)
+			return eris.Wrapf(err, "measuring %s", m.Name)
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, nil, err
+	}
+	var figures []measure.Figure
+	var charts []measure.Chart
+	for _, r := range results {
+		figures = append(figures, r.figures...)
+		charts = append(charts, r.charts...)
+	}
+	return figures, charts, nil
+}
+
+func runOne(m measure.Measurement, o options) (result, error) {
+	var r result
+	var err error
+	r.figures, err = m.Run(measure.Options{
+		Seed: o.seed, Duration: time.Duration(o.seconds) * time.Second,
+		Progress: func(text string) { fmt.Fprintf(os.Stderr, "%s: %s\n", m.Name, text) },
+		Chart:    func(c measure.Chart) { r.charts = append(r.charts, c) },
+	})
+	return r, err
+}
+
+// choose returns the named measurements, or all, in their order.
+func choose(all []measure.Measurement, names []string) ([]measure.Measurement, error) {
+	var chosen []measure.Measurement
 	wanted := make(map[string]bool)
 	for _, n := range names {
 		wanted[n] = true
 	}
-	var figures []measure.Figure
-	var charts []measure.Chart
 	for _, m := range all {
-		if len(names) > 0 && !wanted[m.Name] {
-			continue
+		if len(names) == 0 || wanted[m.Name] {
+			chosen = append(chosen, m)
 		}
 		delete(wanted, m.Name)
-		progress := func(text string) { fmt.Fprintf(os.Stderr, "%s: %s\n", m.Name, text) }
-		f, err := m.Run(measure.Options{
-			Seed: o.seed, Duration: time.Duration(o.seconds) * time.Second, Progress: progress,
-			Chart: func(c measure.Chart) { charts = append(charts, c) },
-		})
-		if err != nil {
-			return nil, nil, eris.Wrapf(err, "measuring %s", m.Name)
-		}
-		figures = append(figures, f...)
 	}
 	for n := range wanted {
-		return nil, nil, eris.Errorf("there is no measurement %q", n)
+		return nil, eris.Errorf("there is no measurement %q", n)
 	}
-	return figures, charts, nil
+	return chosen, nil
 }
