perf: the workers of a data centre are counted anew only when something changed

Change: nothing is done while the configuration, the pools and the version of the host list are the ones of the last look; a platform that tells no version is looked at as before.

--- a/entry/placement/board.go
+++ b/entry/placement/board.go
@@ -38,6 +38,9 @@
 	version configuration.Version
 	pools   *pool.View
 	live    map[inventory.HostID]bool
+	// listed is the version of the host list that live was made from; 0 if the
+	// platform tells none.
+	listed int64
 }
 
 // newBoard returns a board that folds the batches of in.
@@ -62,8 +65,14 @@
 	if st.Pools == nil {
 		return
 	}
-	live := b.liveWorkers(st.Pools)
-	if st.Configuration.Version == b.version && st.Pools == b.pools && maps.Equal(live, b.live) {
+	list := b.hosts.Latest()
+	sameFleet := st.Configuration.Version == b.version && st.Pools == b.pools
+	if sameFleet && list.Version != 0 && list.Version == b.listed {
+		return
+	}
+	b.listed = list.Version
+	live := b.liveWorkers(st.Pools, list)
+	if sameFleet && maps.Equal(live, b.live) {
 		return
 	}
 	b.version, b.pools, b.live = st.Configuration.Version, st.Pools, live
@@ -78,9 +87,9 @@
 }
 
 // liveWorkers returns the hosts of the data centre that are live and in service.
-func (b *Board) liveWorkers(pools *pool.View) map[inventory.HostID]bool {
+func (b *Board) liveWorkers(pools *pool.View, list inventory.HostList) map[inventory.HostID]bool {
 	live := make(map[inventory.HostID]bool)
-	for _, h := range b.hosts.Latest().Hosts {
+	for _, h := range list.Hosts {
 		isHere := h.Role == inventory.RoleWorker && h.DataCentre == b.dataCentre
 		folded, known := pools.Hosts[h.ID]
 		if isHere && known && h.State == inventory.HostLive && folded.Phase == pool.InService {
