--- a/standin/platform/fleet.go
+++ b/standin/platform/fleet.go
@@ -114,11 +114,20 @@
 
 // Workers returns copies of all workers, in order of their names.
 func (f *Fleet) Workers(now time.Time) []Worker {
+	return f.workersThat(now, func(*Worker) bool { return true })
+}
+
+// workersThat returns copies of the workers that are wanted, in order of their
+// names. Only these are copied.
+func (f *Fleet) workersThat(now time.Time, isWanted func(w *Worker) bool) []Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Worker
 	for _, w := range f.workers {
 		w.advance(now, false)
+		if !isWanted(w) {
+			continue
+		}
 		c := *w
 		c.Tasks = make(map[string]*Task, len(w.Tasks))
 		for id, t := range w.Tasks {
@@ -133,6 +142,9 @@
 
 // advance moves tasks and reboots on to the moment.
 func (w *Worker) advance(now time.Time, lapse bool) {
+	if w.State == Admitted && len(w.Tasks) == 0 {
+		return
+	}
 	if w.State == Rebooting && !now.Before(w.Back) {
 		w.State = Drained
 		w.Reboots++
--- a/standin/platform/pools.go
+++ b/standin/platform/pools.go
@@ -38,10 +38,11 @@
 func (p *Platform) listPoolHosts(ctx *fasthttp.RequestCtx) {
 	only := DrainState(ctx.QueryArgs().Peek("State"))
 	hosts := []PoolHost{}
-	for _, w := range p.Fleet.Workers(p.now()) {
-		if w.State == only || (only == "" && w.State != Admitted) {
-			hosts = append(hosts, w.poolHost())
-		}
+	isListed := func(w *Worker) bool {
+		return w.State == only || (only == "" && w.State != Admitted)
+	}
+	for _, w := range p.Fleet.workersThat(p.now(), isListed) {
+		hosts = append(hosts, w.poolHost())
 	}
 	answer(ctx, fasthttp.StatusOK, hosts)
 }
