feat: plan forecasts waves, ctl shows peers, and dev prints a walk to paste

An entry host plans a change on its folded state, so that the forecast of waves is the one that it would be run by.

--- a/ctl/command/app.go
+++ b/ctl/command/app.go
@@ -73,6 +73,7 @@
 			newPools(c),
 			newWaves(c),
 			newDuties(c),
+			newPeers(c),
 			newExplain(c),
 			newJobs(c),
 			newSubmit(c),
--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -17,6 +17,7 @@
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/fleet/label"
 	"github.com/godwitcross/godwitcross/fleet/operation"
+	"github.com/godwitcross/godwitcross/fleet/pool"
 )
 
 // answers maps "METHOD /path" to what a host answers; a status of 0 closes the
@@ -90,7 +91,17 @@
 const moveHost = `{"Hosts":{"h2":{"Owner":"Corchos","DataCentre":"Montevideo","Rack":"r1","Size":{"Cores":0,"Memory":0,"Accelerators":0},"Labels":{"Pool":"None"}}}}`
 
 func TestPlanShowsMovesAndTheBase(t *testing.T) {
-	address := host(t, answers{"GET /configuration": {200, inForce(t)}})
+	before := inForce(t)
+	change, err := configuration.ParseObjects([]byte(moveHost))
+	require.NoError(t, err)
+	after, err := before.Apply(configuration.Change{Base: 12, Set: change}, 13)
+	require.NoError(t, err)
+	plan := operation.Plan{
+		Base:       12,
+		Difference: configuration.Compare(before.Objects, after.Objects, change.Keys()),
+		Waves:      []pool.WaveStatus{{ID: "Monthly", State: pool.WaveNoFit, Left: 2, Reason: "ends after its window"}},
+	}
+	address := host(t, answers{"GET /status": {200, operation.Status{Version: 12}}, "POST /plan": {200, plan}})
 	out, code := run(t, "--entry", address, "plan", file(t, moveHost))
 	require.Equal(t, 0, code)
 	want, err := os.ReadFile("testdata/plan.golden")
@@ -98,6 +109,13 @@
 	require.Equal(t, string(want), out)
 }
 
+func TestPlanOfARefusedChangeIsBadInput(t *testing.T) {
+	refused := struct{ Error string }{"Pool/B: selector matches no host"}
+	address := host(t, answers{"POST /plan": {409, refused}})
+	_, code := run(t, "--entry", address, "plan", "--base", "12", file(t, moveHost))
+	require.Equal(t, ExitInput, code)
+}
+
 func TestExitCodesTellWhatBecameOfAChange(t *testing.T) {
 	refused := struct{ Error string }{"stale base version"}
 	verdict := struct {
--- a/ctl/command/plan.go
+++ b/ctl/command/plan.go
@@ -3,26 +3,23 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/godwitcross/godwitcross/ctl/client"
 	"github.com/godwitcross/godwitcross/fleet/configuration"
+	"github.com/godwitcross/godwitcross/fleet/operation"
 )
 
-// Plan is what a change would do.
-type Plan struct {
-	// Base is the version that the plan was made against.
-	Base configuration.Version
-	configuration.Difference
-}
-
 func newPlan(c *Connection) *cli.Command {
 	f := &changeFlags{}
 	return &cli.Command{
 		Name: "plan", Usage: "show what a change would do, without making it", ArgsUsage: "[FILE]",
-		Description: "The change is made on a copy of the configuration in force, with every check that publish makes.\n\n" +
+		Description: "An entry host makes the change on a copy of the configuration in force, with every check that publish\n" +
+			"makes but that of who may make it, and tells which objects, hosts, budgets and waves it touches.\n\n" +
 			"Example: ctl plan change.json",
 		Flags: f.flags(),
 		Action: func(_ context.Context, cmd *cli.Command) error {
@@ -30,24 +27,27 @@
 			if err != nil {
 				return badInput(err)
 			}
-			cfg, err := current(c)
-			if err != nil {
-				return exit(err)
-			}
 			if f.base < 0 {
-				change.Base = cfg.Version
+				var s operation.Status
+				if err := c.Get("/status", &s); err != nil {
+					return exit(err)
+				}
+				change.Base = s.Version
 			}
-			next, err := cfg.Apply(change, cfg.Version+1)
-			if err != nil {
+			var p operation.Plan
+			err = c.Post("/plan", change, &p)
+			if errors.Is(err, client.ErrRefused) {
 				return badInput(err)
 			}
-			p := Plan{Base: cfg.Version, Difference: configuration.Compare(cfg.Objects, next.Objects, change.Touched())}
+			if err != nil {
+				return exit(err)
+			}
 			return printPlan(cmd.Root().Writer, c.Output, p)
 		},
 	}
 }
 
-func printPlan(w io.Writer, output string, p Plan) error {
+func printPlan(w io.Writer, output string, p operation.Plan) error {
 	if output == "json" {
 		e := json.NewEncoder(w)
 		e.SetIndent("", "  ")
@@ -68,6 +68,9 @@
 	for _, m := range p.Moves {
 		fmt.Fprintf(w, "%-14s %s from %s to %s\n", "move host", m.Host, orNone(string(m.From)), orNone(string(m.To)))
 	}
+	for _, v := range p.Waves {
+		fmt.Fprintf(w, "%-14s %s would be %s, %d hosts left, end %s %s\n", "wave", v.ID, v.State, v.Left, orNone(timeText(v.Forecast)), v.Reason)
+	}
 	fmt.Fprintf(w, "%d objects, %d hosts move\n", len(p.Added)+len(p.Changed)+len(p.Deleted), len(p.Moves))
 	return nil
 }
--- a/entry/keeper/routes.go
+++ b/entry/keeper/routes.go
@@ -27,6 +27,7 @@
 		{Method: fasthttp.MethodGet, Path: "/pools", Handle: r.pools},
 		{Method: fasthttp.MethodGet, Path: "/waves", Handle: r.waves},
 		{Method: fasthttp.MethodGet, Path: "/explain/host", Handle: r.explainHost},
+		{Method: fasthttp.MethodPost, Path: "/plan", Handle: r.plan},
 	}
 }
 
--- a/standin/main.go
+++ b/standin/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -81,14 +82,37 @@
 
 func printWelcome(w io.Writer, d *deployment.Deployment) {
 	e := d.Entries[0].Settings
-	fmt.Fprintf(w, "platform          http://%s\n", d.PlatformAddress)
+	var operators []string
+	fmt.Fprintf(w, "%-20s http://%s\n", "platform", d.PlatformAddress)
 	for _, e := range d.Entries {
+		operators = append(operators, e.Settings.OperatorAddress)
 		fmt.Fprintf(w, "%-20s callers http://%s operators http://%s\n", e.Settings.Name, e.Settings.CallerAddress, e.Settings.OperatorAddress)
 	}
-	fmt.Fprintf(w, "\nTry in another shell:\n"+
-		"  curl -i -H 'Tenant: OrderDesk' http://%s/services/Prices/tiles/42\n"+
-		"  curl -i -X POST -H 'Tenant: Plant' -H 'Idempotency-Key: plan-1' http://%s/services/BatchPlans/plans\n"+
-		"  go run ./ctl --transport plain-text --entry %s status\n"+
-		"  curl http://%s/metrics\n"+
-		"Stop with Ctrl-C.\n", e.CallerAddress, e.CallerAddress, e.OperatorAddress, e.OperatorAddress)
+	fmt.Fprintf(w, `
+Try in another shell, as a caller:
+  curl -i -H 'Tenant: OrderDesk' http://%[1]s/services/Prices/tiles/42
+  curl -i -X POST -H 'Tenant: Plant' -H 'Idempotency-Key: plan-1' http://%[1]s/services/BatchPlans/plans
+
+as an operator of Corchos:
+  export GODWITCROSS_TRANSPORT=plain-text GODWITCROSS_OPERATOR=corchos-operator
+  export GODWITCROSS_ENTRY=%[2]s
+  go run ./ctl status
+  go run ./ctl pools
+  go run ./ctl explain host Prices-01
+  echo '{"Pools":{"Prices":{"Owner":"Corchos","Hosts":"Pool in (Prices,Counter)","Jobs":"Pool=Prices","Budget":{"MaxUnavailable":300000}}}}' > change.json
+  go run ./ctl plan change.json
+  go run ./ctl publish --base 1 change.json
+  echo '[{"ID":"j1","Owner":"Corchos","Team":"Pressing","Labels":{"Pool":"BatchPlans"},"Template":"press","Command":"run 5s","Declared":{"Cores":4000,"Memory":1073741824}}]' > jobs.json
+  go run ./ctl submit jobs.json
+  go run ./ctl jobs
+  go run ./ctl waves
+  go run ./ctl bill --verify
+
+as a scraper, and to bring a fault about:
+  curl http://%[3]s/metrics
+  curl -X POST -d '{"Kind":"Down","Target":"log","Count":-1}' http://%[4]s/faults
+  curl -X DELETE http://%[4]s/faults
+
+Stop with Ctrl-C.
+`, e.CallerAddress, strings.Join(operators, ","), e.OperatorAddress, d.PlatformAddress)
 }
