fix: a budget that lets every host of a pool go at once is refused

Cause: ErrBudget stood unused; a pool of several hosts could be published with a share of the whole, which promises its jobs nothing. Change: refused at publication with the place. Three functions that nobody called are gone. Test: TestApplyRefusesWithThePlace.

--- a/fleet/configuration/change_test.go
+++ b/fleet/configuration/change_test.go
@@ -55,6 +55,10 @@
 			set:  Objects{Pools: map[inventory.PoolID]Pool{"Administration": {Owner: "Corchos", Budget: Budget{MaxUnavailable: 2_000_000}}}},
 			want: ErrRange, text: "Budget.MaxUnavailable is 2000000",
 		},
+		"budget that lets all hosts go": {
+			set:  Objects{Pools: map[inventory.PoolID]Pool{"A": {Owner: "Corchos", Hosts: selector(t, "Pool=A"), Budget: Budget{MaxUnavailable: 1_000_000}}}},
+			want: ErrBudget, text: "Pool/A: Budget.MaxUnavailable allows all 2 hosts",
+		},
 		"reserve in a circle": {
 			set:  Objects{Pools: map[inventory.PoolID]Pool{"Administration": {Owner: "Corchos", Reserve: "A"}, "A": {Owner: "Corchos", Hosts: selector(t, "Pool=A"), Reserve: "Administration"}}},
 			want: ErrCycle, text: "Reserve comes back",
--- a/fleet/configuration/validate.go
+++ b/fleet/configuration/validate.go
@@ -177,11 +177,21 @@
 			inRange("Budget.MaxUnavailable", p.Budget.MaxUnavailable, 1, inventory.Whole),
 			inRange("Budget.MaxPerDataCentre", p.Budget.MaxPerDataCentre, 0, inventory.Whole),
 			inRange("Budget.MaxPerRack", p.Budget.MaxPerRack, 0, MaxObjects),
+			validateBudget(p.Budget, cfg.claims.counts[id]),
 			o.validateReserve(id, p),
 		)
 	})
 }
 
+// validateBudget refuses a budget that would let a pool of several hosts lose all
+// of them at once: its jobs could not find room.
+func validateBudget(b Budget, hosts int) error {
+	if hosts > 1 && b.MaxUnavailable == inventory.Whole {
+		return eris.Wrapf(ErrBudget, "Budget.MaxUnavailable allows all %d hosts to be unavailable at once", hosts)
+	}
+	return nil
+}
+
 func (o Objects) validateReserve(id inventory.PoolID, p Pool) error {
 	seen := map[inventory.PoolID]bool{id: true}
 	for r := p.Reserve; r != ""; r = o.Pools[r].Reserve {
--- a/fleet/inventory/unit.go
+++ b/fleet/inventory/unit.go
@@ -60,8 +60,3 @@
 func (s Size) Sub(o Size) Size {
 	return Size{Cores: s.Cores - o.Cores, Memory: s.Memory - o.Memory, Accelerators: s.Accelerators - o.Accelerators}
 }
-
-// IsNegative reports whether any resource is below zero.
-func (s Size) IsNegative() bool {
-	return s.Cores < 0 || s.Memory < 0 || s.Accelerators < 0
-}
--- a/fleet/journal/buffer.go
+++ b/fleet/journal/buffer.go
@@ -69,11 +69,6 @@
 	return len(b.waiting) + len(b.sent)
 }
 
-// IsAway reports whether the last send failed.
-func (b *Buffer[T]) IsAway() bool {
-	return b.away
-}
-
 // Add puts a record at the end. It returns the token of a record whose place it
 // took, if there is one.
 func (b *Buffer[T]) Add(r Record, token T) (superseded T, ok bool, err error) {
--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -58,7 +58,6 @@
 	executions map[string]int
 	busy       inventory.Slots
 	peak       inventory.Slots
-	excess     int
 	leaving    bool
 }
 
@@ -123,21 +122,11 @@
 
 // refuseConnection refuses a request on a connection above the limit and closes it.
 func (s *Server) refuseConnection(ctx *fasthttp.RequestCtx) {
-	s.mu.Lock()
-	s.excess++
-	s.mu.Unlock()
 	ctx.Response.Header.Set(HeaderNotRun, "true")
 	ctx.SetConnectionClose()
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 }
 
-// Excess returns how many requests came on connections above the limit.
-func (s *Server) Excess() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.excess
-}
-
 func (s *Server) reply(ctx *fasthttp.RequestCtx) {
 	ctx.Response.Header.Set(HeaderInstance, string(s.o.ID))
 	ctx.SetContentType("text/plain")
