--- a/entry/main.go
+++ b/entry/main.go
@@ -31,7 +31,9 @@
 		Usage: "serve callers, place jobs and keep pools as one of the entry hosts",
 		Description: "Every entry host runs the same program. Callers' requests go to backend servers; operators' " +
 			"publications go to the platform's log, and all hosts fold them into the same state.\n\n" +
-			"Example:\n  entry --name e1 --data-centre Palermo --platform-address 127.0.0.1:8090\n\n" +
+			"Example for development, without certificates:\n" +
+			"  entry --name e1 --data-centre Palermo --platform-address 127.0.0.1:8090 --names-in-headers allow-for-development \\\n" +
+			"    --caller-transport plain-text --operator-transport plain-text --peer-transport plain-text\n\n" +
 			"Exit codes: 0 stopped as planned, 1 failed, 2 bad settings.",
 		Flags: s.Flags(),
 		Action: func(ctx context.Context, _ *cli.Command) error {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/godwitcross/godwitcross/fleet/inventory"
 	"github.com/godwitcross/godwitcross/standin/fault"
 	"github.com/valyala/fasthttp"
 )
@@ -97,9 +98,7 @@
 	case "log":
 		p.handleLog(ctx, rest)
 	case "hosts":
-		_, frozen := p.Faults.Take(fault.StaleList, target)
-		known, _ := strconv.ParseInt(string(ctx.QueryArgs().Peek("Known")), 10, 64)
-		answer(ctx, fasthttp.StatusOK, p.Hosts.Update(p.now(), frozen, known))
+		p.handleHosts(ctx, target)
 	case "workers":
 		p.handleWorkers(ctx, rest)
 	case "pools":
@@ -109,6 +108,27 @@
 	}
 }
 
+// handleHosts tells the host list, or lists a host that the body describes.
+func (p *Platform) handleHosts(ctx *fasthttp.RequestCtx, target string) {
+	if string(ctx.Method()) == fasthttp.MethodPost {
+		p.listHost(ctx)
+		return
+	}
+	_, frozen := p.Faults.Take(fault.StaleList, target)
+	known, _ := strconv.ParseInt(string(ctx.QueryArgs().Peek("Known")), 10, 64)
+	answer(ctx, fasthttp.StatusOK, p.Hosts.Update(p.now(), frozen, known))
+}
+
+func (p *Platform) listHost(ctx *fasthttp.RequestCtx) {
+	var h inventory.ListedHost
+	if err := json.Unmarshal(ctx.PostBody(), &h); err != nil || h.ID == "" || h.Role == "" || h.State == "" {
+		refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Role\":...,\"State\":...}")
+		return
+	}
+	p.Hosts.Put(p.now(), h)
+	answer(ctx, fasthttp.StatusOK, h)
+}
+
 // appendRequest is the body of an append.
 type appendRequest struct {
 	Records []json.RawMessage
