--- a/bench/whole/run.go
+++ b/bench/whole/run.go
@@ -75,7 +75,9 @@
 	Samples, HostLooks, PoolLooks int
 	// Jobs were accepted; Rebooted hosts are those of the wave.
 	Jobs, Rebooted int
-	Violations     []Violation
+	// Billed is the whole of the bill that was looked at, in host-milliseconds.
+	Billed     int64
+	Violations []Violation
 }
 
 // Check runs the whole product for the options' duration and judges it.
@@ -111,8 +113,12 @@
 	}
 	r.settle()
 	jobs := r.jobs.Samples(time.Now().Add(settleTime), r.taskStarts)
+	bill, err := r.readBill()
+	if err != nil {
+		return Report{}, err
+	}
 	stop()
-	return r.report(requests, dropped, jobs), nil
+	return r.report(requests, dropped, jobs, bill), nil
 }
 
 func (r *Run) awaitReady() error {
@@ -236,12 +242,12 @@
 	return nil
 }
 
-func (r *Run) report(requests []Request, dropped int, jobs []JobSample) Report {
-	o := Observation{Requests: requests, Executions: r.d.Executions(), Accepted: r.acceptedVersions(), Jobs: jobs}
+func (r *Run) report(requests []Request, dropped int, jobs []JobSample, bill *Bill) Report {
+	o := Observation{Requests: requests, Executions: r.d.Executions(), Accepted: r.acceptedVersions(), Jobs: jobs, Bill: bill}
 	r.observer.Fill(&o)
 	out := Report{
 		Requests: len(requests), Dropped: dropped, Changes: len(o.Accepted), Samples: len(o.Versions),
-		HostLooks: o.HostLooks, PoolLooks: len(o.Pools), Jobs: len(jobs), Rebooted: len(o.Reboots), Violations: Judge(o),
+		HostLooks: o.HostLooks, PoolLooks: len(o.Pools), Jobs: len(jobs), Rebooted: len(o.Reboots), Billed: bill.Total, Violations: Judge(o),
 	}
 	for _, q := range requests {
 		switch q.Attempts[len(q.Attempts)-1].Outcome {
@@ -264,7 +270,7 @@
 		fmt.Sprintf("requests %d: answered %d, not run %d, unknown %d, connection broken %d; never sent %d", p.Requests, p.Answered, p.NotRun, p.Unknown, p.Broken, p.Dropped),
 		fmt.Sprintf("configuration changes accepted %d, looks at versions %d", p.Changes, p.Samples),
 		fmt.Sprintf("hosts of the wave %d, looks at its pool's budget %d, looks at hosts' pools %d", p.Rebooted, p.PoolLooks, p.HostLooks),
-		fmt.Sprintf("jobs accepted %d", p.Jobs),
+		fmt.Sprintf("jobs accepted %d, host-milliseconds billed %d", p.Jobs, p.Billed),
 	}
 	for _, v := range p.Violations {
 		lines = append(lines, fmt.Sprintf("BROKEN %s: %s", v.Rule, v.What))
