--- a/ctl/command/explain.go
+++ b/ctl/command/explain.go
@@ -8,8 +8,10 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"github.com/godwitcross/godwitcross/fleet/admission"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/pool"
+	"github.com/godwitcross/godwitcross/fleet/refusal"
 )
 
 func newExplain(c *Connection) *cli.Command {
@@ -32,6 +34,11 @@
 					return explainJob(c, cmd, id)
 				},
 			},
+			{
+				Name: "refusal", Usage: "what a Refusal-Reason means and what helps; all of them without a name", ArgsUsage: "[REASON]",
+				Description: "Nothing is asked of any host.\n\nExample: ctl explain refusal QueueFull",
+				Action:      func(_ context.Context, cmd *cli.Command) error { return explainRefusal(c, cmd) },
+			},
 			{
 				Name: "record", Usage: "what became of a record of the global stream", ArgsUsage: "ID",
 				Description: "A publication's ID stands in the errors of publish.\n\nExample: ctl explain record 1c59b4ad-6020-4da4-ae90-79118e064014",
@@ -62,6 +69,20 @@
 	})
 }
 
+func explainRefusal(c *Connection, cmd *cli.Command) error {
+	all := refusal.All()
+	if cmd.Args().Present() {
+		e, ok := refusal.Explain(admission.Reason(cmd.Args().First()))
+		if !ok {
+			return badInput(eris.Wrapf(ErrArguments, "there is no reason %q", cmd.Args().First()))
+		}
+		all = []refusal.Explanation{e}
+	}
+	return printAll(cmd.Root().Writer, c.Output, all, "REASON\tMEANING\tWHAT HELPS", func(e refusal.Explanation) string {
+		return fmt.Sprintf("%s\t%s\t%s", e.Reason, e.Meaning, e.Remedy)
+	})
+}
+
 func explainRecord(c *Connection, cmd *cli.Command) error {
 	id, err := oneArgument(cmd)
 	if err != nil {
--- /dev/null
+++ b/entry/caller/interface_test.go
@@ -0,0 +1,24 @@
+package caller
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/admission"
+	"github.com/godwitcross/godwitcross/fleet/dispatch"
+	"github.com/godwitcross/godwitcross/fleet/refusal"
+)
+
+func TestEveryReasonIsExplained(t *testing.T) {
+	reasons := []admission.Reason{
+		ReasonPath, ReasonService, ReasonTenant, ReasonMessage, ReasonDeadline, ReasonKey, ReasonKeyOther, ReasonTooLarge, ReasonBusy, ReasonStopped,
+		dispatch.ReasonNotReady, dispatch.ReasonNoServer, dispatch.ReasonNoAnswer, dispatch.ReasonRefused, dispatch.ReasonUnreached, dispatch.ReasonKeyUsed, dispatch.ReasonNoClaim,
+		admission.ReasonQuota, admission.ReasonQueueFull, admission.ReasonTooLate, admission.ReasonExpired,
+	}
+	require.Len(t, refusal.All(), len(reasons), "no explanation of a reason that is not given")
+	for _, r := range reasons {
+		_, ok := refusal.Explain(r)
+		require.True(t, ok, r)
+	}
+}
