--- a/entry/host/host.go
+++ b/entry/host/host.go
@@ -4,12 +4,10 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
@@ -18,27 +16,17 @@
 	"github.com/godwitcross/godwitcross/entry/backend"
 	"github.com/godwitcross/godwitcross/entry/caller"
 	"github.com/godwitcross/godwitcross/entry/certificate"
-	"github.com/godwitcross/godwitcross/entry/claimer"
-	"github.com/godwitcross/godwitcross/entry/duty"
 	"github.com/godwitcross/godwitcross/entry/follower"
 	"github.com/godwitcross/godwitcross/entry/keeper"
 	"github.com/godwitcross/godwitcross/entry/lifecycle"
 	"github.com/godwitcross/godwitcross/entry/metric"
-	"github.com/godwitcross/godwitcross/entry/operator"
 	"github.com/godwitcross/godwitcross/entry/peer"
-	"github.com/godwitcross/godwitcross/entry/placement"
 	"github.com/godwitcross/godwitcross/entry/platform"
 	"github.com/godwitcross/godwitcross/entry/settings"
 	"github.com/godwitcross/godwitcross/entry/snapshot"
-	"github.com/godwitcross/godwitcross/entry/usage"
 	"github.com/godwitcross/godwitcross/entry/view"
-	"github.com/godwitcross/godwitcross/fleet/admission"
-	"github.com/godwitcross/godwitcross/fleet/dispatch"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
-	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/membership"
-	"github.com/godwitcross/godwitcross/fleet/retry"
-	"github.com/godwitcross/godwitcross/fleet/state"
 )
 
 // batchQueue is how many batches wait for the follower. A full queue holds the
@@ -104,76 +92,25 @@
 		readiness: lifecycle.NewReadiness("starting"),
 		backends:  backend.NewPool(cfg.Dial),
 	}
-	client := platform.NewClient(cfg.Settings.PlatformAddress, cfg.Dial)
-	records := platform.NewAppender(platform.AppenderConfig{
-		Log: h.log, Metrics: h.metrics, Target: client, Rules: state.Rules(),
-		Rand: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), xxhash.Sum64String(string(cfg.Settings.Name)))),
-	})
+	services := platform.NewClient(cfg.Settings.PlatformAddress, cfg.Dial)
+	records := h.newAppender(services)
 	h.last = []Task{records}
+	requests := h.newRequests(services)
 	batches := make(chan platform.Batch, batchQueue)
-	seed := xxhash.Sum64String(string(cfg.Settings.Name))
-	dispatcher := caller.NewDispatcher(dispatch.New(dispatch.Config{
-		Name: cfg.Settings.Name, DataCentre: cfg.Settings.DataCentre,
-		Order: admission.EarliestDeadlineFirst, Retries: retry.DefaultBudget,
-		Random: rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))),
-	}), h.state, h.hosts, h.backends)
-	claims := claimer.New(claimer.Config{Log: h.log, Name: cfg.Settings.Name, Records: client})
-	h.caller = caller.NewServer(caller.Config{
-		Log: h.log, Metrics: h.metrics, State: h.state, Pool: h.backends,
-		Dispatcher: dispatcher, Claims: claims, Stopping: h.readiness.IsStopping,
-	})
-	h.callers = h.caller.HTTP()
-	h.join(client, batches)
-	jobs := placement.New(placement.Config{
-		Log: h.log, Name: cfg.Settings.Name, DataCentre: cfg.Settings.DataCentre, Metrics: h.metrics,
-		Records: records, Source: client, Workers: client, Fleet: h.state, Hosts: h.hosts, EntryHosts: h.siteHosts,
-	})
-	bills := usage.New(usage.Config{
-		Log: h.log, Name: cfg.Settings.Name, DataCentre: cfg.Settings.DataCentre, Metrics: h.metrics,
-		Records: records, Source: client, Workers: client, Fleet: h.state, EntryHosts: h.siteHosts,
-	})
-	h.operators = operator.NewServer(operator.Config{
-		Log: h.log, Name: cfg.Settings.Name, Metrics: h.metrics, State: h.state,
-		Records: records, Ready: h.readiness.Reason,
-		Routes: slices.Concat(peer.Routes(h.peers), keeper.Routes(h.state), jobs.Routes(), bills.Routes()),
-	}).HTTP()
+	h.join(services, batches)
+	jobs := h.newJobs(services, records)
+	bills := h.newBills(services, records)
+	h.operators = h.newOperators(records, slices.Concat(peer.Routes(h.peers), keeper.Routes(h.state), jobs.Routes(), bills.Routes()))
 	h.checkClients()
-	h.tasks = []Task{
-		dispatcher,
-		claims,
-		platform.NewReader(h.log, client, journal.StreamFleet, 0, batches).RestoreWith(h.loader.Restore).Pace(readPace),
-		h.follower,
-		h.exchanger,
-		h.relay,
-		snapshot.NewAlarm(snapshot.AlarmConfig{Log: h.log, Metrics: h.metrics, Stream: journal.StreamFleet, Status: h.streamStatus}),
-		platform.NewHostListReader(h.log, client, h.hosts),
-		lifecycle.NewStarter(h.log, h.readiness, h.state, h.hosts, h.behindPeer),
-		duty.NewRunner(duty.Config{
-			Log: h.log, Name: cfg.Settings.Name, Stream: journal.StreamFleet, Records: records,
-			Holdings: func() duty.Holdings { return h.state.Latest().Holdings },
-			Hosts:    h.entryHosts,
-			Work:     append([]duty.Work{h.snapshotWriter(records)}, h.fleetWork(client, records)...),
-		}),
-	}
-	for _, t := range jobs.Tasks() {
-		h.tasks = append(h.tasks, t)
-	}
-	for _, t := range bills.Tasks() {
-		h.tasks = append(h.tasks, t)
-	}
+	h.tasks = slices.Concat(
+		requests,
+		h.fleetTasks(services, records, batches),
+		tasksOf(jobs.Tasks()),
+		tasksOf(bills.Tasks()),
+	)
 	return h
 }
 
-// fleetWork lists the duties of the global stream.
-func (h *Host) fleetWork(client *platform.Client, records *platform.Appender) []duty.Work {
-	return []duty.Work{
-		keeper.New(keeper.Config{
-			Log: h.log, Name: h.cfg.Settings.Name, State: h.state.Latest, List: h.hosts.Latest,
-			Records: records, Pools: client,
-		}),
-	}
-}
-
 // entryHosts returns the entry hosts that may hold global duties.
 func (h *Host) entryHosts() []inventory.EntryID {
 	return membership.Candidates(h.cfg.Settings.Name, "", h.hosts.Latest(), h.peers.Latest().Peers)
