--- a/entry/backend/pool.go
+++ b/entry/backend/pool.go
@@ -45,45 +45,68 @@
 	Connections inventory.Connections
 }
 
+// Timing says when a pool uses a connection again.
+type Timing struct {
+	// Rest is how long a connection is left alone after an answer.
+	Rest time.Duration
+	// MaxProvenAge is how long after its last answer an idle connection is trusted.
+	MaxProvenAge time.Duration
+}
+
 // Pool holds the connections to backend servers by address.
 type Pool struct {
-	dial DialFunc
-	mu   sync.Mutex
+	dial   DialFunc
+	timing Timing
+	mu     sync.Mutex
 	// idle holds connections with nothing outstanding, in the order in which they
 	// were last used; open counts those and the busy ones. Both are guarded by mu.
 	idle map[string][]*Conn
 	open map[string]inventory.Connections
 }
 
-// NewPool returns a pool without connections.
+// NewPool returns a pool without connections for requests of callers.
 func NewPool(dial DialFunc) *Pool {
-	return &Pool{dial: dial, idle: make(map[string][]*Conn), open: make(map[string]inventory.Connections)}
+	return NewPoolWith(dial, Timing{Rest: restTime, MaxProvenAge: maxProvenAge})
+}
+
+// NewPoolWith returns a pool without connections with other times.
+func NewPoolWith(dial DialFunc, timing Timing) *Pool {
+	return &Pool{dial: dial, timing: timing, idle: make(map[string][]*Conn), open: make(map[string]inventory.Connections)}
 }
 
 // Do sends the request once and tells how that ended.
 func (p *Pool) Do(ctx context.Context, r Request, now time.Time) (dispatch.Result, error) {
+	err := p.Send(ctx, r, now)
+	switch {
+	case errors.Is(err, ErrNotSent):
+		return dispatch.Result{Result: retry.ResultNotSent}, err
+	case err != nil:
+		return dispatch.Result{Result: retry.ResultNoAnswer}, err
+	}
+	return judge(r.Answer), nil
+}
+
+// Send sends the request once and reads the whole answer. The error is
+// ErrNotSent or ErrNoAnswer.
+func (p *Pool) Send(ctx context.Context, r Request, now time.Time) error {
 	c, err := p.take(ctx, r, now)
 	if err != nil {
-		return dispatch.Result{Result: retry.ResultNotSent}, err
+		return err
 	}
 	if err := c.Do(r.Message, r.Answer, r.MaxBody, r.Deadline); err != nil {
 		p.discard(r.Address, c)
 		if isSilent := !time.Now().Before(r.Deadline); isSilent {
 			p.closeIdle(r.Address)
 		}
-		if errors.Is(err, ErrNotSent) {
-			return dispatch.Result{Result: retry.ResultNotSent}, err
-		}
-		return dispatch.Result{Result: retry.ResultNoAnswer}, err
+		return err
 	}
-	result := judge(r.Answer)
 	if r.Answer.ConnectionClose() || c.r.Buffered() > 0 {
 		p.discard(r.Address, c)
-		return result, nil
+		return nil
 	}
 	c.proven = time.Now()
 	p.put(r.Address, c)
-	return result, nil
+	return nil
 }
 
 // judge tells an answer from a refusal and reads the signs of leaving.
@@ -157,11 +180,11 @@
 // answered a short time ago and nothing came since.
 func (p *Pool) takeIdle(address string, now time.Time) *Conn {
 	for {
-		c := p.popIdle(address, now.Add(-restTime))
+		c := p.popIdle(address, now.Add(-p.timing.Rest))
 		if c == nil {
 			return nil
 		}
-		if now.Sub(c.proven) <= maxProvenAge && c.isQuiet() {
+		if now.Sub(c.proven) <= p.timing.MaxProvenAge && c.isQuiet() {
 			return c
 		}
 		p.discard(address, c)
@@ -205,7 +228,8 @@
 // Sweep closes idle connections that are too old to be trusted.
 func (p *Pool) Sweep(now time.Time) {
 	for _, address := range p.addresses() {
-		for c := p.popIdle(address, now.Add(-maxProvenAge)); c != nil; c = p.popIdle(address, now.Add(-maxProvenAge)) {
+		oldest := now.Add(-p.timing.MaxProvenAge)
+		for c := p.popIdle(address, oldest); c != nil; c = p.popIdle(address, oldest) {
 			p.discard(address, c)
 		}
 	}
--- /dev/null
+++ b/entry/intake/intake.go
@@ -0,0 +1,199 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/godwitcross/godwitcross/entry/metric"
+	"github.com/godwitcross/godwitcross/entry/publication"
+	"github.com/godwitcross/godwitcross/entry/relay"
+	"github.com/godwitcross/godwitcross/entry/steward"
+	"github.com/godwitcross/godwitcross/entry/store"
+	"github.com/godwitcross/godwitcross/fleet/job"
+	"github.com/godwitcross/godwitcross/fleet/queue"
+)
+
+// Errors that callers are told.
+var (
+	// ErrNoQueue says that no queue has the host and path.
+	ErrNoQueue = eris.New("no such queue")
+	// ErrNoJob says that the queue has no such job.
+	ErrNoJob = eris.New("no such job")
+	// ErrNotAccepted says that the request was not accepted and never runs.
+	ErrNotAccepted = eris.New("not accepted")
+	// ErrUndecided says that it isn't known whether the request was accepted.
+	ErrUndecided = eris.New("not known whether it was accepted")
+	// ErrNoAnswer says that nobody who knows the answer was reached in time.
+	ErrNoAnswer = eris.New("no answer in time")
+)
+
+const (
+	// defaultTime is how long a request is worked on if its caller doesn't say.
+	defaultTime = 3 * time.Second
+	// answerMargin is kept of the caller's time to send the answer.
+	answerMargin = 20 * time.Millisecond
+	// askPause is the pause between two tries to reach the owner.
+	askPause = 60 * time.Millisecond
+)
+
+// Knower answers what only the owner knows.
+type Knower interface {
+	State(ctx context.Context, r relay.StateRequest) (relay.StateAnswer, error)
+	Waiting(ctx context.Context, r relay.WaitingRequest) (relay.WaitingAnswer, error)
+}
+
+// Config is what an intake is built from.
+type Config struct {
+	Follower *publication.Follower
+	Batcher  *Batcher
+	Knower   Knower
+	Log      logrus.FieldLogger
+	Metrics  *metric.Registry
+	Wall     func() int64
+}
+
+// Intake handles callers' requests.
+type Intake struct {
+	cfg Config
+}
+
+// New returns an intake.
+func New(cfg Config) *Intake {
+	return &Intake{cfg: cfg}
+}
+
+// Within returns a context that ends when the caller stops waiting.
+func Within(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	if timeout <= 0 {
+		timeout = defaultTime
+	}
+	return context.WithTimeout(ctx, max(timeout-answerMargin, answerMargin))
+}
+
+// Route finds the queue of a request. A queue is only said to be missing by the
+// newest configuration.
+func (in *Intake) Route(ctx context.Context, host, path string) (queue.Queue, string, int64, error) {
+	c := in.cfg.Follower.Current()
+	if c != nil {
+		if q, rest, ok := c.Match(host, path); ok {
+			return q, rest, c.Version, nil
+		}
+	}
+	c, proved := in.cfg.Follower.Fresh(ctx)
+	if c == nil {
+		return queue.Queue{}, "", 0, eris.Wrap(ErrNotAccepted, "no configuration yet")
+	}
+	q, rest, ok := c.Match(host, path)
+	switch {
+	case ok:
+		return q, rest, c.Version, nil
+	case !proved:
+		return q, "", c.Version, eris.Wrapf(ErrNotAccepted, "no such queue in version %d, which may be old", c.Version)
+	default:
+		return q, "", c.Version, eris.Wrapf(ErrNoQueue, "version %d", c.Version)
+	}
+}
+
+// Submit accepts a job: after it returns nil, the job is stored.
+func (in *Intake) Submit(ctx context.Context, q queue.Queue, version int64, j job.Job) error {
+	began := time.Now()
+	j.Queue, j.Pool, j.Version, j.AcceptedAt = q.Name, q.Pool, version, in.cfg.Wall()
+	err := j.Validate()
+	if err == nil {
+		err = in.put(ctx, steward.AcceptedKey(j.ID), j.Encode)
+	}
+	in.decide("submit", q.Name, j.ID, version, began, err)
+	return err
+}
+
+// Cancel ends a job for good, also one that isn't known yet: a late repeat of its
+// submission must not run.
+func (in *Intake) Cancel(ctx context.Context, q queue.Queue, version int64, id job.ID) error {
+	began := time.Now()
+	err := id.Validate()
+	if err == nil {
+		err = in.put(ctx, steward.CancelledKey(id), func() ([]byte, error) { return []byte("1"), nil })
+	}
+	in.decide("cancel", q.Name, id, version, began, err)
+	return err
+}
+
+func (in *Intake) put(ctx context.Context, key string, encode func() ([]byte, error)) error {
+	b, err := encode()
+	if err != nil {
+		return err
+	}
+	err = in.cfg.Batcher.Put(ctx, store.Record{Key: key, Value: b})
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, store.ErrUnknown):
+		return eris.Wrap(ErrUndecided, err.Error())
+	default:
+		return eris.Wrap(ErrNotAccepted, err.Error())
+	}
+}
+
+// State returns what is known of a job.
+func (in *Intake) State(ctx context.Context, q queue.Queue, id job.ID) (job.State, error) {
+	began := time.Now()
+	a, err := askOwner(ctx, func() (relay.StateAnswer, error) {
+		return in.cfg.Knower.State(ctx, relay.StateRequest{Job: id, Hops: relay.MaxHops})
+	})
+	if err == nil && (!a.Known || (a.Queue != "" && a.Queue != q.Name)) {
+		err = ErrNoJob
+	}
+	in.cfg.Metrics.Observe("request_time", time.Since(began), metric.Label{Name: "Kind", Value: "state"}, metric.Label{Name: "Queue", Value: q.Name})
+	if err != nil {
+		in.cfg.Log.WithFields(logrus.Fields{"Job": string(id), "Queue": q.Name, "Outcome": err.Error()}).Info("state not told")
+	}
+	return a.State, err
+}
+
+// Waiting returns how many jobs of a queue no task has started of.
+func (in *Intake) Waiting(ctx context.Context, q queue.Queue) (int, error) {
+	a, err := askOwner(ctx, func() (relay.WaitingAnswer, error) {
+		return in.cfg.Knower.Waiting(ctx, relay.WaitingRequest{Queue: q.Name, Hops: relay.MaxHops})
+	})
+	return a.Waiting, err
+}
+
+// askOwner asks until there is an answer or the caller's time is over.
+func askOwner[T any](ctx context.Context, ask func() (T, error)) (T, error) {
+	for {
+		a, err := ask()
+		if err == nil {
+			return a, nil
+		}
+		pause(ctx, askPause)
+		if ctx.Err() != nil {
+			return a, eris.Wrap(ErrNoAnswer, err.Error())
+		}
+	}
+}
+
+// decide tells what became of a request.
+func (in *Intake) decide(kind, queueName string, id job.ID, version int64, began time.Time, err error) {
+	outcome := "accepted"
+	switch {
+	case err == nil:
+	case errors.Is(err, job.ErrInvalid):
+		outcome = "invalid"
+	case errors.Is(err, ErrUndecided):
+		outcome = "undecided"
+	default:
+		outcome = "not accepted"
+	}
+	took := time.Since(began)
+	in.cfg.Metrics.Observe("request_time", took, metric.Label{Name: "Kind", Value: kind}, metric.Label{Name: "Queue", Value: queueName})
+	in.cfg.Metrics.Count("requests", 1, metric.Label{Name: "Kind", Value: kind}, metric.Label{Name: "Outcome", Value: outcome})
+	fields := logrus.Fields{"Job": string(id), "Queue": queueName, "Version": version, "Outcome": outcome, "TookMs": took.Milliseconds()}
+	if err != nil {
+		fields["Error"] = err.Error()
+	}
+	in.cfg.Log.WithFields(fields).Info(kind)
+}
--- /dev/null
+++ b/entry/ownership/candidate.go
@@ -0,0 +1,275 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/godwitcross/godwitcross/entry/relay"
+	"github.com/godwitcross/godwitcross/entry/store"
+)
+
+const (
+	// SignEvery is how often the owner gives a sign of life.
+	SignEvery = 500 * time.Millisecond
+	// patience is how long an owner may give no sign before another host claims:
+	// three signs, of which one may be slow.
+	patience = 1500 * time.Millisecond
+	// spread bounds by how much hosts differ in patience, so that few claim at once.
+	spread = 300 * time.Millisecond
+	// readWait is how long a read of the owner's stream waits.
+	readWait = time.Second
+	// retryPause follows a call to the store that failed.
+	retryPause = 150 * time.Millisecond
+	// yieldPause is how long a host that gave ownership up does not claim again.
+	yieldPause = 4 * time.Second
+	// firstPatience is the pause of the first start, when there has been no owner.
+	firstPatience = 50 * time.Millisecond
+)
+
+// Reign is one ownership: Run returns when it ends.
+type Reign func(ctx context.Context, epoch int64, claim Claim) error
+
+// Config is what a candidate is built from.
+type Config struct {
+	Self relay.Peer
+	// Direct is this host's own path to the store: a host that can't reach the
+	// store by itself doesn't claim.
+	Direct store.Store
+	// Store also goes through peers.
+	Store store.Store
+	Log   logrus.FieldLogger
+	// Now is the clock on which the owner's signs are judged.
+	Now func() time.Time
+	// Reign is run for each ownership of this host.
+	Reign Reign
+	// Share is the host's share of a core; hosts with more claim earlier.
+	Share float64
+}
+
+// Candidate follows who owns and claims when nobody does.
+type Candidate struct {
+	cfg   Config
+	nonce string
+
+	mu sync.Mutex
+	// state is guarded by mu.
+	state State
+	// stopping candidates claim no more; guarded by mu.
+	stopping bool
+	// yieldedUntil is until when this host doesn't claim.
+	yieldedUntil time.Time
+}
+
+// NewCandidate returns a candidate that knows nothing yet.
+func NewCandidate(cfg Config) *Candidate {
+	return &Candidate{cfg: cfg, nonce: uuid.NewString()}
+}
+
+// State returns what is known of the owner.
+func (c *Candidate) State() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+// Stop makes the candidate claim no more.
+func (c *Candidate) Stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+}
+
+func (c *Candidate) mayClaim(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.stopping && !now.Before(c.yieldedUntil)
+}
+
+// Run follows the owner until the context ends.
+func (c *Candidate) Run(ctx context.Context) {
+	loaded := false
+	for ctx.Err() == nil {
+		if !loaded {
+			loaded = c.load(ctx)
+		} else if !c.follow(ctx) {
+			loaded = false
+		}
+		c.consider(ctx, loaded)
+	}
+}
+
+// load reads the newest claim and sign.
+func (c *Candidate) load(ctx context.Context) bool {
+	page, err := c.cfg.Store.Newest(ctx, store.Owner)
+	if err != nil {
+		c.cfg.Log.WithField("Error", err.Error()).Debug("owner not read")
+		pause(ctx, retryPause)
+		return false
+	}
+	// The claim goes first: a sign counts only for its epoch.
+	for _, key := range []string{keyClaim, keySign} {
+		for _, r := range page.Records {
+			if r.Key == key {
+				c.fold(r)
+			}
+		}
+	}
+	c.mu.Lock()
+	c.state.Next = page.Next
+	c.mu.Unlock()
+	return true
+}
+
+// follow reads the next records. It reports false after a gap.
+func (c *Candidate) follow(ctx context.Context) bool {
+	st := c.State()
+	page, err := c.cfg.Store.Read(ctx, store.Owner, st.Next, c.wait(st))
+	switch {
+	case errors.Is(err, store.ErrTrimmed):
+		return false
+	case err != nil:
+		c.cfg.Log.WithField("Error", err.Error()).Debug("owner not read")
+		c.postpone()
+		pause(ctx, retryPause)
+		return true
+	}
+	for _, r := range page.Records {
+		c.fold(r)
+	}
+	c.mu.Lock()
+	c.state.Next = page.Next
+	c.mu.Unlock()
+	return true
+}
+
+// postpone lets the owner's patience begin anew: while the store can't be read,
+// nothing is known of the owner's signs.
+func (c *Candidate) postpone() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.SignAt = c.cfg.Now()
+}
+
+// wait is how long to read: until the owner's patience ends at most.
+func (c *Candidate) wait(st State) time.Duration {
+	left := c.patience(st) - c.cfg.Now().Sub(st.SignAt)
+	return min(max(left, time.Millisecond), readWait)
+}
+
+func (c *Candidate) fold(r store.Record) {
+	if r.Err != nil {
+		c.cfg.Log.WithFields(logrus.Fields{"Offset": r.Offset, "Error": r.Err.Error()}).Warn("record skipped")
+		return
+	}
+	c.mu.Lock()
+	isNew, err := c.state.Fold(c.cfg.Now(), r)
+	st := c.state
+	c.mu.Unlock()
+	if err != nil {
+		c.cfg.Log.WithFields(logrus.Fields{"Key": r.Key, "Offset": r.Offset, "Error": err.Error()}).Warn("record skipped")
+		return
+	}
+	if isNew {
+		c.cfg.Log.WithFields(logrus.Fields{"Epoch": st.Epoch, "Term": st.Claim.Term, "Owner": st.Claim.Host.Name}).Info("new owner")
+	}
+}
+
+// patience is how long this host waits for a sign of the owner.
+func (c *Candidate) patience(st State) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(c.cfg.Self.Name))
+	own := time.Duration(float64(h.Sum32()%100) / 100 * float64(spread))
+	if c.cfg.Share > 0 {
+		own = time.Duration(float64(own) * min(1, 0.4/c.cfg.Share))
+	}
+	switch {
+	case st.Epoch == 0:
+		return firstPatience + own/2
+	case st.Released:
+		return own / 2
+	default:
+		return patience + own
+	}
+}
+
+// consider claims if nobody owns, and runs the ownership that it wins.
+func (c *Candidate) consider(ctx context.Context, loaded bool) {
+	st := c.State()
+	now := c.cfg.Now()
+	if st.Epoch > 0 && st.Claim.Nonce == c.nonce && !st.Released {
+		c.reign(ctx, st)
+		return
+	}
+	if !loaded || !c.mayClaim(now) {
+		return
+	}
+	if st.Epoch == 0 && st.SignAt.IsZero() {
+		c.postpone()
+		return
+	}
+	if now.Sub(st.SignAt) < c.patience(st) {
+		return
+	}
+	c.claim(ctx, st)
+}
+
+// claim appends a claim where the stream ended when it was read last. Whether it
+// won is read from the stream, as any other claim.
+func (c *Candidate) claim(ctx context.Context, st State) {
+	claim := Claim{Host: c.cfg.Self, Nonce: c.nonce, Term: st.Claim.Term + 1}
+	if st.Epoch == 0 {
+		claim.Term = 0
+	}
+	b, err := json.Marshal(claim)
+	if err != nil {
+		c.cfg.Log.WithField("Error", err.Error()).Error("claim not encoded")
+		return
+	}
+	at := st.Next
+	_, err = c.cfg.Direct.Append(ctx, store.Append{Stream: store.Owner, At: &at, Records: []store.Record{{Key: keyClaim, Value: b}}})
+	entry := c.cfg.Log.WithFields(logrus.Fields{
+		"FormerEpoch": st.Epoch, "FormerOwner": st.Claim.Host.Name, "Term": claim.Term,
+		"SilentMs": c.cfg.Now().Sub(st.SignAt).Milliseconds(), "Released": st.Released,
+	})
+	if err != nil {
+		entry.WithField("Error", err.Error()).Info("claim not taken")
+		if !errors.Is(err, store.ErrConflict) {
+			c.postpone()
+		}
+		return
+	}
+	entry.Info("claimed")
+}
+
+// reign runs one ownership to its end.
+func (c *Candidate) reign(ctx context.Context, st State) {
+	log := c.cfg.Log.WithFields(logrus.Fields{"Epoch": st.Epoch, "Term": st.Claim.Term})
+	log.Info("ownership begins")
+	err := c.cfg.Reign(ctx, st.Epoch, st.Claim)
+	fields := logrus.Fields{}
+	if err != nil {
+		fields["Error"] = err.Error()
+	}
+	log.WithFields(fields).Info("ownership ends")
+	c.mu.Lock()
+	c.nonce = uuid.NewString()
+	c.state.SignAt = c.cfg.Now()
+	c.yieldedUntil = c.cfg.Now().Add(yieldPause)
+	c.mu.Unlock()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/ownership/record.go
@@ -0,0 +1,78 @@
+// Package ownership decides which entry host is the owner: the one that schedules.
+// A claim appended to the store under a condition makes one, a higher epoch fences
+// the one before.
+package ownership
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/godwitcross/godwitcross/entry/relay"
+	"github.com/godwitcross/godwitcross/entry/store"
+)
+
+// Keys of the records.
+const (
+	keyClaim = "Claim"
+	keySign  = "Sign"
+)
+
+// Claim makes a host the owner. Its epoch is its offset plus one.
+type Claim struct {
+	Host relay.Peer
+	// Term numbers the owners from 0.
+	Term int64
+	// Nonce tells a host's own claim from one of its former life.
+	Nonce string
+}
+
+// Sign is the owner's sign of life.
+type Sign struct {
+	Epoch int64
+	Host  relay.Peer
+	// Peers are the entry hosts that the owner knows.
+	Peers []relay.Peer
+	// Released owners have stopped as planned: the next one need not wait.
+	Released bool
+}
+
+// State is what a host knows of the owner.
+type State struct {
+	// Epoch is 0 while there has been no owner.
+	Epoch int64
+	Claim Claim
+	Peers []relay.Peer
+	// Released is set once the owner has stopped as planned.
+	Released bool
+	// SignAt is when the last claim or sign of the epoch was read.
+	SignAt time.Time
+	// Next is the offset from which to read on.
+	Next int64
+}
+
+// Fold takes a record into account and reports whether it makes a new owner.
+// Records of former owners change nothing.
+func (s *State) Fold(now time.Time, r store.Record) (bool, error) {
+	switch r.Key {
+	case keyClaim:
+		var c Claim
+		if err := json.Unmarshal(r.Value, &c); err != nil {
+			return false, err
+		}
+		if r.Offset+1 <= s.Epoch {
+			return false, nil
+		}
+		s.Epoch, s.Claim, s.SignAt, s.Released = r.Offset+1, c, now, false
+		return true, nil
+	case keySign:
+		var b Sign
+		if err := json.Unmarshal(r.Value, &b); err != nil {
+			return false, err
+		}
+		if b.Epoch != s.Epoch {
+			return false, nil
+		}
+		s.SignAt, s.Peers, s.Released = now, b.Peers, b.Released
+	}
+	return false, nil
+}
--- /dev/null
+++ b/entry/ownership/signs.go
@@ -0,0 +1,76 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/godwitcross/godwitcross/entry/relay"
+	"github.com/godwitcross/godwitcross/entry/store"
+)
+
+// producer is the name under which owners append their signs.
+const producer = "Owner"
+
+// Signs gives an owner's signs of life and proves with each that it still owns.
+type Signs struct {
+	Epoch int64
+	Self  relay.Peer
+	Store store.Store
+	Log   logrus.FieldLogger
+	// Now is the clock on which the proof is judged.
+	Now func() time.Time
+	// Peers are told to all hosts.
+	Peers func() []relay.Peer
+	// Confirmed is told when a sign was sent that the store then took.
+	Confirmed func(sentAt time.Time)
+
+	seq int64
+}
+
+// Run gives signs until the context ends or another owner is met, which is
+// store.ErrFenced.
+func (s *Signs) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sentAt := s.Now()
+		err := s.give(ctx, false)
+		switch {
+		case err == nil:
+			s.Confirmed(sentAt)
+		case errors.Is(err, store.ErrFenced):
+			return err
+		case ctx.Err() == nil:
+			s.Log.WithField("Error", err.Error()).Debug("sign not given")
+		}
+		pause(ctx, SignEvery-s.Now().Sub(sentAt))
+	}
+	return ctx.Err()
+}
+
+// Release tells that this owner stops.
+func (s *Signs) Release(ctx context.Context) error {
+	return s.give(ctx, true)
+}
+
+func (s *Signs) give(ctx context.Context, released bool) error {
+	b, err := json.Marshal(Sign{Epoch: s.Epoch, Host: s.Self, Peers: s.Peers(), Released: released})
+	if err != nil {
+		return err
+	}
+	res, err := s.Store.Append(ctx, store.Append{
+		Stream:  store.Owner,
+		Records: []store.Record{{Key: keySign, Value: b}},
+		Fence:   &store.Fence{Producer: producer, Epoch: s.Epoch, Seq: s.seq},
+	})
+	switch {
+	case err == nil:
+		s.seq++
+	case errors.Is(err, store.ErrSequence):
+		// A sign without an answer was taken after all.
+		s.seq = res.Seq
+	}
+	return err
+}
--- /dev/null
+++ b/entry/relay/client.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/godwitcross/godwitcross/entry/backend"
+	"github.com/godwitcross/godwitcross/entry/store"
+)
+
+const (
+	// callTime bounds a call that asks nothing of the store: many times the way
+	// between data centres.
+	callTime = 500 * time.Millisecond
+	// storeTime bounds a call that the other host passes on to the store, whose own
+	// bound is below it.
+	storeTime = 1500 * time.Millisecond
+	// maxAnswer bounds an answer; a page of the store has up to 2 MiB.
+	maxAnswer = 16 << 20
+	// maxConnections bounds the connections to one entry host.
+	maxConnections = 16
+)
+
+// Client asks other entry hosts.
+type Client struct {
+	pool *backend.Pool
+}
+
+// NewClient returns a client over the connections of a pool.
+func NewClient(pool *backend.Pool) *Client {
+	return &Client{pool: pool}
+}
+
+// call sends one request. ErrNoPeer says that there was no answer; sent tells
+// whether the other host may have done what it was asked.
+func (c *Client) call(ctx context.Context, p Peer, path string, in, out any, within time.Duration) (sent bool, err error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return false, eris.Wrap(err, "encode")
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(path)
+	req.Header.SetHost(p.Address)
+	req.Header.SetContentType("application/json")
+	req.SetBody(body)
+	now := time.Now()
+	deadline := now.Add(within)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	err = c.pool.Send(ctx, backend.Request{
+		Address: p.Address, Message: req, Answer: resp, MaxBody: maxAnswer, Deadline: deadline, Connections: maxConnections,
+	}, now)
+	if err != nil {
+		return !errors.Is(err, backend.ErrNotSent), eris.Wrapf(ErrNoPeer, "%s%s: %s", p.Name, path, err)
+	}
+	var r reply
+	if err := json.Unmarshal(resp.Body(), &r); err != nil {
+		return true, eris.Wrapf(ErrNoPeer, "%s%s: status %d: %s", p.Name, path, resp.StatusCode(), err)
+	}
+	if r.Body != nil && out != nil {
+		if err := json.Unmarshal(r.Body, out); err != nil {
+			return true, eris.Wrapf(ErrNoPeer, "%s%s: %s", p.Name, path, err)
+		}
+	}
+	if r.Error != "" {
+		if sentinel, ok := sentinels[r.Error]; ok {
+			return true, sentinel
+		}
+		return true, eris.Wrapf(ErrNoPeer, "%s%s: %s", p.Name, path, r.Error)
+	}
+	return true, nil
+}
+
+// State asks for a job's state.
+func (c *Client) State(ctx context.Context, p Peer, r StateRequest) (StateAnswer, error) {
+	var a StateAnswer
+	_, err := c.call(ctx, p, pathState, r, &a, callTime)
+	return a, err
+}
+
+// Waiting asks how many jobs of a queue wait.
+func (c *Client) Waiting(ctx context.Context, p Peer, r WaitingRequest) (WaitingAnswer, error) {
+	var a WaitingAnswer
+	_, err := c.call(ctx, p, pathWaiting, r, &a, callTime)
+	return a, err
+}
+
+// Hello tells another host that this one is there.
+func (c *Client) Hello(ctx context.Context, p, self Peer) error {
+	_, err := c.call(ctx, p, pathHello, self, nil, callTime)
+	return err
+}
+
+// Append has another host append to the store.
+func (c *Client) Append(ctx context.Context, p Peer, a store.Append) (store.Appended, error) {
+	var out store.Appended
+	sent, err := c.call(ctx, p, pathAppend, a, &out, storeTime)
+	if errors.Is(err, ErrNoPeer) {
+		if sent {
+			return out, eris.Wrap(store.ErrUnknown, err.Error())
+		}
+		return out, eris.Wrap(store.ErrUnavailable, err.Error())
+	}
+	return out, err
+}
+
+// Read has another host read from the store.
+func (c *Client) Read(ctx context.Context, p Peer, r ReadRequest) (store.Page, error) {
+	var out store.Page
+	_, err := c.call(ctx, p, pathRead, r, &out, storeTime+r.Wait)
+	if errors.Is(err, ErrNoPeer) {
+		return out, eris.Wrap(store.ErrUnavailable, err.Error())
+	}
+	return out, err
+}
+
+// Newest has another host read the newest records from the store.
+func (c *Client) Newest(ctx context.Context, p Peer, r NewestRequest) (store.Page, error) {
+	var out store.Page
+	_, err := c.call(ctx, p, pathNewest, r, &out, 2*storeTime)
+	if errors.Is(err, ErrNoPeer) {
+		return out, eris.Wrap(store.ErrUnavailable, err.Error())
+	}
+	return out, err
+}
--- /dev/null
+++ b/entry/relay/server.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/godwitcross/godwitcross/entry/store"
+)
+
+// Knower answers what only the owner knows.
+type Knower interface {
+	State(ctx context.Context, r StateRequest) (StateAnswer, error)
+	Waiting(ctx context.Context, r WaitingRequest) (WaitingAnswer, error)
+}
+
+// ServerConfig is what a server is built from.
+type ServerConfig struct {
+	Log logrus.FieldLogger
+	// Store is this host's own path to the store, which is never relayed again.
+	Store  store.Store
+	Knower Knower
+	// Hello is told of each host that says it is there.
+	Hello func(p Peer)
+}
+
+// Server answers other entry hosts.
+type Server struct {
+	cfg ServerConfig
+}
+
+// NewServer returns a server.
+func NewServer(cfg ServerConfig) *Server {
+	return &Server{cfg: cfg}
+}
+
+// Handle answers one request.
+func (s *Server) Handle(rc *fasthttp.RequestCtx) {
+	body, err := s.answer(rc, string(rc.Path()), rc.PostBody())
+	r := reply{}
+	if err != nil {
+		r.Error = nameOf(err)
+		s.cfg.Log.WithField("Path", string(rc.Path())).WithField("Error", err.Error()).Debug("relayed call failed")
+	}
+	if body != nil {
+		if r.Body, err = json.Marshal(body); err != nil {
+			rc.Error(err.Error(), fasthttp.StatusInternalServerError)
+			return
+		}
+	}
+	out, err := json.Marshal(r)
+	if err != nil {
+		rc.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	rc.SetContentType("application/json")
+	rc.SetBody(out)
+}
+
+func (s *Server) answer(ctx context.Context, path string, body []byte) (any, error) {
+	switch path {
+	case pathState:
+		return decoded(body, func(r StateRequest) (StateAnswer, error) { return s.cfg.Knower.State(ctx, r) })
+	case pathWaiting:
+		return decoded(body, func(r WaitingRequest) (WaitingAnswer, error) { return s.cfg.Knower.Waiting(ctx, r) })
+	case pathAppend:
+		return decoded(body, func(r store.Append) (store.Appended, error) { return s.cfg.Store.Append(ctx, r) })
+	case pathRead:
+		return decoded(body, func(r ReadRequest) (store.Page, error) { return s.cfg.Store.Read(ctx, r.Stream, r.From, r.Wait) })
+	case pathNewest:
+		return decoded(body, func(r NewestRequest) (store.Page, error) { return s.cfg.Store.Newest(ctx, r.Stream) })
+	case pathHello:
+		return decoded(body, func(p Peer) (struct{}, error) { s.cfg.Hello(p); return struct{}{}, nil })
+	}
+	return nil, store.ErrRefused
+}
+
+// decoded answers a request whose body has the type In.
+func decoded[In, Out any](body []byte, answer func(In) (Out, error)) (any, error) {
+	var in In
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, store.ErrRefused
+	}
+	return answer(in)
+}
--- /dev/null
+++ b/entry/relay/store.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/godwitcross/godwitcross/entry/store"
+)
+
+const (
+	// directPause is how long a host leaves its own path to the store alone after it
+	// failed, while a peer passes its calls on.
+	directPause = time.Second
+	// peersTried bounds the peers that one call is passed to.
+	peersTried = 2
+)
+
+// Store reaches the platform's store directly, or through a peer while that fails.
+type Store struct {
+	direct store.Store
+	client *Client
+	peers  func() []Peer
+	log    logrus.FieldLogger
+
+	mu sync.Mutex
+	// downUntil is until when the direct path is left alone; guarded by mu.
+	downUntil time.Time
+	isDown    bool
+	next      int
+}
+
+// NewStore returns a store; peers tells the hosts that may pass calls on.
+func NewStore(direct store.Store, client *Client, peers func() []Peer, log logrus.FieldLogger) *Store {
+	return &Store{direct: direct, client: client, peers: peers, log: log}
+}
+
+// tryDirect reports whether the direct path is to be tried.
+func (s *Store) tryDirect() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !time.Now().Before(s.downUntil)
+}
+
+// note keeps whether the direct path works.
+func (s *Store) note(err error) {
+	isDown := errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown)
+	s.mu.Lock()
+	changed := isDown != s.isDown
+	s.isDown = isDown
+	if isDown {
+		s.downUntil = time.Now().Add(directPause)
+	} else {
+		s.downUntil = time.Time{}
+	}
+	s.mu.Unlock()
+	switch {
+	case changed && isDown:
+		s.log.WithField("Error", err.Error()).Warn("store lost")
+	case changed:
+		s.log.Info("store regained")
+	}
+}
+
+// IsDown reports whether the last direct call failed.
+func (s *Store) IsDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isDown
+}
+
+// some returns the peers to try, another one first each time.
+func (s *Store) some() []Peer {
+	all := s.peers()
+	if len(all) == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	s.next++
+	first := s.next
+	s.mu.Unlock()
+	out := make([]Peer, 0, peersTried)
+	for i := range min(peersTried, len(all)) {
+		out = append(out, all[(first+i)%len(all)])
+	}
+	return out
+}
+
+// passes reports whether another path may do better after an error.
+func passes(err error) bool {
+	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown)
+}
+
+// through makes a call directly, else through peers.
+func through[T any](ctx context.Context, s *Store, direct func() (T, error), relayed func(p Peer) (T, error)) (T, error) {
+	var out T
+	err := error(store.ErrUnavailable)
+	unknown := false
+	if s.tryDirect() {
+		out, err = direct()
+		s.note(err)
+		if !passes(err) {
+			return out, err
+		}
+		unknown = errors.Is(err, store.ErrUnknown)
+	}
+	for _, p := range s.some() {
+		if ctx.Err() != nil {
+			break
+		}
+		var relayErr error
+		out, relayErr = relayed(p)
+		if !passes(relayErr) {
+			return out, relayErr
+		}
+		unknown = unknown || errors.Is(relayErr, store.ErrUnknown)
+		err = relayErr
+	}
+	if unknown && !errors.Is(err, store.ErrUnknown) {
+		err = eris.Wrap(store.ErrUnknown, err.Error())
+	}
+	return out, err
+}
+
+// Append adds records.
+func (s *Store) Append(ctx context.Context, a store.Append) (store.Appended, error) {
+	return through(ctx, s,
+		func() (store.Appended, error) { return s.direct.Append(ctx, a) },
+		func(p Peer) (store.Appended, error) { return s.client.Append(ctx, p, a) })
+}
+
+// Read waits for records.
+func (s *Store) Read(ctx context.Context, stream store.Stream, from int64, wait time.Duration) (store.Page, error) {
+	return through(ctx, s,
+		func() (store.Page, error) { return s.direct.Read(ctx, stream, from, wait) },
+		func(p Peer) (store.Page, error) {
+			return s.client.Read(ctx, p, ReadRequest{Stream: stream, From: from, Wait: wait})
+		})
+}
+
+// Newest returns the newest record of each key.
+func (s *Store) Newest(ctx context.Context, stream store.Stream) (store.Page, error) {
+	return through(ctx, s,
+		func() (store.Page, error) { return s.direct.Newest(ctx, stream) },
+		func(p Peer) (store.Page, error) { return s.client.Newest(ctx, p, NewestRequest{Stream: stream}) })
+}
--- /dev/null
+++ b/entry/steward/load.go
@@ -0,0 +1,286 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/godwitcross/godwitcross/entry/store"
+	"github.com/godwitcross/godwitcross/fleet/job"
+	"github.com/godwitcross/godwitcross/fleet/scheduling"
+)
+
+// offsets are the places from which streams are read on.
+type offsets struct {
+	workers  int64
+	operator int64
+}
+
+// load builds the scheduler from what the store holds.
+func (s *Steward) load(ctx context.Context) (*scheduling.Scheduler, offsets, error) {
+	var from offsets
+	cfg := s.cfg.Scheduling
+	cfg.Epoch, cfg.Term = s.epoch, s.term
+	// Whoever owned before was shut out by now, so its last proof is older than this.
+	sch := scheduling.New(s.cfg.Now(), cfg)
+	pages := make(map[store.Stream]store.Page)
+	for _, stream := range []store.Stream{store.Operator, store.Workers, store.Progress, store.Work} {
+		page, err := s.newest(ctx, stream)
+		if err != nil {
+			return nil, from, err
+		}
+		pages[stream] = page
+	}
+	from.workers, from.operator = pages[store.Workers].Next, pages[store.Operator].Next
+	now, wall := s.cfg.Now(), s.cfg.Wall()
+	s.applyOperator(sch, now, wall, pages[store.Operator].Records)
+	sch.Restore(now, wall, s.restored(pages))
+	s.applyWaves(sch, now, wall, pages[store.Operator].Records)
+	s.applyWorkers(sch, now, pages[store.Workers].Records)
+	return sch, from, nil
+}
+
+// newest reads the newest records of a stream until that succeeds.
+func (s *Steward) newest(ctx context.Context, stream store.Stream) (store.Page, error) {
+	for {
+		page, err := s.cfg.Store.Newest(ctx, stream)
+		if err == nil {
+			return page, nil
+		}
+		s.log.WithFields(logrus.Fields{"Stream": string(stream), "Error": err.Error()}).Info("stream not read")
+		if !pause(ctx, retryPause) {
+			return page, ctx.Err()
+		}
+	}
+}
+
+// skip tells of a record that can't be read.
+func (s *Steward) skip(stream store.Stream, r store.Record, err error) {
+	s.cfg.Metrics.Count("records_skipped", 1)
+	s.log.WithFields(logrus.Fields{"Stream": string(stream), "Key": r.Key, "Offset": r.Offset, "Error": err.Error()}).Warn("record skipped")
+}
+
+// restored reads the product's own records.
+func (s *Steward) restored(pages map[store.Stream]store.Page) scheduling.Restored {
+	out := scheduling.Restored{Progress: make(map[job.ID]job.Progress), Waves: make(map[int64]scheduling.WaveProgress)}
+	for _, r := range pages[store.Progress].Records {
+		if err := restoreProgress(&out, r); err != nil {
+			s.skip(store.Progress, r, err)
+		}
+	}
+	for _, r := range pages[store.Work].Records {
+		if id, ok := idOf(r.Key, cancelledPrefix); ok && len(r.Value) > 0 {
+			out.Cancelled = append(out.Cancelled, id)
+		}
+		if _, ok := idOf(r.Key, acceptedPrefix); !ok || len(r.Value) == 0 {
+			continue
+		}
+		j, err := job.Decode(r.Value)
+		if err != nil {
+			s.skip(store.Work, r, err)
+			continue
+		}
+		out.Jobs = append(out.Jobs, j)
+	}
+	return out
+}
+
+func restoreProgress(out *scheduling.Restored, r store.Record) error {
+	if r.Err != nil || len(r.Value) == 0 {
+		return r.Err
+	}
+	if id, ok := idOf(r.Key, scheduling.ProgressPrefix); ok {
+		p, err := job.DecodeProgress(r.Value)
+		if err != nil {
+			return err
+		}
+		out.Progress[id] = p
+		return nil
+	}
+	if strings.HasPrefix(r.Key, scheduling.RosterPrefix) {
+		e, err := scheduling.DecodeEntry(r.Value)
+		if err != nil {
+			return err
+		}
+		out.Roster = append(out.Roster, e)
+		return nil
+	}
+	if rest, ok := strings.CutPrefix(r.Key, scheduling.WavePrefix); ok {
+		n, err := strconv.ParseInt(rest, 10, 64)
+		if err != nil {
+			return err
+		}
+		p, err := scheduling.DecodeWave(r.Value)
+		if err != nil {
+			return err
+		}
+		out.Waves[n] = p
+	}
+	return nil
+}
+
+func (s *Steward) applyOperator(sch *scheduling.Scheduler, _ time.Time, _ int64, records []store.Record) {
+	for _, r := range records {
+		p, err := s.cfg.Decoder.Publication(r)
+		if err != nil {
+			s.skip(store.Operator, r, err)
+			continue
+		}
+		if p.Configuration != nil {
+			sch.Configure(p.Configuration)
+		}
+	}
+}
+
+func (s *Steward) applyWaves(sch *scheduling.Scheduler, now time.Time, wall int64, records []store.Record) {
+	for _, r := range records {
+		if p, err := s.cfg.Decoder.Publication(r); err == nil && p.Wave != nil {
+			sch.Request(now, wall, *p.Wave)
+		}
+	}
+}
+
+func (s *Steward) applyWorkers(sch *scheduling.Scheduler, now time.Time, records []store.Record) {
+	for _, r := range records {
+		if len(r.Value) == 0 && r.Err == nil {
+			sch.Delist(now, s.cfg.Decoder.WorkerID(r))
+			continue
+		}
+		e, err := s.cfg.Decoder.Worker(r)
+		if err != nil {
+			s.skip(store.Workers, r, err)
+			continue
+		}
+		sch.Enlist(now, e)
+	}
+}
+
+// tail reads a stream on and on. After a gap it starts again with the newest record
+// of each key, which lost tells.
+func (s *Steward) tail(ctx context.Context, stream store.Stream, from int64, apply, lost func(records []store.Record)) error {
+	for ctx.Err() == nil {
+		page, err := s.cfg.Store.Read(ctx, stream, from, readWait)
+		switch {
+		case errors.Is(err, store.ErrTrimmed):
+			s.log.WithFields(logrus.Fields{"Stream": string(stream), "From": from}).Warn("stream read anew after a gap")
+			if page, err = s.newest(ctx, stream); err != nil {
+				return err
+			}
+			lost(page.Records)
+		case err != nil:
+			if !pause(ctx, retryPause) {
+				return ctx.Err()
+			}
+			continue
+		default:
+			apply(page.Records)
+		}
+		from = page.Next
+	}
+	return ctx.Err()
+}
+
+func (s *Steward) tailWork(ctx context.Context, from int64) error {
+	fenced := make(chan struct{}, 1)
+	apply := func(records []store.Record) {
+		for _, r := range records {
+			s.applyWork(r, fenced)
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- s.tail(ctx, store.Work, from, apply, apply) }()
+	select {
+	case <-fenced:
+		return ErrFenced
+	case err := <-done:
+		return err
+	}
+}
+
+// applyWork hands on a record of the work stream.
+func (s *Steward) applyWork(r store.Record, fenced chan<- struct{}) {
+	if r.Err != nil {
+		s.skip(store.Work, r, r.Err)
+		return
+	}
+	if len(r.Value) == 0 {
+		return
+	}
+	if r.Key == keyOwner {
+		if n, err := strconv.ParseInt(string(r.Value), 10, 64); err == nil && n > s.epoch {
+			s.log.WithField("NewEpoch", n).Info("another owner marked the work")
+			select {
+			case fenced <- struct{}{}:
+			default:
+			}
+		}
+		return
+	}
+	if id, ok := idOf(r.Key, cancelledPrefix); ok {
+		s.tell(func(sch *scheduling.Scheduler, now time.Time, wall int64) { sch.Cancel(now, wall, id) })
+		return
+	}
+	if _, ok := idOf(r.Key, acceptedPrefix); !ok {
+		return
+	}
+	j, err := job.Decode(r.Value)
+	if err != nil {
+		s.skip(store.Work, r, err)
+		return
+	}
+	s.tell(func(sch *scheduling.Scheduler, now time.Time, wall int64) { sch.Accept(now, wall, j) })
+}
+
+func (s *Steward) tailWorkers(ctx context.Context, from int64) error {
+	apply := func(records []store.Record) {
+		s.tell(func(sch *scheduling.Scheduler, now time.Time, _ int64) { s.applyWorkers(sch, now, records) })
+	}
+	lost := func(records []store.Record) {
+		s.tell(func(sch *scheduling.Scheduler, now time.Time, _ int64) {
+			listed := make(map[scheduling.WorkerID]bool, len(records))
+			for _, r := range records {
+				if len(r.Value) > 0 {
+					listed[s.cfg.Decoder.WorkerID(r)] = true
+				}
+			}
+			for _, id := range sch.Listed() {
+				if !listed[id] {
+					sch.Delist(now, id)
+				}
+			}
+			s.applyWorkers(sch, now, records)
+		})
+	}
+	return s.tail(ctx, store.Workers, from, apply, lost)
+}
+
+func (s *Steward) tailOperator(ctx context.Context, from int64) error {
+	apply := func(records []store.Record) {
+		s.tell(func(sch *scheduling.Scheduler, now time.Time, wall int64) {
+			s.applyOperator(sch, now, wall, records)
+			s.applyWaves(sch, now, wall, records)
+		})
+	}
+	return s.tail(ctx, store.Operator, from, apply, apply)
+}
+
+// listHosts lists the fleet's hosts again and again.
+func (s *Steward) listHosts(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sentAt := s.cfg.Now()
+		hosts, err := s.cfg.Hosts.List(ctx)
+		if err != nil {
+			s.log.WithField("Error", err.Error()).Info("hosts not listed")
+		} else {
+			s.tell(func(sch *scheduling.Scheduler, now time.Time, _ int64) { sch.List(now, sentAt, hosts) })
+		}
+		pause(ctx, listEvery)
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/entry/steward/steward.go
@@ -0,0 +1,350 @@
+package steward
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/godwitcross/godwitcross/entry/metric"
+	"github.com/godwitcross/godwitcross/entry/ownership"
+	"github.com/godwitcross/godwitcross/entry/relay"
+	"github.com/godwitcross/godwitcross/entry/store"
+	"github.com/godwitcross/godwitcross/fleet/job"
+	"github.com/godwitcross/godwitcross/fleet/queue"
+	"github.com/godwitcross/godwitcross/fleet/scheduling"
+)
+
+// ErrFenced says that another host is the owner.
+var ErrFenced = eris.New("another host is the owner")
+
+// ErrStopped says that the owner has stopped and answers no more.
+var ErrStopped = eris.New("the owner has stopped")
+
+const (
+	// producer is the name under which owners append progress.
+	producer = "Progress"
+	// tickEvery is the longest between two looks at what is due by time.
+	tickEvery = 10 * time.Millisecond
+	// commitSoon is how long a commit waits for more ends of runs. Workers list them
+	// until they are stored, and the next hold waits for that.
+	commitSoon = 12 * time.Millisecond
+	// readWait is how long a read of a stream waits for a record. It bounds for how long
+	// a connection that went silent goes unnoticed.
+	readWait = time.Second
+	// retryPause follows a call that failed.
+	retryPause = 100 * time.Millisecond
+	// listEvery is how often hosts are listed; listBusy while orders are under way.
+	listEvery = time.Second
+	// queueEvents bounds the events that wait for the scheduler.
+	queueEvents = 4096
+	// forgetEvery is how often jobs that ended are forgotten.
+	forgetEvery = 2 * time.Second
+	// forgetBatch bounds the keys that are dropped in one append.
+	forgetBatch = 400
+)
+
+// Config is what a steward is built from.
+type Config struct {
+	Self    relay.Peer
+	Store   store.Store
+	Workers Workers
+	Hosts   Hosts
+	Adviser Adviser
+	Decoder Decoder
+	Log     logrus.FieldLogger
+	Metrics *metric.Registry
+	// Now is the clock on which leases are judged, Wall the time of day in Unix
+	// milliseconds.
+	Now  func() time.Time
+	Wall func() int64
+	// Scheduling holds the bounds; epoch and term are set for each ownership.
+	Scheduling scheduling.Config
+	// Peers are told to all hosts with each sign of life.
+	Peers func() []relay.Peer
+}
+
+// event is something that the scheduler is told on its task.
+type event func(s *scheduling.Scheduler, now time.Time, wall int64)
+
+// Steward runs the scheduler during one ownership.
+type Steward struct {
+	cfg    Config
+	epoch  int64
+	term   int64
+	log    logrus.FieldLogger
+	events chan event
+	done   chan struct{}
+	lanes  *lanes
+	signs  *ownership.Signs
+	// committing is set while a commit is out; it belongs to the scheduler's task.
+	committing bool
+	// commitAt is when the open commit is sent at the latest.
+	commitAt time.Time
+	commits  chan scheduling.Commit
+}
+
+// New returns the steward of an ownership.
+func New(cfg Config, epoch, term int64) *Steward {
+	s := &Steward{
+		cfg: cfg, epoch: epoch, term: term,
+		log:     cfg.Log.WithField("Epoch", epoch),
+		events:  make(chan event, queueEvents),
+		done:    make(chan struct{}),
+		commits: make(chan scheduling.Commit, 1),
+	}
+	s.lanes = newLanes(s)
+	s.signs = &ownership.Signs{
+		Epoch: epoch, Self: cfg.Self, Store: cfg.Store, Log: s.log, Now: cfg.Now, Peers: cfg.Peers,
+		Confirmed: func(sentAt time.Time) {
+			s.tell(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.Confirm(sentAt) })
+		},
+	}
+	return s
+}
+
+// tell hands an event to the scheduler's task, unless it has ended.
+func (s *Steward) tell(e event) bool {
+	select {
+	case s.events <- e:
+		return true
+	case <-s.done:
+		return false
+	}
+}
+
+// Run owns until the context ends or another owner is met. An owner that stops as
+// planned says so, that the next one need not wait.
+func (s *Steward) Run(ctx context.Context) error {
+	defer close(s.done)
+	began := s.cfg.Now()
+	barrier, err := s.takeOver(ctx)
+	if err != nil {
+		return err
+	}
+	sch, from, err := s.load(ctx)
+	if err != nil {
+		return err
+	}
+	s.log.WithFields(logrus.Fields{"TookMs": s.cfg.Now().Sub(began).Milliseconds(), "Barrier": barrier}).Info("took over")
+	g, gctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.signs.Run(gctx) })
+	g.Go(func() error { return s.tailWork(gctx, barrier+1) })
+	g.Go(func() error { return s.tailWorkers(gctx, from.workers) })
+	g.Go(func() error { return s.tailOperator(gctx, from.operator) })
+	g.Go(func() error { return s.listHosts(gctx) })
+	g.Go(func() error { return s.commit(gctx) })
+	g.Go(func() error { return s.loop(gctx, sch) })
+	err = g.Wait()
+	if errors.Is(err, store.ErrFenced) {
+		return eris.Wrap(ErrFenced, err.Error())
+	}
+	if errors.Is(err, ErrFenced) || ctx.Err() == nil {
+		return err
+	}
+	return s.release()
+}
+
+// release tells the other hosts that this owner has stopped.
+func (s *Steward) release() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return s.signs.Release(ctx)
+}
+
+// takeOver shuts out the owner before and marks the place in the order of work.
+func (s *Steward) takeOver(ctx context.Context) (int64, error) {
+	for _, f := range []struct {
+		stream   store.Stream
+		producer string
+	}{{store.Progress, producer}, {store.Owner, "Owner"}} {
+		a := store.Append{Stream: f.stream, Fence: &store.Fence{Producer: f.producer, Epoch: s.epoch}}
+		if _, err := s.persist(ctx, a); err != nil {
+			return 0, eris.Wrapf(err, "fence %s", f.stream)
+		}
+	}
+	b, err := json.Marshal(s.epoch)
+	if err != nil {
+		return 0, eris.Wrap(err, "encode the mark")
+	}
+	res, err := s.persist(ctx, store.Append{Stream: store.Work, Records: []store.Record{{Key: keyOwner, Value: b}}})
+	return res.Offset, eris.Wrap(err, "mark the work")
+}
+
+// persist repeats an append that may be repeated until it is answered.
+func (s *Steward) persist(ctx context.Context, a store.Append) (store.Appended, error) {
+	for {
+		res, err := s.cfg.Store.Append(ctx, a)
+		switch {
+		case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrUnknown):
+			s.log.WithFields(logrus.Fields{"Stream": string(a.Stream), "Error": err.Error()}).Debug("append repeated")
+		default:
+			return res, err
+		}
+		if !pause(ctx, retryPause) {
+			return res, ctx.Err()
+		}
+	}
+}
+
+// loop is the scheduler's task.
+func (s *Steward) loop(ctx context.Context, sch *scheduling.Scheduler) error {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	forgetAt := s.cfg.Now().Add(forgetEvery)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case e := <-s.events:
+			e(sch, s.cfg.Now(), s.cfg.Wall())
+			s.drain(sch)
+		case <-tick.C:
+		}
+		now := s.cfg.Now()
+		sch.Tick(now, s.cfg.Wall())
+		if now.After(forgetAt) {
+			forgetAt = now.Add(forgetEvery)
+			s.forget(ctx, sch.Forget(now))
+		}
+		s.flush(now, sch)
+		s.carryOut(ctx, sch.Take())
+		if sch.Fenced() {
+			return ErrFenced
+		}
+	}
+}
+
+// drain takes the events that wait, so that one round decides on all of them.
+func (s *Steward) drain(sch *scheduling.Scheduler) {
+	for range queueEvents {
+		select {
+		case e := <-s.events:
+			e(sch, s.cfg.Now(), s.cfg.Wall())
+		default:
+			return
+		}
+	}
+}
+
+// flush sends the open commit: at once if callers or workers wait for it, else after
+// a short time, so that ends share an append.
+func (s *Steward) flush(now time.Time, sch *scheduling.Scheduler) {
+	if s.committing || !sch.HasChanges() {
+		return
+	}
+	if s.commitAt.IsZero() {
+		s.commitAt = now.Add(commitSoon)
+	}
+	if sch.IsUrgent() || !now.Before(s.commitAt) {
+		s.commitAt = time.Time{}
+		sch.Flush()
+	}
+}
+
+// commit appends progress, one append after the other.
+func (s *Steward) commit(ctx context.Context) error {
+	seq := int64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case c := <-s.commits:
+			a := store.Append{Stream: store.Progress, Fence: &store.Fence{Producer: producer, Epoch: s.epoch, Seq: seq}}
+			for _, r := range c.Records {
+				a.Records = append(a.Records, store.Record{Key: r.Key, Value: r.Value})
+			}
+			sentAt := s.cfg.Now()
+			res, err := s.persist(ctx, a)
+			switch {
+			case errors.Is(err, store.ErrSequence) && res.Seq == seq+1:
+				// It was done without an answer, and the answer is not kept any more.
+			case err != nil:
+				return eris.Wrap(err, "commit progress")
+			}
+			seq++
+			s.cfg.Metrics.Count("progress_commits", 1)
+			s.cfg.Metrics.Observe("progress_commit_time", s.cfg.Now().Sub(sentAt))
+			s.tell(func(sch *scheduling.Scheduler, _ time.Time, _ int64) {
+				s.committing = false
+				sch.Confirm(sentAt)
+				sch.Committed(c.Number)
+			})
+		}
+	}
+}
+
+// forget drops the accepted records of jobs that ended.
+func (s *Steward) forget(ctx context.Context, ids []job.ID) {
+	if len(ids) == 0 {
+		return
+	}
+	go func() {
+		for len(ids) > 0 {
+			n := min(len(ids), forgetBatch)
+			a := store.Append{Stream: store.Work}
+			for _, id := range ids[:n] {
+				a.Records = append(a.Records, store.Record{Key: AcceptedKey(id)}, store.Record{Key: CancelledKey(id)})
+			}
+			ids = ids[n:]
+			if _, err := s.cfg.Store.Append(ctx, a); err != nil {
+				// They stay until their retention ends at the next owner.
+				s.log.WithFields(logrus.Fields{"Jobs": n, "Error": err.Error()}).Info("ended jobs not dropped")
+				return
+			}
+		}
+	}()
+}
+
+// Configure hands a newer configuration to the scheduler.
+func (s *Steward) Configure(c *queue.Configuration) {
+	s.tell(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.Configure(c) })
+}
+
+// State answers what callers may be told of a job.
+func (s *Steward) State(ctx context.Context, id job.ID) (relay.StateAnswer, error) {
+	return ask(ctx, s, func(sch *scheduling.Scheduler) relay.StateAnswer {
+		state, queue, ok := sch.State(id)
+		return relay.StateAnswer{Known: ok, State: state, Queue: queue}
+	})
+}
+
+// Waiting answers how many jobs of a queue wait.
+func (s *Steward) Waiting(ctx context.Context, queue string) (relay.WaitingAnswer, error) {
+	return ask(ctx, s, func(sch *scheduling.Scheduler) relay.WaitingAnswer {
+		return relay.WaitingAnswer{Waiting: sch.Waiting(queue)}
+	})
+}
+
+// ask has the scheduler's task answer a question.
+func ask[T any](ctx context.Context, s *Steward, f func(sch *scheduling.Scheduler) T) (T, error) {
+	var zero T
+	answer := make(chan T, 1)
+	if !s.tell(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { answer <- f(sch) }) {
+		return zero, ErrStopped
+	}
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-s.done:
+		return zero, ErrStopped
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
+
+// pause waits and reports false if the context ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/fleet/job/job.go
@@ -0,0 +1,227 @@
+// Package job is the model of the work that callers submit: jobs of steps of
+// tasks, where they may run, and how far they are.
+package job
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrInvalid says that a job can't be accepted as it is written.
+var ErrInvalid = eris.New("invalid job")
+
+// Sizes that a job may have.
+const (
+	// MaxTextBytes is the size of a job's text that the callers' interface allows.
+	MaxTextBytes = 4000
+	// MaxTasks bounds the tasks of all steps of one occurrence, so that one job
+	// can't take a host's memory.
+	MaxTasks = 20_000
+	// idDigits is the length of an ID.
+	idDigits = 16
+)
+
+// ID names a job. The caller chooses it: 16 hexadecimal digits.
+type ID string
+
+// Validate checks the form of an ID.
+func (id ID) Validate() error {
+	if len(id) != idDigits {
+		return eris.Wrapf(ErrInvalid, "id %q is not %d digits long", string(id), idDigits)
+	}
+	for _, c := range id {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return eris.Wrapf(ErrInvalid, "id %q is not hexadecimal", string(id))
+		}
+	}
+	return nil
+}
+
+// Room is an amount of what a worker has and a task takes.
+type Room struct {
+	// CPU is in thousandths of a core.
+	CPU int64 `json:",omitempty"`
+	// MemMB is memory in mebibytes.
+	MemMB int64 `json:",omitempty"`
+	// GPU is a number of accelerators.
+	GPU int64 `json:",omitempty"`
+}
+
+// Add returns the sum.
+func (r Room) Add(o Room) Room {
+	return Room{CPU: r.CPU + o.CPU, MemMB: r.MemMB + o.MemMB, GPU: r.GPU + o.GPU}
+}
+
+// Sub returns the difference.
+func (r Room) Sub(o Room) Room {
+	return Room{CPU: r.CPU - o.CPU, MemMB: r.MemMB - o.MemMB, GPU: r.GPU - o.GPU}
+}
+
+// Fits reports whether r has room for o.
+func (r Room) Fits(o Room) bool {
+	return o.CPU <= r.CPU && o.MemMB <= r.MemMB && o.GPU <= r.GPU
+}
+
+// Step is a set of like tasks.
+type Step struct {
+	Count int
+	Room  Room
+	// Estimate is the caller's rough guess of how long a task takes.
+	Estimate time.Duration `json:",omitempty"`
+	// After lists earlier steps that must be done first.
+	After []int `json:",omitempty"`
+	// Checkpointing tasks resume from what they saved.
+	Checkpointing bool `json:",omitempty"`
+	// Gang tasks work only together and share the number of their run.
+	Gang bool `json:",omitempty"`
+	// SameRack tasks are slow unless all run on one rack.
+	SameRack bool `json:",omitempty"`
+	// Requires is a label that the worker must have.
+	Requires string `json:",omitempty"`
+	// Affinity is the rack on which the tasks are fast.
+	Affinity string `json:",omitempty"`
+	// AntiAffinity is how many tasks of the step may share a worker; 0 is no limit.
+	AntiAffinity int `json:",omitempty"`
+	// Speculative tasks may run more than once at the same time.
+	Speculative bool `json:",omitempty"`
+	// LongRunning tasks run until the job is cancelled.
+	LongRunning bool `json:",omitempty"`
+	// Image names what the tasks run.
+	Image string `json:",omitempty"`
+	// Target is the response time that a serving task must keep below.
+	Target time.Duration `json:",omitempty"`
+	// Fills tasks take the processor time that others leave; their CPU isn't counted.
+	Fills bool `json:",omitempty"`
+	// MayMiss is how many tasks may be unavailable at once because of our orders.
+	MayMiss int `json:",omitempty"`
+}
+
+// Takes returns what a task takes of the counted capacity of a worker.
+func (s Step) Takes() Room {
+	r := s.Room
+	if s.Fills {
+		r.CPU = 0
+	}
+	return r
+}
+
+// Serves reports whether the step's tasks have a response time to keep.
+func (s Step) Serves() bool {
+	return s.Target > 0 && !s.Fills
+}
+
+// Job is accepted work. It never changes once it is stored.
+type Job struct {
+	ID ID
+	// Queue is the name of the route that took the job.
+	Queue string
+	// Pool is the pool that ran the queue's tasks when the job was accepted.
+	Pool string
+	// Version is the configuration under which the job was accepted.
+	Version int64
+	// Text is handed to the workers as it came.
+	Text  string `json:",omitempty"`
+	Steps []Step
+	// Times is how often a scheduled job runs; 0 is a job that runs once, now.
+	Times int `json:",omitempty"`
+	// StartAt is the time of occurrence 0 in Unix milliseconds.
+	StartAt int64 `json:",omitempty"`
+	// Interval separates the occurrences.
+	Interval time.Duration `json:",omitempty"`
+	// AcceptedAt is the time of day in Unix milliseconds at the host that took it.
+	AcceptedAt int64
+}
+
+// Occurrences returns how often the job's steps run.
+func (j Job) Occurrences() int {
+	return max(j.Times, 1)
+}
+
+// DueAt returns when an occurrence may start, in Unix milliseconds; 0 is at once.
+func (j Job) DueAt(occurrence int) int64 {
+	if j.Times == 0 {
+		return 0
+	}
+	return j.StartAt + int64(occurrence)*j.Interval.Milliseconds()
+}
+
+// LongRunning reports whether a step of the job runs until it is cancelled.
+func (j Job) LongRunning() bool {
+	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning })
+}
+
+// Validate checks what a caller wrote.
+func (j Job) Validate() error {
+	if err := j.ID.Validate(); err != nil {
+		return err
+	}
+	if len(j.Text) > MaxTextBytes {
+		return eris.Wrapf(ErrInvalid, "text of %d bytes, at most %d", len(j.Text), MaxTextBytes)
+	}
+	if len(j.Steps) == 0 {
+		return eris.Wrap(ErrInvalid, "no steps")
+	}
+	if j.Times < 0 || j.Interval < 0 {
+		return eris.Wrap(ErrInvalid, "negative number of times or interval")
+	}
+	tasks := 0
+	for i, s := range j.Steps {
+		if err := s.validate(i); err != nil {
+			return eris.Wrapf(err, "step %d", i)
+		}
+		if tasks += s.Count; tasks > MaxTasks {
+			return eris.Wrapf(ErrInvalid, "more than %d tasks", MaxTasks)
+		}
+	}
+	return nil
+}
+
+func (s Step) validate(index int) error {
+	if s.Count <= 0 || s.Count > MaxTasks {
+		return eris.Wrapf(ErrInvalid, "count %d", s.Count)
+	}
+	if s.Room.CPU < 0 || s.Room.MemMB < 0 || s.Room.GPU < 0 {
+		return eris.Wrap(ErrInvalid, "negative room")
+	}
+	if s.AntiAffinity < 0 || s.MayMiss < 0 || s.Estimate < 0 || s.Target < 0 {
+		return eris.Wrap(ErrInvalid, "negative bound")
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= index {
+			return eris.Wrapf(ErrInvalid, "after step %d, which is not an earlier one", a)
+		}
+	}
+	return nil
+}
+
+// Task names one task of an occurrence of a job.
+type Task struct {
+	Job        ID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the name by which workers know the task.
+func (t Task) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
+
+// ParseTask reads the name of a task.
+func ParseTask(name string) (Task, error) {
+	var t Task
+	if len(name) <= idDigits || name[idDigits] != '.' {
+		return t, eris.Wrapf(ErrInvalid, "task name %q", name)
+	}
+	t.Job = ID(name[:idDigits])
+	if err := t.Job.Validate(); err != nil {
+		return t, err
+	}
+	if n, err := fmt.Sscanf(name[idDigits:], ".%d.%d.%d", &t.Occurrence, &t.Step, &t.Index); err != nil || n != 3 || t.String() != name {
+		return t, eris.Wrapf(ErrInvalid, "task name %q", name)
+	}
+	return t, nil
+}
--- /dev/null
+++ b/fleet/scheduling/config.go
@@ -0,0 +1,59 @@
+package scheduling
+
+import "time"
+
+// Config are the scheduler's bounds. All come from the deployment's settings but
+// for those that say otherwise.
+type Config struct {
+	// Epoch is the owner's fencing token towards workers; it rises with each owner.
+	Epoch int64
+	// Term numbers the owners from 0; run numbers of a term lie above all earlier ones.
+	Term int64
+	// HoldMax is the longest lease that a worker grants.
+	HoldMax time.Duration
+	// Lease is the lease that a hold asks for; at most HoldMax.
+	Lease time.Duration
+	// Grace is how long after the last proof of its ownership an owner extends leases.
+	Grace time.Duration
+	// StopMax is the longest that a stop takes.
+	StopMax time.Duration
+	// HostLease is how long another owner's orders for hosts must have ended before
+	// this one gives its own.
+	HostLease time.Duration
+	// MoveTime and MaintenanceTime are how long a host is away.
+	MoveTime, MaintenanceTime time.Duration
+	// DutiesPerSecond bounds orders for hosts.
+	DutiesPerSecond float64
+	// Retention is how long the state of an ended job is told.
+	Retention time.Duration
+}
+
+// Constants of the scheduler that no setting changes.
+const (
+	// runsPerTerm separates the run numbers of two owners; no task starts so often
+	// in one term.
+	runsPerTerm = 1000
+	// clockDrift bounds how much slower a worker's clock may run than ours: 2%, and
+	// half as much again for rounding.
+	clockDrift = 1.03
+	// leaseMargin is added to each lease before it is taken as lapsed: the transfer
+	// of an order and the worker's own timer.
+	leaseMargin = 250 * time.Millisecond
+	// holdWait is how long a worker may keep a hold open for an end. A third of the
+	// usual lease, so that two lost holds do no harm.
+	holdWait = 1000 * time.Millisecond
+	// holdGap is the pause between an answer and the next hold, which lets ends that
+	// come close together share one answer.
+	holdGap = 8 * time.Millisecond
+	// storeWait is how long the next hold waits for ends to be stored, unless they are
+	// before.
+	storeWait = 100 * time.Millisecond
+	// retryGap is the pause before an order without an answer is sent again.
+	retryGap = 200 * time.Millisecond
+	// unhealthyPause is how long a worker that refused or failed everything rests.
+	unhealthyPause = 2 * time.Second
+	// failuresToRest is how many failed runs of different jobs in a row rest a worker.
+	failuresToRest = 3
+	// fullPause is how long a worker that rejected a run for room gets no other.
+	fullPause = 150 * time.Millisecond
+)
--- /dev/null
+++ b/fleet/scheduling/host.go
@@ -0,0 +1,373 @@
+package scheduling
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// Policy of pools and maintenance.
+const (
+	// balanceEvery is how often pools are compared with their demand.
+	balanceEvery = 100 * time.Millisecond
+	// idleToSpare is how long a worker is idle before its host leaves for the spare
+	// pool. A move costs about as much as 1.1 s of a host in a pool, and queues'
+	// peaks last seconds, so a shorter wait would pay for moves that are undone.
+	idleToSpare = 700 * time.Millisecond
+	// listFresh is how old the list of hosts may be for an order.
+	listFresh = 3 * time.Second
+	// tokenStep leaves room for the orders of one epoch below the next epoch's tokens.
+	tokenStep = 1_000_000
+	// orderRetry is the pause before an order for a host is sent again.
+	orderRetry = 500 * time.Millisecond
+)
+
+// host is a host of the fleet.
+type host struct {
+	Host
+	// order is the duty that is out or was given and hasn't shown in the list yet.
+	order hostOrder
+	// wave is the open wave that the host is due for, or nil.
+	wave *wave
+	// refusedPools are pools to which the platform won't move the host.
+	refusedPools map[string]bool
+	retryAt      time.Time
+}
+
+type orderKind int
+
+const (
+	noOrder orderKind = iota
+	moveOrder
+	maintainOrder
+)
+
+// hostOrder is one duty.
+type hostOrder struct {
+	kind orderKind
+	pool string
+	wave int64
+	// sent is when the order went out; doneBy when its effect is over.
+	sent, doneBy time.Time
+	// given orders were accepted.
+	given bool
+}
+
+// List takes the platform's list of hosts.
+func (s *Scheduler) List(now time.Time, sentAt time.Time, hosts []Host) {
+	s.listed = now
+	seen := make(map[HostID]bool, len(hosts))
+	for _, l := range hosts {
+		seen[l.ID] = true
+		h := s.hosts[l.ID]
+		if h == nil {
+			h = &host{refusedPools: make(map[string]bool)}
+			s.hosts[l.ID] = h
+		}
+		h.Host = l
+		if w := s.workers[l.Worker]; w != nil && w.Host == "" {
+			w.Host = l.ID
+		}
+		if h.order.given && sentAt.After(h.order.doneBy) && l.State == HostUp {
+			h.order = hostOrder{}
+		}
+		if h.order.given && l.State == HostUp && h.order.kind == moveOrder && l.Pool == h.order.pool && l.Worker != "" {
+			h.order = hostOrder{}
+		}
+	}
+	for id := range s.hosts {
+		if !seen[id] {
+			delete(s.hosts, id)
+		}
+	}
+	s.endReplaced()
+}
+
+// endReplaced ends workers whose host runs another worker by now.
+func (s *Scheduler) endReplaced() {
+	for _, h := range s.hosts {
+		if h.Worker == "" {
+			continue
+		}
+		cur := s.workers[h.Worker]
+		if cur == nil {
+			continue
+		}
+		for _, w := range s.workers {
+			if w.Host == h.ID && w.ID != cur.ID && w.Born < cur.Born {
+				s.endLife(s.listed, w, "its host runs a newer worker")
+			}
+		}
+	}
+}
+
+// tickHosts keeps waves and pools going.
+func (s *Scheduler) tickHosts(now time.Time) {
+	if now.Before(s.nextBalance) || s.listed.IsZero() || now.Sub(s.listed) > listFresh {
+		return
+	}
+	s.nextBalance = now.Add(balanceEvery)
+	if now.Sub(s.startedAt) < s.cfg.HostLease && s.cfg.Term > 0 {
+		return
+	}
+	if now.Sub(s.confirmed) > s.cfg.Grace {
+		return
+	}
+	s.tickWaves(now)
+	s.balance(now)
+}
+
+// workerOn returns the worker that runs on a host, or nil.
+func (s *Scheduler) workerOn(h *host) *worker {
+	if h.Worker == "" {
+		return nil
+	}
+	return s.workers[h.Worker]
+}
+
+// isFree reports whether a host can be given an order.
+func (h *host) isFree(now time.Time) bool {
+	return h.State == HostUp && h.order.kind == noOrder && !now.Before(h.retryAt)
+}
+
+// isSpare reports whether a pool's hosts are off.
+func (s *Scheduler) isSpare(pool string) bool {
+	p, ok := s.conf.Pool(pool)
+	return ok && p.Spare
+}
+
+// duty counts an order against the platform's rate and returns its token.
+func (s *Scheduler) duty(now time.Time) (int64, bool) {
+	if s.cfg.DutiesPerSecond > 0 && now.Sub(s.lastDuty) < time.Duration(float64(time.Second)/s.cfg.DutiesPerSecond) {
+		return 0, false
+	}
+	s.lastDuty = now
+	s.dutySeq++
+	return s.cfg.Epoch*tokenStep + s.dutySeq, true
+}
+
+// poolDemand is how a pool stands in one round of balancing.
+type poolDemand struct {
+	name string
+	demand
+	// coming hosts are on their way to the pool.
+	coming int
+	// need is how many more hosts the waiting tasks would fill.
+	need int
+}
+
+// balance moves hosts to the pools whose tasks wait, from the spare pool and from
+// pools whose hosts idle, and idle hosts back to the spare pool.
+func (s *Scheduler) balance(now time.Time) {
+	wants := s.poolDemands(now)
+	for _, p := range wants {
+		for ; p.need > 0; p.need-- {
+			h := s.donor(now, p.name, wants)
+			if h == nil {
+				break
+			}
+			if !s.moveHost(now, h, p.name, "tasks wait") {
+				return
+			}
+		}
+	}
+	s.releaseIdle(now, wants)
+}
+
+// poolDemands lists the pools with queues, the neediest first.
+func (s *Scheduler) poolDemands(now time.Time) []*poolDemand {
+	d := s.demands(now)
+	byName := make(map[string]*poolDemand)
+	var list []*poolDemand
+	for _, p := range s.conf.Pools {
+		if p.Spare {
+			continue
+		}
+		e := &poolDemand{name: p.Name, demand: d[p.Name]}
+		byName[p.Name] = e
+		list = append(list, e)
+	}
+	var typical job.Room
+	for _, h := range s.hosts {
+		typical = job.Room{CPU: max(typical.CPU, h.Capacity.CPU), MemMB: max(typical.MemMB, h.Capacity.MemMB), GPU: max(typical.GPU, h.Capacity.GPU)}
+		if h.order.kind == moveOrder {
+			if e := byName[h.order.pool]; e != nil {
+				e.coming++
+			}
+		}
+	}
+	for _, e := range list {
+		e.need = hostsFor(e.room, typical) - e.coming
+	}
+	slices.SortFunc(list, func(a, b *poolDemand) int { return cmp.Or(cmp.Compare(b.need, a.need), cmp.Compare(a.name, b.name)) })
+	return list
+}
+
+// hostsFor is how many hosts of a size a room fills.
+func hostsFor(need, size job.Room) int {
+	n := int64(0)
+	if size.CPU > 0 {
+		n = max(n, (need.CPU+size.CPU-1)/size.CPU)
+	}
+	if size.MemMB > 0 {
+		n = max(n, (need.MemMB+size.MemMB-1)/size.MemMB)
+	}
+	if size.GPU > 0 {
+		n = max(n, (need.GPU+size.GPU-1)/size.GPU)
+	}
+	return int(n)
+}
+
+// donor finds a host for a pool: a spare one, else an idle one of a pool without
+// waiting tasks.
+func (s *Scheduler) donor(now time.Time, pool string, wants []*poolDemand) *host {
+	var best *host
+	bestRank := 0
+	for _, h := range s.hosts {
+		if !h.isFree(now) || h.Pool == pool || h.refusedPools[pool] || s.isCordoned(h) {
+			continue
+		}
+		rank := 0
+		switch w := s.workerOn(h); {
+		case s.isSpare(h.Pool):
+			rank = 2
+		case w != nil && len(w.runs) == 0 && w.greeted && w.failing.IsZero() && !w.Draining && !hasDemand(wants, h.Pool):
+			rank = 1
+		}
+		if rank > bestRank || (rank == bestRank && best != nil && rank > 0 && h.ID < best.ID) {
+			best, bestRank = h, rank
+		}
+	}
+	return best
+}
+
+func hasDemand(wants []*poolDemand, pool string) bool {
+	return slices.ContainsFunc(wants, func(p *poolDemand) bool { return p.name == pool && p.tasks > 0 })
+}
+
+// isCordoned reports whether a host is being emptied for its maintenance.
+func (s *Scheduler) isCordoned(h *host) bool {
+	w := s.workerOn(h)
+	return w != nil && w.cordoned
+}
+
+// releaseIdle sends hosts that idle to the spare pool.
+func (s *Scheduler) releaseIdle(now time.Time, wants []*poolDemand) {
+	spare := ""
+	for _, p := range s.conf.Pools {
+		if p.Spare {
+			spare = p.Name
+		}
+	}
+	if spare == "" {
+		return
+	}
+	for _, h := range s.hosts {
+		w := s.workerOn(h)
+		if w == nil || !h.isFree(now) || s.isSpare(h.Pool) || w.cordoned || h.refusedPools[spare] || hasDemand(wants, h.Pool) {
+			continue
+		}
+		if len(w.runs) > 0 || !w.greeted || w.Draining || w.idleSince.IsZero() || now.Sub(w.idleSince) < idleToSpare {
+			continue
+		}
+		if !s.moveHost(now, h, spare, "idle") {
+			return
+		}
+	}
+}
+
+// moveHost orders a move. It reports false if no order may be given now.
+func (s *Scheduler) moveHost(now time.Time, h *host, pool, reason string) bool {
+	if !s.confirmedForHosts(now) {
+		return false
+	}
+	token, ok := s.duty(now)
+	if !ok {
+		return false
+	}
+	s.note("host move ordered", "", "Host", string(h.ID), "From", h.Pool, "To", pool, "Reason", reason, "Token", token, "ListAgeMs", now.Sub(s.listed).Milliseconds())
+	if w := s.workerOn(h); w != nil {
+		w.cordoned = true
+	}
+	h.order = hostOrder{kind: moveOrder, pool: pool, sent: now}
+	s.emit(Move{Host: h.ID, Pool: pool, Token: token})
+	return true
+}
+
+// confirmedForHosts reports whether this owner was proved to be the owner a short
+// time ago. Orders for hosts have no lease that would end on its own.
+func (s *Scheduler) confirmedForHosts(now time.Time) bool {
+	return now.Sub(s.confirmed) < s.cfg.HostLease
+}
+
+// Ordered takes the platform's answer to an order for a host.
+func (s *Scheduler) Ordered(now time.Time, id HostID, token int64, o Outcome) {
+	h := s.hosts[id]
+	if h == nil || h.order.kind == noOrder || h.order.given {
+		return
+	}
+	if o != Accepted {
+		s.note("host order not accepted", "", "Host", string(id), "Token", token, "Outcome", o.String())
+	}
+	switch o {
+	case Accepted:
+		s.orderGiven(now, h)
+	case Unknown:
+		// It may be carried out late, so it stays in force until the list tells.
+		s.repeat(now, h)
+	case Fenced:
+		s.fenced = true
+		s.note("fenced by the platform", "", "Host", string(id), "Token", token)
+	case Refused:
+		if h.order.kind == moveOrder {
+			h.refusedPools[h.order.pool] = true
+		}
+		s.cancelOrder(now, h)
+	default:
+		s.cancelOrder(now, h)
+	}
+}
+
+// orderGiven notes that a host has gone: all that ran there has ended.
+func (s *Scheduler) orderGiven(now time.Time, h *host) {
+	away := s.cfg.MoveTime
+	if h.order.kind == maintainOrder {
+		away = s.cfg.MaintenanceTime
+		if v := s.waves[h.order.wave]; v != nil {
+			s.begun(now, v, h.ID)
+		}
+	}
+	h.order.given = true
+	h.order.doneBy = now.Add(away + leaseMargin)
+	h.State = HostMoving
+	if w := s.workerOn(h); w != nil {
+		s.endLife(now, w, "its host was ordered away")
+	}
+	h.Worker = ""
+}
+
+func (s *Scheduler) cancelOrder(now time.Time, h *host) {
+	if w := s.workerOn(h); w != nil && h.order.kind == moveOrder {
+		w.cordoned = false
+		s.dirty = true
+	}
+	h.order = hostOrder{}
+	h.retryAt = now.Add(orderRetry)
+}
+
+// repeat sends an order without an answer again, with a higher token.
+func (s *Scheduler) repeat(now time.Time, h *host) {
+	if !s.confirmedForHosts(now) {
+		h.retryAt = now.Add(orderRetry)
+		return
+	}
+	s.dutySeq++
+	token := s.cfg.Epoch*tokenStep + s.dutySeq
+	if h.order.kind == moveOrder {
+		s.emit(Move{Host: h.ID, Pool: h.order.pool, Token: token})
+		return
+	}
+	s.emit(Maintain{Host: h.ID, Wave: h.order.wave, Token: token})
+}
--- /dev/null
+++ b/fleet/scheduling/orders.go
@@ -0,0 +1,186 @@
+package scheduling
+
+import (
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// startRun orders a worker to run a task.
+func (s *Scheduler) startRun(now time.Time, w *worker, t *task, number int64, ticket string) bool {
+	deadline, ok := s.deadline(now, w)
+	if !ok {
+		return false
+	}
+	t.lastRun = number
+	r := &run{task: t, number: number, since: now, ticket: ticket, percent: 0, pace: 100}
+	s.attach(w, r)
+	w.idleSince = time.Time{}
+	s.sendStart(r, deadline)
+	js := t.owner()
+	s.note("run ordered", js.ID, "Task", t.id().String(), "Run", number, "Worker", string(w.ID), "Queue", js.Queue,
+		"WaitedMs", now.Sub(t.step.occ.dueAt).Milliseconds(), "Version", s.conf.Version)
+	return true
+}
+
+func (s *Scheduler) sendStart(r *run, deadline int64) {
+	w, t := r.worker, r.task
+	checkpoint := ""
+	if t.step.Checkpointing {
+		checkpoint = t.checkpoint
+	}
+	s.emit(Start{
+		Worker: w.Life, Address: w.Address, Task: t.id(), Run: r.number, Text: t.owner().Text,
+		Checkpoint: checkpoint, Ticket: r.ticket, DeadlineMs: deadline, Token: s.cfg.Epoch, Fresh: r.tries > 0,
+	})
+	r.tries++
+	r.retryAt = time.Time{}
+}
+
+// nextRun is the number of a task's next run. It lies above all that earlier owners
+// can have used.
+func (s *Scheduler) nextRun(t *task) int64 {
+	return max(t.lastRun, s.cfg.Term*runsPerTerm) + 1
+}
+
+// stopRun has a run stopped, whether it is known to be there or not.
+func (s *Scheduler) stopRun(now time.Time, r *run) {
+	if r.phase == stopping || r.phase == stopped {
+		return
+	}
+	r.phase = stopping
+	r.retryAt = now
+	r.tries = 0
+	s.retry(now, r)
+}
+
+// retry sends an order again that is due for it.
+func (s *Scheduler) retry(now time.Time, r *run) {
+	if r.retryAt.IsZero() || now.Before(r.retryAt) {
+		return
+	}
+	w := r.worker
+	switch r.phase {
+	case stopping:
+		r.retryAt = time.Time{}
+		s.emit(Stop{Worker: w.Life, Address: w.Address, Task: r.task.id(), Run: r.number, Token: s.cfg.Epoch, Fresh: r.tries > 0})
+		r.tries++
+	case uncertain:
+		if deadline, ok := s.deadline(now, w); ok {
+			s.sendStart(r, deadline)
+		} else {
+			r.retryAt = now.Add(retryGap)
+		}
+	}
+}
+
+// runOf returns the run that an answer is about, or nil.
+func (s *Scheduler) runOf(life Life, id job.Task, number int64) *run {
+	w := s.workers[life.ID]
+	if w == nil || w.Life != life {
+		return nil
+	}
+	r := w.runs[id]
+	if r == nil || r.number != number {
+		return nil
+	}
+	return r
+}
+
+// Started takes the answer to a start.
+func (s *Scheduler) Started(now time.Time, life Life, id job.Task, number int64, a Answer) {
+	if a.Outcome == Fenced {
+		s.metFence(life.ID, "start")
+		return
+	}
+	r := s.runOf(life, id, number)
+	if r == nil {
+		return
+	}
+	w := r.worker
+	if a.Outcome != Unknown {
+		w.clock(now, a.ClockMs)
+	}
+	if a.Outcome != Accepted {
+		s.note("run not accepted", id.Job, "Task", id.String(), "Run", number, "Worker", string(w.ID), "Outcome", a.Outcome.String())
+	}
+	switch a.Outcome {
+	case Accepted:
+		s.accepted(now, r)
+	case Unknown:
+		if r.phase == starting {
+			r.phase = uncertain
+		}
+		r.retryAt = now.Add(retryGap)
+	case OtherLife:
+		s.endLife(now, w, "its address belongs to another worker")
+	case NoRoom:
+		w.restUntil = now.Add(fullPause)
+		s.withdraw(now, r)
+	case Unhealthy:
+		w.restUntil = now.Add(unhealthyPause)
+		s.withdraw(now, r)
+	case NoTicket:
+		r.task.step.advice.expire()
+		s.withdraw(now, r)
+	case Refused:
+		r.task.notBefore = now.Add(unhealthyPause)
+		s.withdraw(now, r)
+	default:
+		s.withdraw(now, r)
+	}
+}
+
+func (s *Scheduler) accepted(now time.Time, r *run) {
+	s.countBegun(r.task.owner())
+	if r.phase == starting || r.phase == uncertain {
+		r.phase = running
+		r.knownAt = now
+		r.retryAt = time.Time{}
+	}
+	if w := r.worker; !w.holding && w.nextHold.After(now) {
+		w.nextHold = now
+	}
+}
+
+// withdraw takes back a start that was rejected. If an earlier sending of the same
+// start had no answer it may still be carried out, so the run is stopped first.
+func (s *Scheduler) withdraw(now time.Time, r *run) {
+	if r.phase == stopping || r.phase == stopped {
+		return
+	}
+	if r.tries > 1 {
+		s.stopRun(now, r)
+		return
+	}
+	s.detach(r)
+	s.settle(now, r.task)
+}
+
+// Stopped takes the answer to a stop.
+func (s *Scheduler) Stopped(now time.Time, life Life, id job.Task, number int64, a Answer) {
+	if a.Outcome == Fenced {
+		s.metFence(life.ID, "stop")
+		return
+	}
+	r := s.runOf(life, id, number)
+	if r == nil {
+		return
+	}
+	switch a.Outcome {
+	case Unknown, Unhealthy:
+		r.retryAt = now.Add(retryGap)
+	case OtherLife:
+		s.endLife(now, r.worker, "its address belongs to another worker")
+	default:
+		if r.phase != stopping {
+			return
+		}
+		r.phase = stopped
+		r.stoppedAt = now
+		r.retryAt = time.Time{}
+		if !r.worker.holding {
+			r.worker.nextHold = now
+		}
+	}
+}
--- /dev/null
+++ b/fleet/scheduling/placement.go
@@ -0,0 +1,402 @@
+package scheduling
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// demand is what a pool's waiting tasks ask for beyond what could be placed.
+type demand struct {
+	// room is the sum over all waiting tasks.
+	room job.Room
+	// tasks counts them.
+	tasks int
+}
+
+// poolView is a pool during one round of placement.
+type poolView struct {
+	workers []*worker
+	// largest is at least the largest free room of each kind among the workers.
+	largest job.Room
+}
+
+// place gives waiting tasks to workers: by priority, then by the time at which
+// their job's objective is missed.
+func (s *Scheduler) place(now time.Time) {
+	steps := s.collect()
+	if len(steps) == 0 {
+		return
+	}
+	views := make(map[string]*poolView)
+	for _, st := range steps {
+		pool, ok := s.poolOf(st.occ.job)
+		if !ok {
+			continue
+		}
+		v := views[pool]
+		if v == nil {
+			v = s.view(now, pool)
+			views[pool] = v
+		}
+		if len(v.workers) == 0 {
+			continue
+		}
+		if st.Gang {
+			s.placeGang(now, v, st)
+			continue
+		}
+		s.placeStep(now, v, st)
+	}
+}
+
+// collect returns the steps with waiting tasks in the order in which they are placed.
+func (s *Scheduler) collect() []*step {
+	type keyed struct {
+		*step
+		priority int
+		due      time.Time
+	}
+	var all []keyed
+	for name, list := range s.waiting {
+		kept := list[:0]
+		for _, st := range list {
+			if len(st.waiting) == 0 {
+				st.listed = false
+				continue
+			}
+			kept = append(kept, st)
+			q, _ := s.conf.Queue(name)
+			all = append(all, keyed{step: st, priority: q.Priority, due: s.due(st.occ)})
+		}
+		clear(list[len(kept):])
+		s.waiting[name] = kept
+	}
+	slices.SortFunc(all, func(a, b keyed) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), a.due.Compare(b.due), cmp.Compare(a.occ.job.ID, b.occ.job.ID), cmp.Compare(a.number, b.number))
+	})
+	steps := make([]*step, len(all))
+	for i, k := range all {
+		steps[i] = k.step
+	}
+	return steps
+}
+
+// due is when the objective of an occurrence is missed, by the caller's estimates.
+func (s *Scheduler) due(o *occurrence) time.Time {
+	q, ok := s.conf.Queue(o.job.Queue)
+	if !ok {
+		return o.dueAt
+	}
+	return o.dueAt.Add(time.Duration(q.Stretch*float64(o.chain())) + q.TargetLatency)
+}
+
+// chain is the estimated length of the longest chain of steps.
+func (o *occurrence) chain() time.Duration {
+	ends := make([]time.Duration, len(o.steps))
+	var longest time.Duration
+	for i, st := range o.steps {
+		var from time.Duration
+		for _, a := range st.After {
+			from = max(from, ends[a])
+		}
+		ends[i] = from + st.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// poolOf returns the pool that runs a job's tasks now, and false while the job was
+// accepted under a configuration that isn't known here yet.
+func (s *Scheduler) poolOf(js *jobState) (string, bool) {
+	if js.Version > s.conf.Version {
+		return "", false
+	}
+	if q, ok := s.conf.Queue(js.Queue); ok {
+		return q.Pool, true
+	}
+	return js.Pool, true
+}
+
+// view lists the workers of a pool that may get tasks.
+func (s *Scheduler) view(now time.Time, pool string) *poolView {
+	v := &poolView{}
+	for _, w := range s.workers {
+		if w.Pool != pool || !w.mayServe(now) {
+			continue
+		}
+		v.workers = append(v.workers, w)
+		free := w.free()
+		v.largest = job.Room{CPU: max(v.largest.CPU, free.CPU), MemMB: max(v.largest.MemMB, free.MemMB), GPU: max(v.largest.GPU, free.GPU)}
+	}
+	slices.SortFunc(v.workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	return v
+}
+
+// mayServe reports whether the worker may get new tasks.
+func (w *worker) mayServe(now time.Time) bool {
+	return w.listed && w.greeted && w.roster == rosterStored && !w.Draining && !w.cordoned &&
+		w.failing.IsZero() && !now.Before(w.restUntil)
+}
+
+func (w *worker) free() job.Room {
+	return w.Capacity.Sub(w.used)
+}
+
+// mayStart reports whether nothing can run of the task anywhere else.
+func (s *Scheduler) mayStart(now time.Time, pool string, t *task) bool {
+	if now.Before(t.notBefore) {
+		return false
+	}
+	if !t.owner().inherited || t.step.Speculative || now.After(s.inheritedUntil) {
+		return true
+	}
+	for _, e := range s.unaccounted {
+		if e.Pool == pool {
+			return false
+		}
+	}
+	return true
+}
+
+// placeStep gives as many tasks of a step to workers as fit.
+func (s *Scheduler) placeStep(now time.Time, v *poolView, st *step) {
+	if !v.largest.Fits(st.Takes()) {
+		return
+	}
+	if s.needsAdvice(now, v, st) {
+		return
+	}
+	pool, _ := s.poolOf(st.occ.job)
+	kept := st.waiting[:0]
+	for i, t := range st.waiting {
+		if !s.mayStart(now, pool, t) {
+			kept = append(kept, t)
+			continue
+		}
+		w := s.choose(now, v, st, t)
+		if w == nil {
+			kept = append(kept, st.waiting[i:]...)
+			break
+		}
+		t.queued = false
+		if !s.startRun(now, w, t, s.nextRun(t), st.advice.ticket(w.ID)) {
+			t.queued = true
+			kept = append(kept, st.waiting[i:]...)
+			break
+		}
+	}
+	clear(st.waiting[len(kept):])
+	st.waiting = kept
+}
+
+// choose returns the worker that suits a task best, or nil.
+func (s *Scheduler) choose(now time.Time, v *poolView, st *step, t *task) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range v.workers {
+		if !s.allows(now, st, w) {
+			continue
+		}
+		score := s.score(st, t, w)
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// allows reports whether a worker may run a task of the step.
+func (s *Scheduler) allows(now time.Time, st *step, w *worker) bool {
+	if !w.free().Fits(st.Takes()) {
+		return false
+	}
+	if st.AntiAffinity > 0 && w.steps[st] >= st.AntiAffinity {
+		return false
+	}
+	if st.Requires != "" && !slices.Contains(w.Labels, st.Requires) {
+		return false
+	}
+	return !st.advice.asked || st.advice.allows(now, w.ID)
+}
+
+// Weights of the score of a worker; the unit is the share of a worker that is in use.
+const (
+	// weightRack makes a rack that is near the data outweigh any packing.
+	weightRack = 4.0
+	// weightAvoid keeps a task off the worker on which it failed while others fit.
+	weightAvoid = 8.0
+	// weightSpread keeps tasks that last on different racks.
+	weightSpread = 2.0
+)
+
+// score rates a worker for a task. Tasks that end are packed, so that other hosts
+// run empty and may leave the pool; tasks that last are spread over racks.
+func (s *Scheduler) score(st *step, t *task, w *worker) float64 {
+	score := share(w.used, w.Capacity)
+	if st.Fills {
+		score = -score
+	}
+	if st.Affinity != "" && st.Affinity == w.Rack {
+		score += weightRack
+	}
+	if st.SameRack {
+		score += weightRack * float64(st.onRack(w.Rack)) / float64(st.Count)
+	}
+	if st.LongRunning {
+		score -= weightSpread * float64(st.onRack(w.Rack)) / float64(st.Count)
+	}
+	if t.avoid == w.ID {
+		score -= weightAvoid
+	}
+	return score
+}
+
+// onRack counts the step's tasks that run on a rack.
+func (st *step) onRack(rack string) int {
+	n := 0
+	for _, t := range st.tasks {
+		if t.run != nil && t.run.worker.Rack == rack {
+			n++
+		}
+	}
+	return n
+}
+
+// share is the larger share of processor and memory in use.
+func share(used, capacity job.Room) float64 {
+	var cpu, mem float64
+	if capacity.CPU > 0 {
+		cpu = float64(used.CPU) / float64(capacity.CPU)
+	}
+	if capacity.MemMB > 0 {
+		mem = float64(used.MemMB) / float64(capacity.MemMB)
+	}
+	return max(cpu, mem)
+}
+
+// placeGang starts all tasks of a gang with one run number, or none.
+func (s *Scheduler) placeGang(now time.Time, v *poolView, st *step) {
+	if len(st.waiting) < st.Count || s.needsAdvice(now, v, st) {
+		return
+	}
+	pool, _ := s.poolOf(st.occ.job)
+	number := int64(0)
+	checkpoint := ""
+	for _, t := range st.tasks {
+		if !s.mayStart(now, pool, t) {
+			return
+		}
+		number = max(number, s.nextRun(t))
+		checkpoint = cmp.Or(checkpoint, t.checkpoint)
+	}
+	chosen := s.chooseGang(now, v, st)
+	if chosen == nil {
+		return
+	}
+	for i, t := range st.tasks {
+		t.checkpoint = checkpoint
+		if !s.startRun(now, chosen[i], t, number, st.advice.ticket(chosen[i].ID)) {
+			return // no lease may be ordered: the tasks that wait stay in the list
+		}
+		t.queued = false
+	}
+	st.waiting = nil
+}
+
+// chooseGang finds a worker for each task of a gang, on one rack where the step
+// asks for it and a rack has room.
+func (s *Scheduler) chooseGang(now time.Time, v *poolView, st *step) []*worker {
+	if st.SameRack {
+		for _, rack := range v.racks(st.Affinity) {
+			if c := s.fill(now, st, v.onRack(rack)); c != nil {
+				return c
+			}
+		}
+	}
+	return s.fill(now, st, v.workers)
+}
+
+// fill assigns the gang's tasks to workers one after the other.
+func (s *Scheduler) fill(now time.Time, st *step, workers []*worker) []*worker {
+	var chosen []*worker
+	taken := make(map[*worker]int)
+	for len(chosen) < st.Count {
+		var best *worker
+		for _, w := range workers {
+			need := st.Takes()
+			need = job.Room{CPU: need.CPU * int64(taken[w]+1), MemMB: need.MemMB * int64(taken[w]+1), GPU: need.GPU * int64(taken[w]+1)}
+			if !s.allows(now, st, w) || !w.free().Fits(need) || (st.AntiAffinity > 0 && taken[w] >= st.AntiAffinity) {
+				continue
+			}
+			if best == nil || s.score(st, st.tasks[0], w) > s.score(st, st.tasks[0], best) {
+				best = w
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		taken[best]++
+		chosen = append(chosen, best)
+	}
+	return chosen
+}
+
+// racks lists the pool's racks, the preferred one first.
+func (v *poolView) racks(first string) []string {
+	var racks []string
+	for _, w := range v.workers {
+		if !slices.Contains(racks, w.Rack) {
+			racks = append(racks, w.Rack)
+		}
+	}
+	slices.SortFunc(racks, func(a, b string) int {
+		if (a == first) != (b == first) {
+			if a == first {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a, b)
+	})
+	return racks
+}
+
+func (v *poolView) onRack(rack string) []*worker {
+	var ws []*worker
+	for _, w := range v.workers {
+		if w.Rack == rack {
+			ws = append(ws, w)
+		}
+	}
+	return ws
+}
+
+// demands sums what waits for each pool.
+func (s *Scheduler) demands(now time.Time) map[string]demand {
+	d := make(map[string]demand)
+	for _, list := range s.waiting {
+		for _, st := range list {
+			if len(st.waiting) == 0 {
+				continue
+			}
+			pool, ok := s.poolOf(st.occ.job)
+			if !ok {
+				continue
+			}
+			e := d[pool]
+			takes := st.Takes()
+			for _, t := range st.waiting {
+				if now.Before(t.notBefore) {
+					continue
+				}
+				e.room = e.room.Add(takes)
+				e.tasks++
+			}
+			d[pool] = e
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/fleet/scheduling/restore.go
@@ -0,0 +1,138 @@
+package scheduling
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// Restored is what the log holds when an owner takes over.
+type Restored struct {
+	Jobs      []job.Job
+	Cancelled []job.ID
+	Progress  map[job.ID]job.Progress
+	Roster    []Entry
+	Waves     map[int64]WaveProgress
+}
+
+// DecodeEntry reads a worker's record.
+func DecodeEntry(b []byte) (Entry, error) {
+	var e Entry
+	err := json.Unmarshal(b, &e)
+	return e, err
+}
+
+// Restore takes up what earlier owners left. It is called once, before any event.
+func (s *Scheduler) Restore(now time.Time, wall int64, r Restored) {
+	for _, e := range r.Roster {
+		w := newWorker(now, e)
+		w.roster = rosterStored
+		w.listed = false
+		s.workers[e.ID] = w
+		s.unaccounted[e.ID] = e
+	}
+	for id, p := range r.Progress {
+		if !p.State.Final() {
+			continue
+		}
+		s.jobs[id] = &jobState{
+			Job: job.Job{ID: id}, state: p.State, shown: p.State, began: true, inherited: true, forgotten: true,
+			endedAt: before(now, wall-p.EndedAt), endedWall: p.EndedAt,
+		}
+	}
+	for _, j := range r.Jobs {
+		if s.jobs[j.ID] != nil {
+			s.jobs[j.ID].Queue = j.Queue
+			s.jobs[j.ID].forgotten = false
+			continue
+		}
+		s.restoreJob(now, wall, j, r.Progress[j.ID])
+	}
+	for _, id := range r.Cancelled {
+		s.Cancel(now, wall, id)
+	}
+	for n, p := range r.Waves {
+		s.waves[n] = restoreWave(p)
+	}
+	s.note("state restored", "", "Jobs", len(r.Jobs), "Progress", len(r.Progress), "Workers", len(r.Roster), "Term", s.cfg.Term, "Epoch", s.cfg.Epoch)
+}
+
+// before returns the time that lies ms milliseconds before now.
+func before(now time.Time, ms int64) time.Time {
+	return now.Add(-time.Duration(max(ms, 0)) * time.Millisecond)
+}
+
+func (s *Scheduler) restoreJob(now time.Time, wall int64, j job.Job, p job.Progress) {
+	js := newJobState(j, before(now, wall-j.AcceptedAt))
+	js.inherited = true
+	s.jobs[j.ID] = js
+	if js.Times == 0 {
+		s.queued[js.Queue]++
+	} else {
+		s.timed[js.ID] = js
+	}
+	for k := 0; k < js.Occurrences(); k++ {
+		due := js.DueAt(k)
+		if due > wall && !touches(p, k) {
+			break
+		}
+		dueAt := js.since
+		if due > 0 {
+			dueAt = before(now, wall-due)
+		}
+		s.addOccurrence(js, k, dueAt)
+	}
+	if p.State == job.Running {
+		s.countBegun(js)
+	}
+	for _, tp := range p.Tasks {
+		s.restoreTask(job.Task{Job: j.ID, Occurrence: tp.Occurrence, Step: tp.Step, Index: tp.Index}, tp)
+	}
+	for _, o := range js.occurrences {
+		s.restoreSteps(now, wall, o)
+	}
+	if len(js.occurrences) == js.Times {
+		delete(s.timed, js.ID)
+	}
+}
+
+func (s *Scheduler) restoreTask(id job.Task, tp job.TaskProgress) {
+	t := s.find(id)
+	if t == nil {
+		s.note("progress of an unknown task", id.Job, "Task", id.String())
+		return
+	}
+	t.failures, t.noted, t.checkpoint = tp.Failures, tp.Noted, tp.Checkpoint
+	t.lastRun = tp.Noted
+	if tp.Done && !t.done {
+		t.done = true
+		t.step.done++
+	}
+}
+
+func (s *Scheduler) restoreSteps(now time.Time, wall int64, o *occurrence) {
+	for _, st := range o.steps {
+		if st.done == st.Count {
+			o.done++
+		}
+	}
+	if o.done < len(o.steps) {
+		s.release(o)
+		return
+	}
+	o.job.finished++
+	if o.job.finished == o.job.Occurrences() {
+		s.finish(now, wall, o.job, job.Completed, "all tasks done")
+	}
+}
+
+// touches reports whether anything is stored of an occurrence.
+func touches(p job.Progress, occurrence int) bool {
+	for _, t := range p.Tasks {
+		if t.Occurrence == occurrence {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/fleet/scheduling/scheduler.go
@@ -0,0 +1,385 @@
+package scheduling
+
+import (
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+	"github.com/godwitcross/godwitcross/fleet/queue"
+)
+
+// Keys of the records that outlast an owner.
+const (
+	// ProgressPrefix precedes a job's ID.
+	ProgressPrefix = "p/"
+	// RosterPrefix precedes the ID of a worker that may run tasks.
+	RosterPrefix = "w/"
+	// WavePrefix precedes a wave's number.
+	WavePrefix = "v/"
+)
+
+// Scheduler is the state of one owner.
+type Scheduler struct {
+	cfg  Config
+	conf *queue.Configuration
+	jobs map[job.ID]*jobState
+	// early are cancellations of jobs that haven't come yet.
+	early map[job.ID]time.Time
+	// timed jobs have occurrences that aren't due yet.
+	timed map[job.ID]*jobState
+	// waiting lists, for each queue, the steps with waiting tasks.
+	waiting map[string][]*step
+	// queued counts, for each queue, the jobs of which no task has started.
+	queued  map[string]int
+	workers map[WorkerID]*worker
+	hosts   map[HostID]*host
+	waves   map[int64]*wave
+	// unaccounted workers may run tasks of an earlier owner and have not answered.
+	unaccounted map[WorkerID]Entry
+	// inheritedUntil is when everything that an earlier owner started has lapsed.
+	inheritedUntil time.Time
+	// confirmed is when this owner was last proved to be the owner.
+	confirmed time.Time
+	// startedAt is when this owner took over.
+	startedAt time.Time
+	// listed is when the hosts were last listed.
+	listed time.Time
+	// lastDuty is when a host was last ordered.
+	lastDuty time.Time
+	// nextBalance is when pools are compared with their demand again.
+	nextBalance time.Time
+	// dutySeq makes the token of each order for hosts higher than all before.
+	dutySeq int64
+
+	changed []*jobState
+	records []Record
+	// ended workers have ends whose record is part of the next commit.
+	ended   map[WorkerID]int64
+	commit  int64
+	commits map[int64]*openCommit
+	// fenced is set once another owner is known.
+	fenced bool
+	// dirty asks for a round of placement.
+	dirty bool
+	out   []Action
+}
+
+// openCommit is a commit that was not answered yet.
+type openCommit struct {
+	jobs   map[*jobState]job.State
+	ends   map[WorkerID]lifeEnds
+	roster []*worker
+}
+
+type lifeEnds struct {
+	life  Life
+	noted int64
+}
+
+// New returns the scheduler of an owner that took over at now.
+func New(now time.Time, cfg Config) *Scheduler {
+	return &Scheduler{
+		cfg:            cfg,
+		conf:           queue.New(0, nil, nil, queue.Limits{}),
+		jobs:           make(map[job.ID]*jobState),
+		early:          make(map[job.ID]time.Time),
+		timed:          make(map[job.ID]*jobState),
+		waiting:        make(map[string][]*step),
+		queued:         make(map[string]int),
+		workers:        make(map[WorkerID]*worker),
+		hosts:          make(map[HostID]*host),
+		waves:          make(map[int64]*wave),
+		unaccounted:    make(map[WorkerID]Entry),
+		ended:          make(map[WorkerID]int64),
+		commits:        make(map[int64]*openCommit),
+		inheritedUntil: now.Add(lapseTime(cfg.Grace + cfg.Lease)),
+		confirmed:      now,
+		startedAt:      now,
+	}
+}
+
+// lapseTime is how long to wait until a lease has lapsed on the slowest clock.
+func lapseTime(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*clockDrift) + leaseMargin
+}
+
+// Take returns the actions since the last call.
+func (s *Scheduler) Take() []Action {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+func (s *Scheduler) emit(a Action) {
+	s.out = append(s.out, a)
+}
+
+func (s *Scheduler) note(event string, id job.ID, fields ...any) {
+	s.emit(Note{Event: event, Job: id, Fields: fields})
+}
+
+// Fenced reports whether a worker or the log has met a later owner. The task
+// stops then.
+func (s *Scheduler) Fenced() bool {
+	return s.fenced
+}
+
+// Confirm tells that this owner was still the owner at sentAt.
+func (s *Scheduler) Confirm(sentAt time.Time) {
+	if sentAt.After(s.confirmed) {
+		s.confirmed = sentAt
+	}
+}
+
+// Configure takes a newer configuration. Versions only rise.
+func (s *Scheduler) Configure(c *queue.Configuration) {
+	if c.Version > s.conf.Version {
+		s.conf = c
+		s.dirty = true
+	}
+}
+
+// Accept takes a job that the log holds. A repeat changes nothing.
+func (s *Scheduler) Accept(now time.Time, wall int64, j job.Job) {
+	if s.jobs[j.ID] != nil {
+		return
+	}
+	js := newJobState(j, now)
+	s.jobs[j.ID] = js
+	s.note("job seen", j.ID, "Queue", j.Queue, "Pool", j.Pool, "Version", j.Version, "Steps", len(j.Steps),
+		"SinceAcceptedMs", wall-j.AcceptedAt)
+	if _, ok := s.early[j.ID]; ok {
+		delete(s.early, j.ID)
+		s.finish(now, wall, js, job.Cancelled, "cancelled before it came")
+		return
+	}
+	s.open(now, wall, js)
+}
+
+// open makes the occurrences that are due and counts the job as waiting.
+func (s *Scheduler) open(now time.Time, wall int64, js *jobState) {
+	if js.Times == 0 {
+		s.queued[js.Queue]++
+		s.release(s.addOccurrence(js, 0, js.since))
+		return
+	}
+	s.timed[js.ID] = js
+	s.openDue(now, wall, js)
+}
+
+func (s *Scheduler) addOccurrence(js *jobState, number int, dueAt time.Time) *occurrence {
+	o := newOccurrence(js, number, dueAt)
+	js.occurrences = append(js.occurrences, o)
+	return o
+}
+
+// openDue opens each occurrence of a scheduled job whose time has come.
+func (s *Scheduler) openDue(now time.Time, wall int64, js *jobState) {
+	for k := len(js.occurrences); k < js.Times && wall >= js.DueAt(k); k++ {
+		s.note("occurrence due", js.ID, "Occurrence", k, "LateMs", wall-js.DueAt(k))
+		s.release(s.addOccurrence(js, k, now))
+	}
+	if len(js.occurrences) == js.Times {
+		delete(s.timed, js.ID)
+	}
+}
+
+// Cancel ends a job for good, also one that comes later.
+func (s *Scheduler) Cancel(now time.Time, wall int64, id job.ID) {
+	js := s.jobs[id]
+	if js == nil {
+		s.early[id] = now
+		return
+	}
+	s.countBegun(js)
+	s.finish(now, wall, js, job.Cancelled, "cancelled by its caller")
+}
+
+// countBegun takes a job out of the number of those that wait.
+func (s *Scheduler) countBegun(js *jobState) {
+	if js.began {
+		return
+	}
+	js.began = true
+	if js.Times == 0 {
+		s.queued[js.Queue]--
+	}
+}
+
+// State returns what callers may be told of a job.
+func (s *Scheduler) State(id job.ID) (job.State, string, bool) {
+	js := s.jobs[id]
+	if js == nil {
+		return "", "", false
+	}
+	if js.shown.Final() {
+		return js.shown, js.Queue, true
+	}
+	if js.began {
+		return job.Running, js.Queue, true
+	}
+	return job.Queued, js.Queue, true
+}
+
+// Waiting returns how many jobs of a queue no task has started of.
+func (s *Scheduler) Waiting(queue string) int {
+	return s.queued[queue]
+}
+
+// Tick does what is due by time and places waiting tasks.
+func (s *Scheduler) Tick(now time.Time, wall int64) {
+	for _, js := range s.timed {
+		s.openDue(now, wall, js)
+	}
+	s.tickWorkers(now)
+	s.tickHosts(now)
+	if s.dirty {
+		s.dirty = false
+		s.place(now)
+	}
+}
+
+// Flush closes the open commit, if there is anything to store.
+func (s *Scheduler) Flush() {
+	if len(s.changed) == 0 && len(s.records) == 0 && len(s.ended) == 0 {
+		return
+	}
+	s.commit++
+	oc := &openCommit{jobs: make(map[*jobState]job.State), ends: make(map[WorkerID]lifeEnds)}
+	records := s.records
+	for _, js := range s.changed {
+		js.changed = false
+		b, err := js.progress().Encode()
+		if err != nil {
+			s.note("progress not encoded", js.ID, "Error", err.Error())
+			continue
+		}
+		records = append(records, Record{Key: ProgressPrefix + string(js.ID), Value: b})
+		oc.jobs[js] = js.state
+	}
+	for id, noted := range s.ended {
+		if w := s.workers[id]; w != nil {
+			oc.ends[id] = lifeEnds{life: w.Life, noted: noted}
+		}
+	}
+	for _, w := range s.workers {
+		if w.roster == rosterOpen {
+			w.roster = rosterSent
+			oc.roster = append(oc.roster, w)
+		}
+	}
+	s.changed, s.records = nil, nil
+	clear(s.ended)
+	s.commits[s.commit] = oc
+	if len(records) == 0 {
+		s.Committed(s.commit)
+		return
+	}
+	s.emit(Commit{Number: s.commit, Records: records})
+}
+
+// Committed tells that a commit is stored: what it holds may be told to callers,
+// and workers may forget the ends that it counts.
+func (s *Scheduler) Committed(number int64) {
+	oc := s.commits[number]
+	if oc == nil {
+		return
+	}
+	delete(s.commits, number)
+	for js, state := range oc.jobs {
+		js.shown = state
+	}
+	for id, e := range oc.ends {
+		if w := s.workers[id]; w != nil && w.Life == e.life && e.noted > w.seen {
+			w.seen = e.noted
+			if w.seen == w.noted {
+				w.nextHold = time.Time{}
+			}
+		}
+	}
+	for _, w := range oc.roster {
+		if w.roster == rosterSent {
+			w.roster = rosterStored
+			s.dirty = true
+		}
+	}
+}
+
+// Forget drops jobs that ended long ago and returns the IDs whose accepted record
+// isn't needed any more: their progress says all.
+func (s *Scheduler) Forget(now time.Time) []job.ID {
+	var ids []job.ID
+	for id, js := range s.jobs {
+		if !js.shown.Final() {
+			continue
+		}
+		if !js.forgotten {
+			js.forgotten = true
+			ids = append(ids, id)
+			js.occurrences = s.stillRunning(js)
+			js.Text, js.Steps = "", nil
+		}
+		if now.Sub(js.endedAt) > s.cfg.Retention {
+			delete(s.jobs, id)
+			s.records = append(s.records, Record{Key: ProgressPrefix + string(id)})
+		}
+	}
+	for id, at := range s.early {
+		if now.Sub(at) > s.cfg.Retention {
+			delete(s.early, id)
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// stillRunning keeps the occurrences of an ended job whose runs have not ended.
+func (s *Scheduler) stillRunning(js *jobState) []*occurrence {
+	var kept []*occurrence
+	for _, o := range js.occurrences {
+		if o.hasRuns() {
+			kept = append(kept, o)
+		}
+	}
+	return kept
+}
+
+func (o *occurrence) hasRuns() bool {
+	for _, st := range o.steps {
+		for _, t := range st.tasks {
+			if t.run != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// HasChanges reports whether there is anything to store.
+func (s *Scheduler) HasChanges() bool {
+	return len(s.changed) > 0 || len(s.records) > 0 || len(s.ended) > 0
+}
+
+// IsUrgent reports whether somebody waits for the open commit: the caller of a job
+// that ended, or tasks for a worker that may not get any before it is stored.
+func (s *Scheduler) IsUrgent() bool {
+	if len(s.records) > 0 {
+		return true
+	}
+	for _, js := range s.changed {
+		if js.state.Final() {
+			return true
+		}
+	}
+	return false
+}
+
+// Listed returns the workers whose entries are there.
+func (s *Scheduler) Listed() []WorkerID {
+	var ids []WorkerID
+	for id, w := range s.workers {
+		if w.listed {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
