fix: an end listed after a takeover takes its task off the waiting list; late jobs go last

At the peaks every job became late, since those that were late already went first. Change: markDone unqueues; order by prospect (in time, late, overdue) and slack with learned durations; tasks at work are proved by reports of the last 1.5 s; duplicates of speculative tasks wait 600 ms after a takeover.

--- a/entry/eventlog/eventlog.go
+++ b/entry/eventlog/eventlog.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,7 @@
 func (w *Writer) Run(ctx context.Context) {
 	b := bufio.NewWriterSize(w.out, bufferBytes)
 	defer func() { _ = b.Flush() }()
+	told := int64(0)
 	budget, second := maxLinesPerSecond, time.Now()
 	put := func(line []byte) {
 		if now := time.Now(); now.Sub(second) >= time.Second {
@@ -77,10 +79,21 @@
 			w.drain(put)
 			return
 		}
+		w.tellDropped(b, &told)
 		pause(ctx, flushEvery)
 	}
 }
 
+// tellDropped writes how many lines were dropped, when that has changed.
+func (w *Writer) tellDropped(b *bufio.Writer, told *int64) {
+	n := w.dropped.Load()
+	if n == *told {
+		return
+	}
+	_, _ = fmt.Fprintf(b, "{\"Event\":\"log lines dropped\",\"Level\":\"warning\",\"Lines\":%d,\"Total\":%d}\n", n-*told, n)
+	*told = n
+}
+
 // drain passes on the lines that wait.
 func (w *Writer) drain(put func([]byte)) {
 	for {
--- a/fleet/scheduling/budget.go
+++ b/fleet/scheduling/budget.go
@@ -1,10 +1,23 @@
 package scheduling
 
+import "time"
+
+// atWorkAge is how old a worker's report may be to prove that a task is at work. It
+// is below the time after which operators count a silent task as away, and above the
+// time between two reports.
+const atWorkAge = holdWait + 500*time.Millisecond
+
+// isAtWork reports whether a task is known to work at full pace.
+func (t *task) isAtWork(now time.Time) bool {
+	r := t.run
+	return r != nil && r.phase == running && r.percent >= 100 && r.worker.failing.IsZero() && now.Sub(r.knownAt) <= atWorkAge
+}
+
 // away counts the tasks of a step that are not at work, leaving out one of them.
-func (st *step) away(except *task) int {
+func (st *step) away(now time.Time, except *task) int {
 	n := 0
 	for _, t := range st.tasks {
-		if t != except && (t.run == nil || t.run.phase != running || t.run.percent < 100 || t.run.relocating) {
+		if t != except && !t.isAtWork(now) {
 			n++
 		}
 	}
@@ -13,20 +26,16 @@
 
 // mayInterrupt reports whether our order may end a run: tasks that end may be done
 // again, tasks that last have a budget for how many of their step are away at once.
-func mayInterrupt(r *run) bool {
+func mayInterrupt(now time.Time, r *run) bool {
 	st := r.task.step
 	if !st.LongRunning {
 		return true
 	}
-	if r.phase != running || r.percent < 100 {
-		// It isn't at work; whether it counts depends on the others alone.
-		return st.away(r.task) < max(st.MayMiss, 1)
-	}
-	return st.away(r.task) < st.MayMiss
+	return st.away(now, r.task) < st.MayMiss
 }
 
 // mayTakeDown reports whether a worker's host may go down now with all that runs there.
-func (w *worker) mayTakeDown() bool {
+func (w *worker) mayTakeDown(now time.Time) bool {
 	lasting := make(map[*step]int)
 	for _, r := range w.runs {
 		if r.task.owner().state.Final() {
@@ -40,7 +49,7 @@
 		others := 0
 		for _, t := range st.tasks {
 			elsewhere := t.run == nil || t.run.worker != w
-			if elsewhere && (t.run == nil || t.run.phase != running || t.run.percent < 100) {
+			if elsewhere && !t.isAtWork(now) {
 				others++
 			}
 		}
--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -54,6 +54,9 @@
 	unhealthyPause = 2 * time.Second
 	// failuresToRest is how many failed runs of different jobs in a row rest a worker.
 	failuresToRest = 3
+	// speculativePause is how long a new owner waits for workers to report a task that
+	// may run twice before it starts it once more.
+	speculativePause = 600 * time.Millisecond
 	// fullPause is how long a worker that rejected a run for room gets no other.
 	fullPause = 150 * time.Millisecond
 )
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -23,10 +23,10 @@
 	largest job.Room
 }
 
-// place gives waiting tasks to workers: by priority, then by the time at which
-// their job's objective is missed.
+// place gives waiting tasks to workers: by priority, then those whose objective can
+// still be met, the one with the least time left first.
 func (s *Scheduler) place(now time.Time) {
-	steps := s.collect()
+	steps := s.collect(now)
 	if len(steps) == 0 {
 		return
 	}
@@ -53,11 +53,12 @@
 }
 
 // collect returns the steps with waiting tasks in the order in which they are placed.
-func (s *Scheduler) collect() []*step {
+func (s *Scheduler) collect(now time.Time) []*step {
 	type keyed struct {
 		*step
 		priority int
-		due      time.Time
+		prospect prospect
+		slack    time.Duration
 	}
 	var all []keyed
 	for name, list := range s.waiting {
@@ -69,13 +70,15 @@
 			}
 			kept = append(kept, st)
 			q, _ := s.conf.Queue(name)
-			all = append(all, keyed{step: st, priority: q.Priority, due: s.due(st.occ)})
+			k := keyed{step: st, priority: q.Priority}
+			k.prospect, k.slack = s.prospect(now, q, st)
+			all = append(all, k)
 		}
 		clear(list[len(kept):])
 		s.waiting[name] = kept
 	}
 	slices.SortFunc(all, func(a, b keyed) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), a.due.Compare(b.due), cmp.Compare(a.occ.job.ID, b.occ.job.ID), cmp.Compare(a.number, b.number))
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.prospect, b.prospect), cmp.Compare(a.slack, b.slack), cmp.Compare(a.occ.job.ID, b.occ.job.ID), cmp.Compare(a.number, b.number))
 	})
 	steps := make([]*step, len(all))
 	for i, k := range all {
@@ -84,30 +87,6 @@
 	return steps
 }
 
-// due is when the objective of an occurrence is missed, by the caller's estimates.
-func (s *Scheduler) due(o *occurrence) time.Time {
-	q, ok := s.conf.Queue(o.job.Queue)
-	if !ok {
-		return o.dueAt
-	}
-	return o.dueAt.Add(time.Duration(q.Stretch*float64(o.chain())) + q.TargetLatency)
-}
-
-// chain is the estimated length of the longest chain of steps.
-func (o *occurrence) chain() time.Duration {
-	ends := make([]time.Duration, len(o.steps))
-	var longest time.Duration
-	for i, st := range o.steps {
-		var from time.Duration
-		for _, a := range st.After {
-			from = max(from, ends[a])
-		}
-		ends[i] = from + st.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // poolOf returns the pool that runs a job's tasks now, and false while the job was
 // accepted under a configuration that isn't known here yet.
 func (s *Scheduler) poolOf(js *jobState) (string, bool) {
@@ -150,7 +129,10 @@
 	if now.Before(t.notBefore) {
 		return false
 	}
-	if !t.owner().inherited || t.step.Speculative || now.After(s.inheritedUntil) {
+	if !t.owner().inherited || now.After(s.inheritedUntil) {
+		return true
+	}
+	if t.step.Speculative && now.Sub(s.startedAt) > speculativePause {
 		return true
 	}
 	for _, e := range s.unaccounted {
--- /dev/null
+++ b/fleet/scheduling/restore_test.go
@@ -0,0 +1,95 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+	"github.com/godwitcross/godwitcross/fleet/queue"
+)
+
+const testID = job.ID("00112233445566aa")
+
+var testStart = time.Unix(1000, 0)
+
+func testConfig() Config {
+	return Config{
+		Epoch: 7, Term: 1, HoldMax: 6 * time.Second, Lease: 4500 * time.Millisecond, Grace: 6 * time.Second,
+		StopMax: 200 * time.Millisecond, HostLease: 3 * time.Second, MoveTime: 1500 * time.Millisecond,
+		MaintenanceTime: 2 * time.Second, DutiesPerSecond: 30, Retention: time.Minute,
+	}
+}
+
+func testConfiguration() *queue.Configuration {
+	return queue.New(1,
+		[]queue.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 3, Stretch: 1.6, TargetLatency: 600 * time.Millisecond}},
+		[]queue.Pool{{Name: "p", Guarded: true}, {Name: "spare", Guarded: true, Spare: true}}, queue.Limits{})
+}
+
+func testJob(count int) job.Job {
+	return job.Job{
+		ID: testID, Queue: "q", Pool: "p", Version: 1, Text: "text",
+		Steps: []job.Step{{Count: count, Room: job.Room{CPU: 1000, MemMB: 100}, Estimate: time.Second}},
+	}
+}
+
+func testWorker(id WorkerID) Entry {
+	return Entry{Life: Life{ID: id, Born: 1}, Pool: "p", Address: string(id), Host: HostID("h-" + id), Kind: "a", Rack: "r1", Labels: []string{"a", "r1"}, Capacity: job.Room{CPU: 64000, MemMB: 131072}}
+}
+
+// starts returns the starts among actions.
+func starts(actions []Action) []Start {
+	var out []Start
+	for _, a := range actions {
+		if s, ok := a.(Start); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// A run that ended under the owner before must not start again: the end is counted
+// when the worker lists it, although the restored task was waiting by then.
+func TestAnEndListedAfterATakeoverIsNotStartedAgain(t *testing.T) {
+	s := New(testStart, testConfig())
+	s.Configure(testConfiguration())
+	w := testWorker("w1")
+	s.Restore(testStart, 0, Restored{Jobs: []job.Job{testJob(2)}, Roster: []Entry{w}})
+	s.Enlist(testStart, w)
+	s.Tick(testStart, 0)
+	s.Take()
+	at := testStart.Add(10 * time.Millisecond)
+	s.Held(at, 0, w.Life, 0, testStart, Answer{Outcome: Accepted, ClockMs: 5}, Report{
+		Born: 1, ClockMs: 5, Ended: []EndRow{{Number: 1, Task: job.Task{Job: testID}, Run: 1, How: EndDone}},
+	})
+	for range 100 {
+		at = at.Add(200 * time.Millisecond)
+		s.Confirm(at)
+		s.Flush()
+		s.Tick(at, 0)
+		for _, o := range starts(s.Take()) {
+			require.NotEqual(t, job.Task{Job: testID}, o.Task)
+		}
+	}
+}
+
+// A job of one task whose end is listed is shown as completed once that is stored.
+func TestAJobIsShownAsCompletedOnceItsEndIsStored(t *testing.T) {
+	s := New(testStart, testConfig())
+	s.Configure(testConfiguration())
+	w := testWorker("w1")
+	s.Restore(testStart, 0, Restored{Jobs: []job.Job{testJob(1)}, Roster: []Entry{w}})
+	s.Enlist(testStart, w)
+	s.Held(testStart, 0, w.Life, 0, testStart, Answer{Outcome: Accepted, ClockMs: 5}, Report{
+		Born: 1, ClockMs: 5, Ended: []EndRow{{Number: 1, Task: job.Task{Job: testID}, Run: 1, How: EndDone}},
+	})
+	s.Flush()
+	state, _, ok := s.State(testID)
+	require.True(t, ok)
+	require.Equal(t, job.Running, state)
+	s.Committed(1)
+	state, _, _ = s.State(testID)
+	require.Equal(t, job.Completed, state)
+}
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -26,6 +26,8 @@
 	early map[job.ID]time.Time
 	// timed jobs have occurrences that aren't due yet.
 	timed map[job.ID]*jobState
+	// learned holds, for each queue, how long its tasks take.
+	learned map[string]*durations
 	// waiting lists, for each queue, the steps with waiting tasks.
 	waiting map[string][]*step
 	// queued counts, for each queue, the jobs of which no task has started.
@@ -83,6 +85,7 @@
 		jobs:           make(map[job.ID]*jobState),
 		early:          make(map[job.ID]time.Time),
 		timed:          make(map[job.ID]*jobState),
+		learned:        make(map[string]*durations),
 		waiting:        make(map[string][]*step),
 		queued:         make(map[string]int),
 		workers:        make(map[WorkerID]*worker),
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -55,6 +55,9 @@
 	// listed steps are in the queue's list of steps with waiting tasks.
 	listed bool
 	advice advice
+	// took sums the durations of ended runs that were done.
+	took  time.Duration
+	ended int
 }
 
 // task is one task and its run, if it has one.
@@ -203,6 +206,7 @@
 		return
 	}
 	t.done = true
+	s.unqueue(t)
 	st, o, js := t.step, t.step.occ, t.owner()
 	st.done++
 	s.change(js)
--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -179,7 +179,7 @@
 	}
 	w.cordoned = true
 	s.evacuate(now, w)
-	if len(w.runs) > 0 && (!s.isUrgent(now, v) || !w.mayTakeDown()) {
+	if len(w.runs) > 0 && (!s.isUrgent(now, v) || !w.mayTakeDown(now)) {
 		return true // it takes a place while it is emptied
 	}
 	return s.maintain(now, v, h)
@@ -204,12 +204,12 @@
 		if !r.task.step.LongRunning || r.phase != running || r.relocating {
 			continue
 		}
-		if !mayInterrupt(r) || !s.fitsElsewhere(now, r) {
+		if !mayInterrupt(now, r) || !s.fitsElsewhere(now, r) {
 			continue
 		}
 		r.relocating = true
 		s.note("task relocated", r.task.owner().ID, "Task", r.task.id().String(), "Run", r.number, "Worker", string(w.ID),
-			"Away", r.task.step.away(r.task), "MayMiss", r.task.step.MayMiss)
+			"Away", r.task.step.away(now, r.task), "MayMiss", r.task.step.MayMiss)
 		s.stopRun(now, r)
 	}
 }
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -470,6 +470,9 @@
 	t := s.find(row.Task)
 	r := w.runs[row.Task]
 	if r != nil && r.number <= row.Run {
+		if row.How == EndDone && !r.task.step.LongRunning {
+			s.learn(now, r)
+		}
 		s.detach(r)
 	}
 	s.note("run ended", row.Task.Job, "Task", row.Task.String(), "Run", row.Run, "Worker", string(w.ID), "How", string(row.How))
@@ -477,6 +480,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, row.Run)
+	s.countBegun(t.owner())
 	if row.Run <= t.noted {
 		return // counted before, by this owner or an earlier one
 	}
