--- a/entry/steward/load.go
+++ b/entry/steward/load.go
@@ -185,41 +185,50 @@
 }
 
 func (s *Steward) tailWork(ctx context.Context, from int64) error {
-	fenced := make(chan struct{}, 1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	isDeposed := false
 	apply := func(records []store.Record) {
 		for _, r := range records {
-			s.applyWork(r, fenced)
+			if isDeposed = isDeposed || s.isLaterOwner(r); isDeposed {
+				// What follows in the order of the work is another owner's.
+				s.tell(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.Depose() })
+				cancel()
+				return
+			}
+			s.applyWork(r)
 		}
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan error, 1)
-	go func() { done <- s.tail(ctx, store.Work, from, apply, apply) }()
-	select {
-	case <-fenced:
+	err := s.tail(ctx, store.Work, from, apply, apply)
+	if isDeposed {
 		return ErrFenced
-	case err := <-done:
-		return err
 	}
+	return err
+}
+
+// isLaterOwner reports whether a record marks where a later owner took over.
+func (s *Steward) isLaterOwner(r store.Record) bool {
+	if r.Key != keyOwner || r.Err != nil {
+		return false
+	}
+	epoch, err := strconv.ParseInt(string(r.Value), 10, 64)
+	if err != nil {
+		s.skip(store.Work, r, err)
+		return false
+	}
+	if epoch > s.epoch {
+		s.log.WithField("NewEpoch", epoch).Info("another owner marked the work")
+	}
+	return epoch > s.epoch
 }
 
 // applyWork hands on a record of the work stream.
-func (s *Steward) applyWork(r store.Record, fenced chan<- struct{}) {
+func (s *Steward) applyWork(r store.Record) {
 	if r.Err != nil {
 		s.skip(store.Work, r, r.Err)
 		return
 	}
-	if len(r.Value) == 0 {
-		return
-	}
-	if r.Key == keyOwner {
-		if n, err := strconv.ParseInt(string(r.Value), 10, 64); err == nil && n > s.epoch {
-			s.log.WithField("NewEpoch", n).Info("another owner marked the work")
-			select {
-			case fenced <- struct{}{}:
-			default:
-			}
-		}
+	if len(r.Value) == 0 || r.Key == keyOwner {
 		return
 	}
 	if id, ok := idOf(r.Key, cancelledPrefix); ok {
--- a/fleet/job/progress.go
+++ b/fleet/job/progress.go
@@ -30,10 +30,9 @@
 	Index      int `json:"I,omitempty"`
 	// Done tasks never start again.
 	Done bool `json:"D,omitempty"`
-	// Failures is the number of runs that ended as failed.
-	Failures int `json:"F,omitempty"`
-	// Noted is the highest run whose end is counted above.
-	Noted int64 `json:"R,omitempty"`
+	// Failed lists the runs that ended as failed, each once: workers list an end until
+	// it is stored, and ends of several workers may be listed in any order.
+	Failed []int64 `json:"F,omitempty"`
 	// Checkpoint is where a new run resumes.
 	Checkpoint string `json:"C,omitempty"`
 }
--- /dev/null
+++ b/fleet/scheduling/lease_test.go
@@ -0,0 +1,76 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// startOne has a ready scheduler start the only task of a job.
+func startOne(t *testing.T, s *Scheduler, now time.Time, j job.Job) Start {
+	t.Helper()
+	s.Accept(now, 0, j)
+	s.Tick(now, 0)
+	all := starts(s.Take())
+	require.Len(t, all, 1)
+	s.Started(now, all[0].Worker, all[0].Task, all[0].Run, Answer{Outcome: Accepted, ClockMs: 10})
+	return all[0]
+}
+
+// A worker that answers nothing any more keeps no lease by the holds that it doesn't
+// answer: its task starts elsewhere once the last lease has lapsed.
+func TestASilentWorkersTasksStartElsewhereAfterTheLease(t *testing.T) {
+	s, now := readyScheduler(t)
+	w1 := startOne(t, s, now, testJob(1))
+	w2 := testWorker("w2")
+	s.Enlist(now, w2)
+	s.Flush()
+	s.Committed(2)
+	s.Held(now, 0, w2.Life, 0, now, Answer{Outcome: Accepted, ClockMs: 5}, Report{Born: 1, ClockMs: 5})
+	began := now
+	lapsed := lapseTime(s.cfg.Lease)
+	for now.Sub(began) < 2*lapsed {
+		now = now.Add(50 * time.Millisecond)
+		s.Confirm(now)
+		s.Tick(now, 0)
+		for _, a := range s.Take() {
+			switch a := a.(type) {
+			case Hold:
+				if a.Worker == w1.Worker {
+					s.Held(now, 0, a.Worker, a.SeenUpto, now, Answer{Outcome: Unknown}, Report{})
+				}
+			case Start:
+				require.Equal(t, w2.Life, a.Worker)
+				require.Greater(t, now.Sub(began), s.cfg.Lease)
+				require.Greater(t, a.Run, w1.Run)
+				return
+			}
+		}
+	}
+	t.Fatal("the task never started elsewhere")
+}
+
+// An owner that can't prove that it still owns must not take a silent worker's tasks
+// for lapsed: a later owner may hold their leases.
+func TestWithoutProofOfOwnershipNoLeaseCountsAsLapsed(t *testing.T) {
+	s, now := readyScheduler(t)
+	first := startOne(t, s, now, testJob(1))
+	w2 := testWorker("w2")
+	s.Enlist(now, w2)
+	s.Flush()
+	s.Committed(2)
+	s.Held(now, 0, w2.Life, 0, now, Answer{Outcome: Accepted, ClockMs: 5}, Report{Born: 1, ClockMs: 5})
+	for range 400 {
+		now = now.Add(50 * time.Millisecond)
+		s.Tick(now, 0)
+		for _, a := range s.Take() {
+			if h, ok := a.(Hold); ok && h.Worker == first.Worker {
+				s.Held(now, 0, h.Worker, h.SeenUpto, now, Answer{Outcome: Unknown}, Report{})
+			}
+			require.NotIsType(t, Start{}, a)
+		}
+	}
+}
--- a/fleet/scheduling/restore.go
+++ b/fleet/scheduling/restore.go
@@ -103,8 +103,10 @@
 		s.note("progress of an unknown task", id.Job, "Task", id.String())
 		return
 	}
-	t.failures, t.noted, t.checkpoint = tp.Failures, tp.Noted, tp.Checkpoint
-	t.lastRun = tp.Noted
+	t.failed, t.checkpoint = tp.Failed, tp.Checkpoint
+	for _, number := range tp.Failed {
+		t.lastRun = max(t.lastRun, number)
+	}
 	if tp.Done && !t.done {
 		t.done = true
 		t.step.done++
--- a/fleet/scheduling/restore_test.go
+++ b/fleet/scheduling/restore_test.go
@@ -93,3 +93,54 @@
 	state, _, _ = s.State(testID)
 	require.Equal(t, job.Completed, state)
 }
+
+// An owner that was cut off reads a later owner's mark together with the work before
+// and after it: nothing of that may start.
+func TestNothingStartsOnceALaterOwnerIsKnown(t *testing.T) {
+	s, now := readyScheduler(t)
+	s.Accept(now, 0, testJob(1))
+	s.Depose()
+	s.Tick(now, 0)
+	require.Empty(t, starts(s.Take()))
+	require.True(t, s.Fenced())
+}
+
+// readyScheduler returns a scheduler with one worker that may get tasks.
+func readyScheduler(t *testing.T) (*Scheduler, time.Time) {
+	t.Helper()
+	s := New(testStart, testConfig())
+	s.Configure(testConfiguration())
+	w := testWorker("w1")
+	s.Enlist(testStart, w)
+	s.Flush()
+	s.Committed(1)
+	s.Held(testStart, 0, w.Life, 0, testStart, Answer{Outcome: Accepted, ClockMs: 5}, Report{Born: 1, ClockMs: 5})
+	s.Take()
+	return s, testStart.Add(time.Millisecond)
+}
+
+// Two failed runs of one task that no record counts yet are listed by two workers,
+// the later run first: both use up an attempt.
+func TestFailedRunsCountInAnyOrder(t *testing.T) {
+	s := New(testStart, testConfig())
+	s.Configure(testConfiguration())
+	w1, w2 := testWorker("w1"), testWorker("w2")
+	p := job.Progress{State: job.Running, Tasks: []job.TaskProgress{{Failed: []int64{1}}}}
+	s.Restore(testStart, 0, Restored{
+		Jobs: []job.Job{testJob(1)}, Roster: []Entry{w1, w2}, Progress: map[job.ID]job.Progress{testID: p},
+	})
+	ok := Answer{Outcome: Accepted, ClockMs: 5}
+	list := func(w Entry, n, run int64) {
+		s.Held(testStart, 0, w.Life, 0, testStart, ok, Report{
+			Born: 1, ClockMs: 5, Ended: []EndRow{{Number: n, Task: job.Task{Job: testID}, Run: run, How: EndFailed}},
+		})
+	}
+	list(w1, 1, 3)
+	list(w2, 1, 2)
+	state, _, _ := s.State(testID)
+	require.Equal(t, job.Running, state)
+	s.Flush()
+	s.Committed(1)
+	state, _, _ = s.State(testID)
+	require.Equal(t, job.Failed, state, "three attempts are used up")
+}
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"slices"
 	"time"
 
 	"github.com/godwitcross/godwitcross/fleet/job"
@@ -106,9 +107,14 @@
 }
 
 // Take returns the actions since the last call.
+//
+// Once another owner is known, nothing but lines for the log comes out.
 func (s *Scheduler) Take() []Action {
 	out := s.out
 	s.out = nil
+	if s.fenced {
+		out = slices.DeleteFunc(out, func(a Action) bool { _, isNote := a.(Note); return !isNote })
+	}
 	return out
 }
 
@@ -120,6 +126,11 @@
 	s.emit(Note{Event: event, Job: id, Fields: fields})
 }
 
+// Depose ends this ownership: another owner took over.
+func (s *Scheduler) Depose() {
+	s.fenced = true
+}
+
 // Fenced reports whether a worker or the log has met a later owner. The task
 // stops then.
 func (s *Scheduler) Fenced() bool {
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -62,14 +62,15 @@
 
 // task is one task and its run, if it has one.
 type task struct {
-	step       *step
-	index      int
-	done       bool
-	failures   int
+	step  *step
+	index int
+	done  bool
+	// failed lists the runs that ended as failed, each once.
+	failed     []int64
 	checkpoint string
-	// lastRun is the highest number used; noted the highest whose end is counted.
-	lastRun, noted int64
-	run            *run
+	// lastRun is the highest number used.
+	lastRun int64
+	run     *run
 	// avoid is the worker on which the last run failed.
 	avoid     WorkerID
 	notBefore time.Time
@@ -266,15 +267,12 @@
 	for _, o := range js.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				if !t.done && t.failures == 0 && t.checkpoint == "" {
+				if !t.done && len(t.failed) == 0 && t.checkpoint == "" {
 					continue
 				}
-				tp := job.TaskProgress{
-					Occurrence: o.number, Step: st.number, Index: t.index,
-					Done: t.done, Failures: t.failures, Noted: t.noted,
-				}
+				tp := job.TaskProgress{Occurrence: o.number, Step: st.number, Index: t.index, Done: t.done}
 				if !t.done {
-					tp.Checkpoint = t.checkpoint
+					tp.Failed, tp.Checkpoint = t.failed, t.checkpoint
 				}
 				p.Tasks = append(p.Tasks, tp)
 			}
--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -197,14 +197,15 @@
 // new ones: about two of the users' longer tasks.
 const emptyTime = 3 * time.Second
 
-// evacuate stops the tasks that last on a cordoned worker, each when the others of
-// its step are at work; they start elsewhere at once.
+// evacuate stops the tasks that last on a cordoned or draining worker, each when the
+// others of its step are at work; they start elsewhere at once.
 func (s *Scheduler) evacuate(now time.Time, w *worker) {
 	for _, r := range w.runs {
 		if !r.task.step.LongRunning || r.phase != running || r.relocating {
 			continue
 		}
-		if !mayInterrupt(now, r) || !s.fitsElsewhere(now, r) {
+		leaves := w.Draining && now.Add(leaveSoon).After(w.leavesAt)
+		if (!leaves && !mayInterrupt(now, r)) || !s.fitsElsewhere(now, r) {
 			continue
 		}
 		r.relocating = true
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/godwitcross/godwitcross/fleet/job"
@@ -34,6 +35,8 @@
 	// noted is the highest end that was counted; seen the highest that is stored;
 	// told the highest that the worker was told.
 	noted, seen, told int64
+	// deadlineMs is the latest deadline that was ordered, on the worker's clock.
+	deadlineMs int64
 	// granted is when the longest lease that was ordered has lapsed for sure.
 	granted time.Time
 	// holding is set while a hold is out.
@@ -51,6 +54,8 @@
 	idleSince time.Time
 	// cordoned workers get no new tasks: their host is due for maintenance.
 	cordoned bool
+	// leavesAt is when a draining worker leaves at the earliest.
+	leavesAt time.Time
 	steps    map[*step]int
 }
 
@@ -76,6 +81,7 @@
 		return
 	}
 	if e.Draining && !w.Draining {
+		w.leavesAt = now.Add(e.Leaving)
 		s.note("worker draining", "", "Worker", string(e.ID), "LeavingMs", e.Leaving.Milliseconds(), "Runs", len(w.runs))
 	}
 	w.listed = true
@@ -218,8 +224,12 @@
 }
 
 // deadline returns the time on the worker's clock until which a lease may be ordered
-// now, and false where none may be.
+// now, and false where none may be. A worker that doesn't answer gets no longer lease
+// after a short time: its tasks start elsewhere once the lease has lapsed.
 func (s *Scheduler) deadline(now time.Time, w *worker) (int64, bool) {
+	if !w.failing.IsZero() && now.Sub(w.failing) > extendWhileFailing {
+		return w.deadlineMs, now.Before(w.granted)
+	}
 	lease := min(s.cfg.Lease, s.confirmed.Add(s.cfg.Grace+s.cfg.Lease).Sub(now))
 	if lease <= 0 || w.clockAt.IsZero() {
 		return 0, false
@@ -227,7 +237,8 @@
 	if until := now.Add(lapseTime(lease)); until.After(w.granted) {
 		w.granted = until
 	}
-	return w.clockMs + now.Sub(w.clockAt).Milliseconds() + lease.Milliseconds(), true
+	w.deadlineMs = max(w.deadlineMs, w.clockMs+now.Sub(w.clockAt).Milliseconds()+lease.Milliseconds())
+	return w.deadlineMs, true
 }
 
 // clock takes the worker's clock as an answer told it.
@@ -243,6 +254,9 @@
 		for _, r := range w.runs {
 			s.retry(now, r)
 		}
+		if w.Draining {
+			s.evacuate(now, w)
+		}
 		if !w.holding && !now.Before(w.nextHold) && w.needsHold() {
 			s.hold(now, w)
 		}
@@ -278,9 +292,10 @@
 }
 
 // dropIfLost gives up what ran on a worker that didn't answer until its lease has
-// lapsed, and the worker itself once its entry is gone too.
+// lapsed, and the worker itself once its entry is gone too. This owner must have been
+// proved to own after that time: a later owner may have extended the lease.
 func (s *Scheduler) dropIfLost(now time.Time, w *worker) {
-	if w.failing.IsZero() || now.Before(w.granted) {
+	if w.failing.IsZero() || s.confirmed.Before(w.granted) {
 		if !w.listed && len(w.runs) == 0 && w.greeted && !w.needsHold() {
 			s.endLife(now, w, "left")
 		}
@@ -399,7 +414,7 @@
 			continue
 		}
 		t.lastRun = max(t.lastRun, row.Run)
-		if r != nil || t.done || t.run != nil || t.owner().state.Final() || row.Run <= t.noted {
+		if r != nil || t.done || t.run != nil || t.owner().state.Final() {
 			s.stopStranger(w, row)
 			continue
 		}
@@ -481,10 +496,6 @@
 	}
 	t.lastRun = max(t.lastRun, row.Run)
 	s.countBegun(t.owner())
-	if row.Run <= t.noted {
-		return // counted before, by this owner or an earlier one
-	}
-	t.noted = row.Run
 	if row.Checkpoint != "" && t.step.Checkpointing {
 		t.checkpoint = row.Checkpoint
 	}
@@ -493,7 +504,7 @@
 		w.failures = 0
 		s.taskDone(now, wall, t)
 	case EndFailed:
-		s.taskFailed(now, wall, w, t)
+		s.taskFailed(now, wall, w, t, row.Run)
 	default:
 		if t.checkpoint != "" && row.Checkpoint != "" {
 			s.change(t.owner())
@@ -518,8 +529,14 @@
 	}
 }
 
-func (s *Scheduler) taskFailed(now time.Time, wall int64, w *worker, t *task) {
-	t.failures++
+func (s *Scheduler) taskFailed(now time.Time, wall int64, w *worker, t *task, number int64) {
+	if slices.Contains(t.failed, number) {
+		return // counted before, by this owner or an earlier one
+	}
+	t.failed = append(t.failed, number)
+	if t.step.LongRunning && len(t.failed) > keptFailures {
+		t.failed = t.failed[1:]
+	}
 	t.avoid = w.ID
 	w.failures++
 	if w.failures >= failuresToRest {
@@ -531,11 +548,11 @@
 	if t.step.LongRunning {
 		return
 	}
-	failures := t.failures
+	failures := len(t.failed)
 	if t.step.Gang {
 		failures = 0
 		for _, m := range t.step.tasks {
-			failures += m.failures
+			failures += len(m.failed)
 		}
 	}
 	if failures >= s.attempts(t.owner()) {
