--- a/fleet/scheduling/budget.go
+++ b/fleet/scheduling/budget.go
@@ -37,7 +37,7 @@
 // mayTakeDown reports whether a worker's host may go down now with all that runs there.
 func (w *worker) mayTakeDown(now time.Time) bool {
 	lasting := make(map[*step]int)
-	for _, r := range w.runs {
+	for _, r := range w.runs.all() {
 		if r.task.owner().state.Final() {
 			continue
 		}
--- /dev/null
+++ b/fleet/scheduling/days_test.go
@@ -0,0 +1,212 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// trouble is a fault of a day.
+type trouble struct {
+	Kind string
+	// At and For are in tenths of a second.
+	At, For int
+	// Which picks what it strikes.
+	Which int
+}
+
+var troubleKinds = []string{
+	"owner killed", "owner frozen", "owner cut from the store", "owner cut from workers", "store down",
+	"worker crashes", "worker reborn", "worker cut", "rack dark", "orders late", "answers lost", "jobs cancelled",
+	"worker fails everything", "hosts listed as gone",
+}
+
+func drawTroubles(t *rapid.T) []trouble {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) trouble {
+		return trouble{
+			Kind:  rapid.SampledFrom(troubleKinds).Draw(t, "kind"),
+			At:    rapid.IntRange(0, 150).Draw(t, "at"),
+			For:   rapid.IntRange(5, 80).Draw(t, "for"),
+			Which: rapid.IntRange(0, 999).Draw(t, "which"),
+		}
+	}), 0, 6).Draw(t, "troubles")
+}
+
+// strike lets a fault begin and end.
+func (w *world) strike(f trouble) {
+	d := time.Duration(f.For) * 100 * time.Millisecond
+	o := w.owners[len(w.owners)-1]
+	ids := sortedKeys(w.workers)
+	sw := w.workers[ids[f.Which%len(ids)]]
+	switch f.Kind {
+	case "owner killed":
+		o.isUp = false
+	case "owner frozen":
+		o.frozen = w.now.Add(d)
+	case "owner cut from the store":
+		o.cut = true
+		w.after(d, func() { o.cut = false })
+	case "owner cut from workers":
+		for i, id := range ids {
+			if i%2 == f.Which%2 {
+				cut := w.workers[id].cut
+				cut[o.id] = true
+				w.after(d, func() { delete(cut, o.id) })
+			}
+		}
+		o.cut = f.Which%3 == 0
+		w.after(d, func() { o.cut = false })
+	case "store down":
+		w.storeUp = false
+		w.after(d, func() { w.storeUp = true })
+	case "worker crashes":
+		w.crash(sw, d)
+	case "worker reborn":
+		w.rebirth(sw)
+	case "worker cut":
+		w.cutOff(sw, d)
+	case "rack dark":
+		for _, id := range ids {
+			if o := w.workers[id]; o.Rack == sw.Rack {
+				w.cutOff(o, d)
+			}
+		}
+	case "orders late":
+		w.faulty.late = 0.1
+		w.after(d, func() { w.faulty.late = 0 })
+	case "answers lost":
+		w.faulty.answerLost = 0.1
+		w.after(d, func() { w.faulty.answerLost = 0 })
+	case "jobs cancelled":
+		for _, id := range sortedKeys(w.jobs) {
+			j := w.jobs[id]
+			if j.cancelledAt.IsZero() && j.endedAt.IsZero() && int(id[15])%3 == f.Which%3 {
+				w.cancel(id)
+			}
+		}
+	case "worker fails everything":
+		w.faulty.failing[sw.ID] = true
+		w.after(d, func() { delete(w.faulty.failing, sw.ID) })
+	case "hosts listed as gone":
+		delete(w.entries, sw.ID)
+		w.after(d, func() {
+			if w.workers[sw.ID] == sw && sw.isUp {
+				w.entries[sw.ID] = sw.Entry
+			}
+		})
+	}
+}
+
+func (w *world) crash(sw *simWorker, d time.Duration) {
+	if !sw.isUp {
+		return
+	}
+	w.kill(sw)
+	w.after(d, func() {
+		if h := w.hosts[sw.Host]; h.Worker == sw.ID && h.State == HostUp {
+			w.bear(h)
+		}
+	})
+}
+
+// rebirth starts a worker again under its ID.
+func (w *world) rebirth(sw *simWorker) {
+	if !sw.isUp {
+		return
+	}
+	sw.isUp = false
+	e := sw.Entry
+	e.Born = w.wall()
+	w.revive(w.hosts[sw.Host], e)
+}
+
+func (w *world) cutOff(sw *simWorker, d time.Duration) {
+	for i := range 50 {
+		sw.cut[i] = true
+	}
+	w.after(d, func() { clear(sw.cut) })
+}
+
+// playDay plays a day of two pools with faults and a quiet end.
+func playDay(seed int64, troubles []trouble) *world {
+	w := dayOf(seed, troubles)
+	w.run(60 * time.Second)
+	return w
+}
+
+// dayOf returns a day of two pools that is to be played.
+func dayOf(seed int64, troubles []trouble) *world {
+	w := newWorld(seed, map[string]int{"a": 5, "b": 4}, 3)
+	w.after(time.Second, func() {
+		w.submit(w.newLasting("a", 4), 0, false)
+		w.submit(w.newLasting("b", 3), 0, false)
+	})
+	for i := range 60 {
+		pool := []string{"a", "b"}[w.rng.Intn(2)]
+		w.after(time.Duration(1500+i*250)*time.Millisecond, func() {
+			w.submit(w.newJob(pool, 4000, 5), time.Duration(300+w.rng.Intn(1500))*time.Millisecond, w.rng.Intn(20) == 0)
+		})
+	}
+	w.after(3*time.Second, func() {
+		v := Wave{Number: 1, Duration: 12 * time.Second, MaxCount: 2}
+		for i, id := range sortedKeys(w.hosts) {
+			if i%2 == 0 {
+				v.Hosts = append(v.Hosts, id)
+			}
+		}
+		w.waves = append(w.waves, v)
+		for _, o := range w.owners {
+			o.s.Request(w.now, w.wall(), v)
+		}
+	})
+	for _, f := range troubles {
+		w.after(time.Duration(2000+f.At*100)*time.Millisecond, func() { w.strike(f) })
+	}
+	return w
+}
+
+// judgeEnd judges what must be so at the end of a day without faults.
+func (w *world) judgeEnd() {
+	o := w.owners[len(w.owners)-1]
+	for _, id := range sortedKeys(w.jobs) {
+		j := w.jobs[id]
+		st, _, ok := o.s.State(id)
+		switch {
+		case !ok:
+			w.breaks("LOST", "%s isn't known", id)
+		case j.LongRunning() && j.cancelledAt.IsZero():
+			for i := range j.Steps[0].Count {
+				if t := (job.Task{Job: id, Index: i}); !w.isAtWork(t) {
+					w.breaks("LOST", "%s is to last and isn't at work", t)
+				}
+			}
+		case !st.Final():
+			w.breaks("LOST", "%s is %s at the end", id, st)
+		case j.cancelledAt.IsZero() && st == job.Cancelled:
+			w.breaks("LOST", "%s is shown as cancelled", id)
+		}
+	}
+}
+
+// TestDaysKeepTheRules plays days of random faults in virtual time.
+func TestDaysKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := playDay(rapid.Int64Range(0, 1<<40).Draw(t, "seed"), drawTroubles(t))
+		w.judgeEnd()
+		require.Empty(t, w.broken)
+	})
+}
+
+// TestACalmDayIsServed plays a day without faults: all that can be done is done.
+func TestACalmDayIsServed(t *testing.T) {
+	w := playDay(1, nil)
+	w.judgeEnd()
+	require.Empty(t, w.broken)
+	require.Greater(t, w.runsDone, 200)
+	require.Len(t, w.owners, 1)
+	require.Zero(t, w.startsRejected)
+}
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -61,13 +61,13 @@
 	seen := make(map[HostID]bool, len(hosts))
 	for _, l := range hosts {
 		seen[l.ID] = true
-		h := s.hosts[l.ID]
+		h := s.hosts.get(l.ID)
 		if h == nil {
 			h = &host{refusedPools: make(map[string]bool)}
-			s.hosts[l.ID] = h
+			s.hosts.put(l.ID, h)
 		}
 		h.Host = l
-		if w := s.workers[l.Worker]; w != nil && w.Host == "" {
+		if w := s.workers.get(l.Worker); w != nil && w.Host == "" {
 			w.Host = l.ID
 		}
 		if h.order.given && sentAt.After(h.order.doneBy) && l.State == HostUp {
@@ -77,9 +77,9 @@
 			h.order = hostOrder{}
 		}
 	}
-	for id := range s.hosts {
+	for id := range s.hosts.all() {
 		if !seen[id] {
-			delete(s.hosts, id)
+			s.hosts.drop(id)
 		}
 	}
 	s.endReplaced()
@@ -87,15 +87,15 @@
 
 // endReplaced ends workers whose host runs another worker by now.
 func (s *Scheduler) endReplaced() {
-	for _, h := range s.hosts {
+	for _, h := range s.hosts.all() {
 		if h.Worker == "" {
 			continue
 		}
-		cur := s.workers[h.Worker]
+		cur := s.workers.get(h.Worker)
 		if cur == nil {
 			continue
 		}
-		for _, w := range s.workers {
+		for _, w := range s.workers.all() {
 			if w.Host == h.ID && w.ID != cur.ID && w.Born < cur.Born {
 				s.endLife(s.listed, w, "its host runs a newer worker")
 			}
@@ -124,7 +124,7 @@
 	if h.Worker == "" {
 		return nil
 	}
-	return s.workers[h.Worker]
+	return s.workers.get(h.Worker)
 }
 
 // isFree reports whether a host can be given an order.
@@ -190,7 +190,7 @@
 		list = append(list, e)
 	}
 	var typical job.Room
-	for _, h := range s.hosts {
+	for _, h := range s.hosts.all() {
 		typical = job.Room{CPU: max(typical.CPU, h.Capacity.CPU), MemMB: max(typical.MemMB, h.Capacity.MemMB), GPU: max(typical.GPU, h.Capacity.GPU)}
 		if h.order.kind == moveOrder {
 			if e := byName[h.order.pool]; e != nil {
@@ -225,7 +225,7 @@
 func (s *Scheduler) donor(now time.Time, pool string, wants []*poolDemand) *host {
 	var best *host
 	bestRank := 0
-	for _, h := range s.hosts {
+	for _, h := range s.hosts.all() {
 		if !h.isFree(now) || h.Pool == pool || h.refusedPools[pool] || s.isCordoned(h) {
 			continue
 		}
@@ -233,7 +233,7 @@
 		switch w := s.workerOn(h); {
 		case s.isSpare(h.Pool):
 			rank = 2
-		case w != nil && len(w.runs) == 0 && w.greeted && w.failing.IsZero() && !w.Draining && !hasDemand(wants, h.Pool):
+		case w != nil && w.runs.len() == 0 && w.greeted && w.failing.IsZero() && !w.Draining && !hasDemand(wants, h.Pool):
 			rank = 1
 		}
 		if rank > bestRank || (rank == bestRank && best != nil && rank > 0 && h.ID < best.ID) {
@@ -264,12 +264,12 @@
 	if spare == "" {
 		return
 	}
-	for _, h := range s.hosts {
+	for _, h := range s.hosts.all() {
 		w := s.workerOn(h)
 		if w == nil || !h.isFree(now) || s.isSpare(h.Pool) || w.cordoned || h.refusedPools[spare] || hasDemand(wants, h.Pool) {
 			continue
 		}
-		if len(w.runs) > 0 || !w.greeted || w.Draining || w.idleSince.IsZero() || now.Sub(w.idleSince) < idleToSpare {
+		if w.runs.len() > 0 || !w.greeted || w.Draining || w.idleSince.IsZero() || now.Sub(w.idleSince) < idleToSpare {
 			continue
 		}
 		if !s.moveHost(now, h, spare, "idle") {
@@ -304,7 +304,7 @@
 
 // Ordered takes the platform's answer to an order for a host.
 func (s *Scheduler) Ordered(now time.Time, id HostID, token int64, o Outcome) {
-	h := s.hosts[id]
+	h := s.hosts.get(id)
 	if h == nil || h.order.kind == noOrder || h.order.given {
 		return
 	}
--- a/fleet/scheduling/orders.go
+++ b/fleet/scheduling/orders.go
@@ -76,11 +76,11 @@
 
 // runOf returns the run that an answer is about, or nil.
 func (s *Scheduler) runOf(life Life, id job.Task, number int64) *run {
-	w := s.workers[life.ID]
+	w := s.workers.get(life.ID)
 	if w == nil || w.Life != life {
 		return nil
 	}
-	r := w.runs[id]
+	r := w.runs.get(id)
 	if r == nil || r.number != number {
 		return nil
 	}
--- a/fleet/scheduling/pace.go
+++ b/fleet/scheduling/pace.go
@@ -24,14 +24,14 @@
 // target, and lets them go again when it has room.
 func (s *Scheduler) pace(now time.Time, w *worker) {
 	worst, serving := 0.0, false
-	for _, r := range w.runs {
+	for _, r := range w.runs.all() {
 		if r.task.step.Serves() && r.phase == running {
 			serving = true
 			worst = max(worst, float64(r.load)/float64(r.task.step.Target.Milliseconds()))
 		}
 	}
 	var fillers []*run
-	for _, r := range w.runs {
+	for _, r := range w.runs.all() {
 		if r.task.step.Fills && r.phase == running && now.Sub(r.paceChanged) >= paceEvery {
 			fillers = append(fillers, r)
 		}
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -61,7 +61,7 @@
 		slack    time.Duration
 	}
 	var all []keyed
-	for name, list := range s.waiting {
+	for name, list := range s.waiting.all() {
 		kept := list[:0]
 		for _, st := range list {
 			if len(st.waiting) == 0 {
@@ -75,7 +75,7 @@
 			all = append(all, k)
 		}
 		clear(list[len(kept):])
-		s.waiting[name] = kept
+		s.waiting.put(name, kept)
 	}
 	slices.SortFunc(all, func(a, b keyed) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.prospect, b.prospect), cmp.Compare(a.slack, b.slack), cmp.Compare(a.occ.job.ID, b.occ.job.ID), cmp.Compare(a.number, b.number))
@@ -102,7 +102,7 @@
 // view lists the workers of a pool that may get tasks.
 func (s *Scheduler) view(now time.Time, pool string) *poolView {
 	v := &poolView{}
-	for _, w := range s.workers {
+	for _, w := range s.workers.all() {
 		if w.Pool != pool || !w.mayServe(now) {
 			continue
 		}
@@ -359,7 +359,7 @@
 // demands sums what waits for each pool.
 func (s *Scheduler) demands(now time.Time) map[string]demand {
 	d := make(map[string]demand)
-	for _, list := range s.waiting {
+	for _, list := range s.waiting.all() {
 		for _, st := range list {
 			if len(st.waiting) == 0 {
 				continue
--- /dev/null
+++ b/fleet/scheduling/planted_test.go
@@ -0,0 +1,159 @@
+package scheduling
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// A fault is planted for each rule of the days, to show that its judge fires.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	tests := map[string]struct {
+		rule string
+		// tamper changes an action on its way; nil drops it.
+		tamper func(w *world, a Action) []Action
+		// before is done when the day begins.
+		before func(w *world)
+	}{
+		"a start is sent to a second worker": {
+			rule: "TWICE",
+			tamper: func(w *world, a Action) []Action {
+				s, ok := a.(Start)
+				if !ok {
+					return []Action{a}
+				}
+				for _, id := range sortedKeys(w.workers) {
+					if sw := w.workers[id]; sw.ID != s.Worker.ID && sw.isUp {
+						second := s
+						second.Worker, second.Run = sw.Life, s.Run+1
+						second.DeadlineMs = sw.clock() + 4000
+						return []Action{a, second}
+					}
+				}
+				return []Action{a}
+			},
+		},
+		"another text is sent": {
+			rule: "UNASKED",
+			tamper: func(_ *world, a Action) []Action {
+				if s, ok := a.(Start); ok {
+					s.Text += "!"
+					return []Action{s}
+				}
+				return []Action{a}
+			},
+		},
+		"a later step starts first": {
+			rule: "ORDER",
+			tamper: func(w *world, a Action) []Action {
+				if s, ok := a.(Start); ok && len(w.jobs[s.Task.Job].Steps) > 1 && s.Task.Step == 0 {
+					s.Task.Step = 1
+					return []Action{s}
+				}
+				return []Action{a}
+			},
+		},
+		"a worker of another pool is used": {
+			rule: "ROUTE",
+			tamper: func(w *world, a Action) []Action {
+				if s, ok := a.(Start); ok {
+					for _, id := range sortedKeys(w.workers) {
+						if sw := w.workers[id]; sw.Pool != w.workers[s.Worker.ID].Pool && sw.isUp {
+							s.Worker, s.DeadlineMs = sw.Life, sw.clock()+4000
+							return []Action{s}
+						}
+					}
+				}
+				return []Action{a}
+			},
+		},
+		"failed runs are not kept": {
+			rule: "BUDGET",
+			before: func(w *world) {
+				w.after(2*time.Second, func() { w.submit(w.newJob("a", 2000, 2), 300*time.Millisecond, true) })
+				w.every(20*time.Millisecond, func() {
+					for _, o := range w.owners {
+						for _, js := range o.s.jobs {
+							for _, occ := range js.occurrences {
+								for _, st := range occ.steps {
+									for _, t := range st.tasks {
+										t.failed = nil
+									}
+								}
+							}
+						}
+					}
+				})
+			},
+		},
+		"tasks that last are stopped at will": {
+			rule: "AVAIL",
+			before: func(w *world) {
+				w.every(2*time.Second, func() {
+					for _, o := range w.owners {
+						for _, sw := range o.s.workers.all() {
+							for _, r := range sw.runs.all() {
+								if r.task.step.LongRunning {
+									o.s.stopRun(w.now, r)
+								}
+							}
+						}
+					}
+				})
+			},
+		},
+		"all hosts of a wave go at once": {
+			rule: "LIMIT",
+			before: func(w *world) {
+				w.after(5*time.Second, func() {
+					for i, id := range w.waves[0].Hosts {
+						w.order(id, 1<<40+int64(i), "", 1)
+					}
+				})
+			},
+		},
+		"a job is shown as completed early": {
+			rule: "MIXED",
+			before: func(w *world) {
+				w.after(9*time.Second, func() {
+					for _, js := range w.owners[0].s.jobs {
+						if !js.state.Final() && !js.LongRunning() {
+							w.owners[0].s.finish(w.now, w.wall(), js, job.Completed, "planted")
+							return
+						}
+					}
+				})
+			},
+		},
+		"a job is never scheduled": {
+			rule: "LOST",
+			before: func(w *world) {
+				w.after(9*time.Second, func() {
+					j := w.newJob("a", 2000, 2)
+					w.submit(j, time.Second, false)
+					w.log = w.log[:len(w.log)-1]
+				})
+			},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := dayOf(3, nil)
+			w.tamper = tt.tamper
+			if tt.before != nil {
+				tt.before(w)
+			}
+			w.run(40 * time.Second)
+			w.judgeEnd()
+			found := false
+			for _, b := range w.broken {
+				found = found || strings.HasPrefix(b, tt.rule)
+			}
+			require.True(t, found, "%s isn't among %v", tt.rule, w.broken)
+		})
+	}
+}
--- a/fleet/scheduling/restore.go
+++ b/fleet/scheduling/restore.go
@@ -29,7 +29,7 @@
 		w := newWorker(now, e)
 		w.roster = rosterStored
 		w.listed = false
-		s.workers[e.ID] = w
+		s.workers.put(e.ID, w)
 		s.unaccounted[e.ID] = e
 	}
 	for id, p := range r.Progress {
@@ -70,7 +70,7 @@
 	if js.Times == 0 {
 		s.queued[js.Queue]++
 	} else {
-		s.timed[js.ID] = js
+		s.timed.put(js.ID, js)
 	}
 	for k := 0; k < js.Occurrences(); k++ {
 		due := js.DueAt(k)
@@ -93,7 +93,7 @@
 		s.restoreSteps(now, wall, o)
 	}
 	if len(js.occurrences) == js.Times {
-		delete(s.timed, js.ID)
+		s.timed.drop(js.ID)
 	}
 }
 
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -26,15 +26,15 @@
 	// early are cancellations of jobs that haven't come yet.
 	early map[job.ID]time.Time
 	// timed jobs have occurrences that aren't due yet.
-	timed map[job.ID]*jobState
+	timed *table[job.ID, *jobState]
 	// learned holds, for each queue, how long its tasks take.
 	learned map[string]*durations
 	// waiting lists, for each queue, the steps with waiting tasks.
-	waiting map[string][]*step
+	waiting *table[string, []*step]
 	// queued counts, for each queue, the jobs of which no task has started.
 	queued  map[string]int
-	workers map[WorkerID]*worker
-	hosts   map[HostID]*host
+	workers *table[WorkerID, *worker]
+	hosts   *table[HostID, *host]
 	waves   map[int64]*wave
 	// unaccounted workers may run tasks of an earlier owner and have not answered.
 	unaccounted map[WorkerID]Entry
@@ -85,12 +85,12 @@
 		conf:           queue.New(0, nil, nil, queue.Limits{}),
 		jobs:           make(map[job.ID]*jobState),
 		early:          make(map[job.ID]time.Time),
-		timed:          make(map[job.ID]*jobState),
+		timed:          newTable[job.ID, *jobState](),
 		learned:        make(map[string]*durations),
-		waiting:        make(map[string][]*step),
+		waiting:        newTable[string, []*step](),
 		queued:         make(map[string]int),
-		workers:        make(map[WorkerID]*worker),
-		hosts:          make(map[HostID]*host),
+		workers:        newTable[WorkerID, *worker](),
+		hosts:          newTable[HostID, *host](),
 		waves:          make(map[int64]*wave),
 		unaccounted:    make(map[WorkerID]Entry),
 		ended:          make(map[WorkerID]int64),
@@ -176,7 +176,7 @@
 		s.release(s.addOccurrence(js, 0, js.since))
 		return
 	}
-	s.timed[js.ID] = js
+	s.timed.put(js.ID, js)
 	s.openDue(now, wall, js)
 }
 
@@ -193,7 +193,7 @@
 		s.release(s.addOccurrence(js, k, now))
 	}
 	if len(js.occurrences) == js.Times {
-		delete(s.timed, js.ID)
+		s.timed.drop(js.ID)
 	}
 }
 
@@ -241,7 +241,7 @@
 
 // Tick does what is due by time and places waiting tasks.
 func (s *Scheduler) Tick(now time.Time, wall int64) {
-	for _, js := range s.timed {
+	for _, js := range s.timed.all() {
 		s.openDue(now, wall, js)
 	}
 	s.tickWorkers(now)
@@ -271,11 +271,11 @@
 		oc.jobs[js] = js.state
 	}
 	for id, noted := range s.ended {
-		if w := s.workers[id]; w != nil {
+		if w := s.workers.get(id); w != nil {
 			oc.ends[id] = lifeEnds{life: w.Life, noted: noted}
 		}
 	}
-	for _, w := range s.workers {
+	for _, w := range s.workers.all() {
 		if w.roster == rosterOpen {
 			w.roster = rosterSent
 			oc.roster = append(oc.roster, w)
@@ -303,7 +303,7 @@
 		js.shown = state
 	}
 	for id, e := range oc.ends {
-		if w := s.workers[id]; w != nil && w.Life == e.life && e.noted > w.seen {
+		if w := s.workers.get(id); w != nil && w.Life == e.life && e.noted > w.seen {
 			w.seen = e.noted
 			if w.seen == w.noted {
 				w.nextHold = time.Time{}
@@ -390,7 +390,7 @@
 // Listed returns the workers whose entries are there.
 func (s *Scheduler) Listed() []WorkerID {
 	var ids []WorkerID
-	for id, w := range s.workers {
+	for id, w := range s.workers.all() {
 		if w.listed {
 			ids = append(ids, id)
 		}
--- /dev/null
+++ b/fleet/scheduling/table.go
@@ -0,0 +1,69 @@
+package scheduling
+
+import "iter"
+
+// table is a map whose order of iteration depends on nothing but the calls made to
+// it, so that the same events lead to the same decisions.
+type table[K comparable, V any] struct {
+	places map[K]int
+	rows   []row[K, V]
+}
+
+type row[K comparable, V any] struct {
+	key   K
+	value V
+}
+
+func newTable[K comparable, V any]() *table[K, V] {
+	return &table[K, V]{places: make(map[K]int)}
+}
+
+// get returns the value of a key, or the zero value.
+func (t *table[K, V]) get(k K) V {
+	if i, ok := t.places[k]; ok {
+		return t.rows[i].value
+	}
+	var zero V
+	return zero
+}
+
+func (t *table[K, V]) put(k K, v V) {
+	if i, ok := t.places[k]; ok {
+		t.rows[i].value = v
+		return
+	}
+	t.places[k] = len(t.rows)
+	t.rows = append(t.rows, row[K, V]{k, v})
+}
+
+func (t *table[K, V]) drop(k K) {
+	i, ok := t.places[k]
+	if !ok {
+		return
+	}
+	last := len(t.rows) - 1
+	t.rows[i] = t.rows[last]
+	t.places[t.rows[i].key] = i
+	t.rows[last] = row[K, V]{}
+	t.rows = t.rows[:last]
+	delete(t.places, k)
+}
+
+func (t *table[K, V]) len() int {
+	return len(t.rows)
+}
+
+// all iterates over the rows. Rows may be dropped meanwhile: none is left out for it,
+// as the iteration goes backwards and a drop moves the last row only.
+func (t *table[K, V]) all() iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
+		for i := len(t.rows) - 1; i >= 0; i-- {
+			if i >= len(t.rows) {
+				continue
+			}
+			if r := t.rows[i]; !yield(r.key, r.value) {
+				return
+			}
+		}
+	}
+}
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -196,7 +196,7 @@
 	if !st.listed {
 		st.listed = true
 		q := t.owner().Queue
-		s.waiting[q] = append(s.waiting[q], st)
+		s.waiting.put(q, append(s.waiting.get(q), st))
 	}
 	s.dirty = true
 }
--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -124,7 +124,7 @@
 	var open []*host
 	down := 0
 	for _, id := range v.Hosts {
-		h := s.hosts[id]
+		h := s.hosts.get(id)
 		if h == nil {
 			continue // it has left the fleet
 		}
@@ -146,7 +146,7 @@
 		return 0
 	}
 	n := 0
-	for _, r := range w.runs {
+	for _, r := range w.runs.all() {
 		n++
 		if r.task.step.LongRunning {
 			n += 10
@@ -179,7 +179,7 @@
 	}
 	w.cordoned = true
 	s.evacuate(now, w)
-	if len(w.runs) > 0 && (!s.isUrgent(now, v) || !w.mayTakeDown(now)) {
+	if w.runs.len() > 0 && (!s.isUrgent(now, v) || !w.mayTakeDown(now)) {
 		return true // it takes a place while it is emptied
 	}
 	return s.maintain(now, v, h)
@@ -200,7 +200,7 @@
 // evacuate stops the tasks that last on a cordoned or draining worker, each when the
 // others of its step are at work; they start elsewhere at once.
 func (s *Scheduler) evacuate(now time.Time, w *worker) {
-	for _, r := range w.runs {
+	for _, r := range w.runs.all() {
 		if !r.task.step.LongRunning || r.phase != running || r.relocating {
 			continue
 		}
@@ -239,7 +239,7 @@
 	}
 	runs := 0
 	if w := s.workerOn(h); w != nil {
-		runs = len(w.runs)
+		runs = w.runs.len()
 	}
 	s.note("maintenance ordered", "", "Host", string(h.ID), "Wave", v.Number, "Token", token, "Runs", runs,
 		"AfterMs", now.Sub(v.since).Milliseconds())
@@ -252,7 +252,7 @@
 // have begun their maintenance.
 func (s *Scheduler) reportWave(v *wave, done bool) {
 	state := "running"
-	if done && len(s.hosts) > 0 {
+	if done && s.hosts.len() > 0 {
 		state = "completed"
 	}
 	if v.reported == state {
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -29,7 +29,7 @@
 	clockMs int64
 	clockAt time.Time
 	// runs are all that may run there, by task.
-	runs map[job.Task]*run
+	runs *table[job.Task, *run]
 	// used is the room of all runs.
 	used job.Room
 	// noted is the highest end that was counted; seen the highest that is stored;
@@ -61,14 +61,14 @@
 
 func newWorker(now time.Time, e Entry) *worker {
 	return &worker{
-		Entry: e, runs: make(map[job.Task]*run), steps: make(map[*step]int),
+		Entry: e, runs: newTable[job.Task, *run](), steps: make(map[*step]int),
 		listed: true, idleSince: now, nextHold: now,
 	}
 }
 
 // Enlist takes a worker's entry, new or changed.
 func (s *Scheduler) Enlist(now time.Time, e Entry) {
-	w := s.workers[e.ID]
+	w := s.workers.get(e.ID)
 	if w != nil && e.Born != 0 && w.Born != 0 && e.Born < w.Born {
 		return
 	}
@@ -82,7 +82,7 @@
 	}
 	if e.Draining && !w.Draining {
 		w.leavesAt = now.Add(e.Leaving)
-		s.note("worker draining", "", "Worker", string(e.ID), "LeavingMs", e.Leaving.Milliseconds(), "Runs", len(w.runs))
+		s.note("worker draining", "", "Worker", string(e.ID), "LeavingMs", e.Leaving.Milliseconds(), "Runs", w.runs.len())
 	}
 	w.listed = true
 	if e.Born == 0 {
@@ -97,7 +97,7 @@
 
 func (s *Scheduler) enlistNew(now time.Time, e Entry) {
 	if e.Host != "" {
-		for _, o := range s.workers {
+		for _, o := range s.workers.all() {
 			if o.Host != e.Host || o.ID == e.ID {
 				continue
 			}
@@ -108,7 +108,7 @@
 		}
 	}
 	w := newWorker(now, e)
-	s.workers[e.ID] = w
+	s.workers.put(e.ID, w)
 	s.enroll(w)
 	s.note("worker enlisted", "", "Worker", string(e.ID), "Born", e.Born, "Pool", e.Pool, "Host", string(e.Host),
 		"Address", e.Address, "CPU", e.Capacity.CPU, "MemMB", e.Capacity.MemMB)
@@ -132,7 +132,7 @@
 		e.Host = w.Host
 	}
 	var late []*run
-	for _, r := range w.runs {
+	for _, r := range w.runs.all() {
 		if r.phase == starting || r.phase == uncertain {
 			late = append(late, r)
 		}
@@ -142,7 +142,7 @@
 	}
 	s.endLife(now, w, "born again")
 	n := newWorker(now, e)
-	s.workers[e.ID] = n
+	s.workers.put(e.ID, n)
 	s.enroll(n)
 	for _, r := range late {
 		r.phase = stopping
@@ -153,23 +153,23 @@
 
 // Delist tells that a worker's entry is gone. What runs there goes on under its lease.
 func (s *Scheduler) Delist(now time.Time, id WorkerID) {
-	w := s.workers[id]
+	w := s.workers.get(id)
 	if w == nil || !w.listed {
 		return
 	}
 	w.listed = false
-	s.note("worker delisted", "", "Worker", string(id), "Runs", len(w.runs))
+	s.note("worker delisted", "", "Worker", string(id), "Runs", w.runs.len())
 	s.dropIfLost(now, w)
 }
 
 // endLife forgets a worker of which it is certain that it runs nothing any more.
 func (s *Scheduler) endLife(now time.Time, w *worker, reason string) {
 	s.note("worker ended", "", "Worker", string(w.ID), "Born", w.Born, "Host", string(w.Host),
-		"Reason", reason, "RunsLost", len(w.runs))
-	for _, r := range w.runs {
+		"Reason", reason, "RunsLost", w.runs.len())
+	for _, r := range w.runs.all() {
 		s.lose(now, r)
 	}
-	delete(s.workers, w.ID)
+	s.workers.drop(w.ID)
 	delete(s.unaccounted, w.ID)
 	delete(s.ended, w.ID)
 	s.records = append(s.records, Record{Key: RosterPrefix + string(w.ID)})
@@ -180,7 +180,7 @@
 func (s *Scheduler) attach(w *worker, r *run) {
 	r.worker = w
 	r.room = r.task.step.Takes()
-	w.runs[r.task.id()] = r
+	w.runs.put(r.task.id(), r)
 	w.used = w.used.Add(r.room)
 	w.steps[r.task.step]++
 	r.task.run = r
@@ -189,7 +189,7 @@
 // detach takes a run off its worker; the task stays without one.
 func (s *Scheduler) detach(r *run) {
 	w := r.worker
-	delete(w.runs, r.task.id())
+	w.runs.drop(r.task.id())
 	w.used = w.used.Sub(r.room)
 	if w.steps[r.task.step]--; w.steps[r.task.step] <= 0 {
 		delete(w.steps, r.task.step)
@@ -250,8 +250,8 @@
 
 // tickWorkers sends what is due to workers and finds leases that have lapsed.
 func (s *Scheduler) tickWorkers(now time.Time) {
-	for _, w := range s.workers {
-		for _, r := range w.runs {
+	for _, w := range s.workers.all() {
+		for _, r := range w.runs.all() {
 			s.retry(now, r)
 		}
 		if w.Draining {
@@ -266,12 +266,12 @@
 
 // needsHold reports whether the worker has a lease to keep or ends to be told of.
 func (w *worker) needsHold() bool {
-	return !w.greeted || len(w.runs) > 0 || w.seen > w.told
+	return !w.greeted || w.runs.len() > 0 || w.seen > w.told
 }
 
 func (s *Scheduler) hold(now time.Time, w *worker) {
 	h := Hold{Worker: w.Life, Address: w.Address, Token: s.cfg.Epoch, SeenUpto: w.seen, Fresh: !w.failing.IsZero()}
-	if len(w.runs) > 0 {
+	if w.runs.len() > 0 {
 		h.DeadlineMs, _ = s.deadline(now, w)
 		if w.failing.IsZero() && w.greeted && w.isQuiet() {
 			h.Wait = holdWait
@@ -283,7 +283,7 @@
 
 // isQuiet reports whether no answer of the worker is awaited but for ends.
 func (w *worker) isQuiet() bool {
-	for _, r := range w.runs {
+	for _, r := range w.runs.all() {
 		if r.phase == stopped {
 			return false
 		}
@@ -296,7 +296,7 @@
 // proved to own after that time: a later owner may have extended the lease.
 func (s *Scheduler) dropIfLost(now time.Time, w *worker) {
 	if w.failing.IsZero() || s.confirmed.Before(w.granted) {
-		if !w.listed && len(w.runs) == 0 && w.greeted && !w.needsHold() {
+		if !w.listed && w.runs.len() == 0 && w.greeted && !w.needsHold() {
 			s.endLife(now, w, "left")
 		}
 		return
@@ -308,7 +308,7 @@
 		delete(s.unaccounted, w.ID)
 		s.dirty = true
 	}
-	for _, r := range w.runs {
+	for _, r := range w.runs.all() {
 		s.lose(now, r)
 	}
 	if !w.listed {
@@ -318,7 +318,7 @@
 
 // Held takes the answer to a hold that was sent at sentAt.
 func (s *Scheduler) Held(now time.Time, wall int64, life Life, seen int64, sentAt time.Time, a Answer, rep Report) {
-	w := s.workers[life.ID]
+	w := s.workers.get(life.ID)
 	if w == nil || w.Life != life {
 		return
 	}
@@ -350,7 +350,7 @@
 	if !rep.Partial {
 		s.reportAbsent(now, w, sentAt, rep)
 	}
-	if len(w.runs) == 0 && w.idleSince.IsZero() {
+	if w.runs.len() == 0 && w.idleSince.IsZero() {
 		w.idleSince = now
 	}
 	s.pace(now, w)
@@ -367,7 +367,7 @@
 func (s *Scheduler) unreachable(now time.Time, w *worker, o Outcome) {
 	if w.failing.IsZero() {
 		w.failing = now
-		s.note("worker unreachable", "", "Worker", string(w.ID), "Outcome", o.String(), "Runs", len(w.runs),
+		s.note("worker unreachable", "", "Worker", string(w.ID), "Outcome", o.String(), "Runs", w.runs.len(),
 			"LapsedInMs", w.granted.Sub(now).Milliseconds())
 	}
 	w.nextHold = now.Add(retryGap)
@@ -403,7 +403,7 @@
 // reportRunning compares what runs on a worker with what should.
 func (s *Scheduler) reportRunning(now time.Time, w *worker, rep Report) {
 	for _, row := range rep.Running {
-		r := w.runs[row.Task]
+		r := w.runs.get(row.Task)
 		if r != nil && r.number == row.Run {
 			s.observe(now, r, row)
 			continue
@@ -483,7 +483,7 @@
 
 func (s *Scheduler) end(now time.Time, wall int64, w *worker, row EndRow) {
 	t := s.find(row.Task)
-	r := w.runs[row.Task]
+	r := w.runs.get(row.Task)
 	if r != nil && r.number <= row.Run {
 		if row.How == EndDone && !r.task.step.LongRunning {
 			s.learn(now, r)
@@ -571,14 +571,14 @@
 // reportAbsent finds runs that should be in a list and are in none: those whose
 // stop was answered before the hold was sent, and those known to run before it.
 func (s *Scheduler) reportAbsent(now time.Time, w *worker, sentAt time.Time, rep Report) {
-	if len(w.runs) == 0 {
+	if w.runs.len() == 0 {
 		return
 	}
 	there := make(map[job.Task]int64, len(rep.Running))
 	for _, row := range rep.Running {
 		there[row.Task] = row.Run
 	}
-	for id, r := range w.runs {
+	for id, r := range w.runs.all() {
 		if there[id] == r.number {
 			continue
 		}
--- /dev/null
+++ b/fleet/scheduling/world_test.go
@@ -0,0 +1,949 @@
+package scheduling
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+	"github.com/godwitcross/godwitcross/fleet/queue"
+)
+
+// world is a fleet in virtual time: workers, a log, hosts and owners that run the
+// scheduler, with faults between them. It judges what workers see by the rules.
+type world struct {
+	rng    *rand.Rand
+	now    time.Time
+	events eventHeap
+	seq    int
+
+	cfg     Config
+	conf    *queue.Configuration
+	pace    time.Duration
+	workers map[WorkerID]*simWorker
+	// entries are those that the log lists; a change is told to owners.
+	entries map[WorkerID]Entry
+	log     []simRecord
+	stored  map[string][]byte
+	epoch   int64
+	owners  []*simOwner
+	storeUp bool
+	faulty  faults
+
+	jobs map[job.ID]*simJob
+	// broken lists the rules that were broken, with when and why.
+	broken []string
+	// counted figures of the day.
+	startsRejected, runsDone int
+	moves                    int
+	hosts                    map[HostID]*simHost
+	poolSeconds              float64
+	waves                    []Wave
+	// tamper plants faults into owners' actions, or is nil.
+	tamper func(w *world, a Action) []Action
+}
+
+// faults are the shares of orders that go wrong.
+type faults struct {
+	late, answerLost float64
+	failing          map[WorkerID]bool
+}
+
+type simHost struct {
+	Host
+	awayUntil time.Time
+	rack      string
+	token     int64
+}
+
+// simRecord is a record of the work stream.
+type simRecord struct {
+	accepted  *job.Job
+	cancelled job.ID
+	mark      int64
+}
+
+// simJob is what the world knows of a job, from its callers' view.
+type simJob struct {
+	job.Job
+	acceptedAt, cancelledAt time.Time
+	endedAt                 time.Time
+	work                    time.Duration
+	done                    map[job.Task]bool
+	noted                   map[job.Task]bool
+	failed                  map[job.Task]int
+	// doomed jobs fail at every run.
+	doomed bool
+}
+
+// simWorker is one life of a worker.
+type simWorker struct {
+	Entry
+	w        *world
+	token    int64
+	deadline int64
+	runs     map[job.Task]*simRun
+	highest  map[job.Task]int64
+	ended    []EndRow
+	nextEnd  int64
+	bornAt   time.Time
+	// rate is how fast its clock runs.
+	rate   float64
+	isUp   bool
+	cut    map[int]bool
+	waiter func()
+}
+
+type simRun struct {
+	number int64
+	job    *simJob
+	step   job.Step
+	// endsAt is when it is done; the zero time for tasks that last.
+	endsAt    time.Time
+	startedAt time.Time
+	pace      int
+	stopping  bool
+}
+
+// simOwner is an entry host that runs the scheduler.
+type simOwner struct {
+	id      int
+	w       *world
+	epoch   int64
+	s       *Scheduler
+	isUp    bool
+	frozen  time.Time
+	cut     bool
+	read    int
+	commits bool
+	known   map[WorkerID]Entry
+	signAt  time.Time
+	// listedAt is when it listed the hosts last.
+	listedAt time.Time
+}
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type eventHeap []simEvent
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].seq < h[j].seq
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push adds an event.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(simEvent)) }
+
+// Pop takes the last event.
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+const (
+	simHop     = time.Millisecond
+	simTimeout = 400 * time.Millisecond
+	simStore   = 6 * time.Millisecond
+	simTick    = 10 * time.Millisecond
+)
+
+func newWorld(seed int64, pools map[string]int, spare int) *world {
+	w := &world{
+		rng: rand.New(rand.NewSource(seed)), now: testStart, cfg: testConfig(), pace: simTick,
+		workers: make(map[WorkerID]*simWorker), entries: make(map[WorkerID]Entry), stored: make(map[string][]byte),
+		storeUp: true, jobs: make(map[job.ID]*simJob), hosts: make(map[HostID]*simHost),
+		faulty: faults{failing: make(map[WorkerID]bool)},
+	}
+	w.cfg.Term = 0
+	var queues []queue.Queue
+	list := []queue.Pool{{Name: "spare", Guarded: true, Spare: true}}
+	for _, name := range sortedKeys(pools) {
+		queues = append(queues, queue.Queue{
+			Name: "q-" + name, Host: "h", Prefix: "/" + name + "/", Pool: name, MaxAttempts: 4, Stretch: 1.6,
+			TargetLatency: 600 * time.Millisecond,
+		})
+		list = append(list, queue.Pool{Name: name, Guarded: true})
+	}
+	w.conf = queue.New(1, queues, list, queue.Limits{})
+	n := 0
+	add := func(pool string, count int) {
+		for range count {
+			h := &simHost{Host: Host{
+				ID: HostID(fmt.Sprintf("m-%03d", n)), Pool: pool, State: HostUp,
+				Rack: fmt.Sprintf("r%d", n/4), Capacity: job.Room{CPU: 64000, MemMB: 131072},
+			}}
+			w.hosts[h.ID] = h
+			if pool != "spare" {
+				w.bear(h)
+			}
+			n++
+		}
+	}
+	for _, name := range sortedKeys(pools) {
+		add(name, pools[name])
+	}
+	add("spare", spare)
+	w.every(simTick, w.lapse)
+	w.every(100*time.Millisecond, w.elect)
+	w.every(time.Second, w.countPools)
+	w.takeOver()
+	return w
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.events, simEvent{at: w.now.Add(d), seq: w.seq, do: do})
+}
+
+func (w *world) every(d time.Duration, do func()) {
+	w.after(d, func() { do(); w.every(d, do) })
+}
+
+// run plays the world for a time.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(simEvent)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+func (w *world) wall() int64 { return w.now.UnixMilli() }
+
+func (w *world) breaks(rule, format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("%s at %s: %s", rule, w.now.Sub(testStart), fmt.Sprintf(format, args...)))
+}
+
+// bear starts a worker on a host.
+func (w *world) bear(h *simHost) *simWorker {
+	w.seq++
+	e := Entry{
+		Life: Life{ID: WorkerID(fmt.Sprintf("w-%s-%d", h.ID, w.seq)), Born: w.wall()}, Pool: h.Pool,
+		Address: string(h.ID), Host: h.ID, Kind: "a", Rack: h.Rack, Labels: []string{"a", h.Rack}, Capacity: h.Capacity,
+	}
+	return w.revive(h, e)
+}
+
+func (w *world) revive(h *simHost, e Entry) *simWorker {
+	sw := &simWorker{
+		Entry: e, w: w, runs: make(map[job.Task]*simRun), highest: make(map[job.Task]int64), nextEnd: 1,
+		bornAt: w.now, rate: 0.98 + 0.02*w.rng.Float64(), isUp: true, cut: make(map[int]bool),
+	}
+	h.Worker, h.State = e.ID, HostUp
+	w.workers[e.ID] = sw
+	w.entries[e.ID] = e
+	return sw
+}
+
+// kill ends a worker's life without a word.
+func (w *world) kill(sw *simWorker) {
+	sw.isUp = false
+	sw.runs = make(map[job.Task]*simRun)
+	sw.waiter = nil
+	w.after(4500*time.Millisecond, func() {
+		if cur := w.workers[sw.ID]; cur == sw {
+			delete(w.entries, sw.ID)
+		}
+	})
+}
+
+func (sw *simWorker) clock() int64 {
+	return 1000 + int64(float64(sw.w.now.Sub(sw.bornAt).Milliseconds())*sw.rate)
+}
+
+// lapse ends what is done and what has no lease any more.
+func (w *world) lapse() {
+	for _, id := range sortedKeys(w.workers) {
+		sw := w.workers[id]
+		if !sw.isUp {
+			continue
+		}
+		for _, t := range sortedTasks(sw.runs) {
+			r := sw.runs[t]
+			switch {
+			case sw.clock() > sw.deadline:
+				sw.end(t, EndLapsed)
+			case !r.endsAt.IsZero() && !w.now.Before(r.endsAt):
+				how := EndDone
+				if r.job.doomed || w.faulty.failing[sw.ID] {
+					how = EndFailed
+				}
+				sw.end(t, how)
+			}
+		}
+	}
+}
+
+func sortedTasks(m map[job.Task]*simRun) []job.Task {
+	return slices.SortedFunc(maps.Keys(m), func(a, b job.Task) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
+}
+
+func (sw *simWorker) end(t job.Task, how EndKind) {
+	r := sw.runs[t]
+	delete(sw.runs, t)
+	sw.ended = append(sw.ended, EndRow{Number: sw.nextEnd, Task: t, Run: r.number, How: how})
+	sw.nextEnd++
+	if how == EndDone {
+		r.job.done[t] = true
+		sw.w.runsDone++
+	}
+	if sw.waiter != nil {
+		wake := sw.waiter
+		sw.waiter = nil
+		wake()
+	}
+}
+
+// call sends an order to a worker; do is carried out there and its answer comes back.
+func (o *simOwner) call(life Life, do func(sw *simWorker) Answer, reply func(a Answer)) {
+	w := o.w
+	answer := func(a Answer, after time.Duration) {
+		w.after(after, func() {
+			if o.isUp {
+				o.wake(func() { reply(a) })
+			}
+		})
+	}
+	w.after(simHop, func() {
+		sw := w.workers[life.ID]
+		if sw == nil || !sw.isUp || sw.cut[o.id] {
+			answer(Answer{Outcome: Unknown}, simTimeout)
+			return
+		}
+		if w.rng.Float64() < w.faulty.late {
+			answer(Answer{Outcome: Unknown}, simTimeout)
+			w.after(2*time.Second+time.Duration(w.rng.Intn(10_000))*time.Millisecond, func() {
+				if sw := w.workers[life.ID]; sw != nil && sw.isUp {
+					do(sw)
+				}
+			})
+			return
+		}
+		a := do(sw)
+		if w.rng.Float64() < w.faulty.answerLost {
+			answer(Answer{Outcome: Unknown}, simTimeout)
+			return
+		}
+		answer(a, simHop)
+	})
+}
+
+// wake does something on an owner's task, after a freeze if it is frozen.
+func (o *simOwner) wake(do func()) {
+	if o.w.now.Before(o.frozen) {
+		o.w.after(o.frozen.Sub(o.w.now), func() {
+			if o.isUp {
+				do()
+			}
+		})
+		return
+	}
+	do()
+}
+
+func (sw *simWorker) answer(o Outcome) Answer {
+	return Answer{Outcome: o, ClockMs: sw.clock()}
+}
+
+// admit checks and takes a token.
+func (sw *simWorker) admit(token int64) bool {
+	if token < sw.token {
+		return false
+	}
+	sw.token = token
+	return true
+}
+
+func (sw *simWorker) extend(deadline int64) {
+	sw.deadline = max(sw.deadline, min(deadline, sw.clock()+sw.w.cfg.HoldMax.Milliseconds()))
+}
+
+func (sw *simWorker) start(o Start) Answer {
+	w := sw.w
+	if !sw.admit(o.Token) {
+		return sw.answer(Fenced)
+	}
+	if r := sw.runs[o.Task]; r != nil && r.number == o.Run {
+		sw.extend(o.DeadlineMs)
+		return sw.answer(Accepted)
+	}
+	if o.DeadlineMs <= sw.clock() {
+		return sw.answer(Late)
+	}
+	if o.Run <= sw.highest[o.Task] {
+		sw.extend(o.DeadlineMs)
+		return sw.answer(Old)
+	}
+	j := w.jobs[o.Task.Job]
+	if j == nil || o.Text != j.Text {
+		w.breaks("UNASKED", "%s", o.Task)
+		return sw.answer(Refused)
+	}
+	st := j.Steps[o.Task.Step]
+	if !sw.free().Fits(st.Takes()) {
+		w.startsRejected++
+		sw.extend(o.DeadlineMs)
+		return sw.answer(NoRoom)
+	}
+	w.judgeStart(sw, o.Task, j, st)
+	r := &simRun{number: o.Run, job: j, step: st, startedAt: w.now, pace: 100}
+	if !st.LongRunning {
+		r.endsAt = w.now.Add(time.Duration(float64(j.work) * (0.9 + 0.2*w.rng.Float64())))
+	}
+	sw.runs[o.Task] = r
+	sw.highest[o.Task] = o.Run
+	sw.extend(o.DeadlineMs)
+	return sw.answer(Accepted)
+}
+
+func (sw *simWorker) free() job.Room {
+	free := sw.Capacity
+	for _, r := range sw.runs {
+		free = free.Sub(r.step.Takes())
+	}
+	return free
+}
+
+// judgeStart judges a start by the rules.
+func (w *world) judgeStart(sw *simWorker, t job.Task, j *simJob, st job.Step) {
+	if !st.Speculative {
+		for _, id := range sortedKeys(w.workers) {
+			o := w.workers[id]
+			if r := o.runs[t]; r != nil && o.isUp && o.clock() <= o.deadline {
+				w.breaks("TWICE", "%s runs on %s and starts on %s", t, id, sw.ID)
+			}
+		}
+		if j.noted[t] {
+			w.breaks("TWICE", "%s starts again on %s after its end was noted", t, sw.ID)
+		}
+	}
+	if j.failed[t] >= 4 && !st.LongRunning {
+		w.breaks("BUDGET", "%s starts after %d failures", t, j.failed[t])
+	}
+	for _, a := range st.After {
+		for i := range j.Steps[a].Count {
+			if !j.done[job.Task{Job: t.Job, Occurrence: t.Occurrence, Step: a, Index: i}] {
+				w.breaks("ORDER", "%s starts before step %d is done", t, a)
+				return
+			}
+		}
+	}
+	if !j.cancelledAt.IsZero() && w.now.Sub(j.cancelledAt) > 3*time.Second && w.faulty.late == 0 {
+		w.breaks("UNASKED", "%s starts %s after its cancellation", t, w.now.Sub(j.cancelledAt))
+	}
+	if q, _ := w.conf.Queue(j.Queue); q.Pool != sw.Pool {
+		w.breaks("ROUTE", "%s starts on a worker of %s", t, sw.Pool)
+	}
+	if st.AntiAffinity > 0 {
+		n := 0
+		for o := range sw.runs {
+			if o.Job == t.Job && o.Step == t.Step && o.Occurrence == t.Occurrence {
+				n++
+			}
+		}
+		if n >= st.AntiAffinity {
+			w.breaks("ROUTE", "%d tasks of the step of %s on one worker", n+1, t)
+		}
+	}
+}
+
+func (sw *simWorker) stop(o Stop) Answer {
+	if !sw.admit(o.Token) {
+		return sw.answer(Fenced)
+	}
+	r := sw.runs[o.Task]
+	sw.highest[o.Task] = max(sw.highest[o.Task], o.Run)
+	if r == nil || r.number > o.Run {
+		return sw.answer(Old)
+	}
+	if !r.stopping {
+		r.stopping = true
+		sw.w.judgeInterrupt(o.Task, r, "a stop")
+		sw.w.after(100*time.Millisecond, func() {
+			if sw.runs[o.Task] == r {
+				sw.end(o.Task, EndStopped)
+			}
+		})
+	}
+	return sw.answer(Accepted)
+}
+
+// judgeInterrupt judges an order that ends a task at work by its step's budget.
+func (w *world) judgeInterrupt(t job.Task, r *simRun, by string) {
+	if !r.step.LongRunning || !r.job.cancelledAt.IsZero() || w.now.Sub(r.startedAt) < simStartup {
+		return
+	}
+	away := 0
+	for i := range r.step.Count {
+		o := job.Task{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: i}
+		if o != t && !w.isAtWork(o) {
+			away++
+		}
+	}
+	if away >= max(r.step.MayMiss, 0) && away > 0 || r.step.MayMiss == 0 {
+		w.breaks("AVAIL", "%s is ended by %s while %d others are away, %d may be", t, by, away, r.step.MayMiss)
+	}
+}
+
+// simStartup is how long a task that lasts takes until it is at work.
+const simStartup = 500 * time.Millisecond
+
+func (w *world) isAtWork(t job.Task) bool {
+	for _, sw := range w.workers {
+		if r := sw.runs[t]; r != nil && sw.isUp && !r.stopping && w.now.Sub(r.startedAt) >= simStartup {
+			return true
+		}
+	}
+	return false
+}
+
+// note forgets the ends up to a number.
+func (sw *simWorker) note(upTo int64) {
+	for len(sw.ended) > 0 && sw.ended[0].Number <= upTo {
+		e := sw.ended[0]
+		sw.ended = sw.ended[1:]
+		if j := sw.w.jobs[e.Task.Job]; j != nil {
+			switch e.How {
+			case EndDone:
+				j.noted[e.Task] = true
+			case EndFailed:
+				j.failed[e.Task]++
+			}
+		}
+	}
+}
+
+func (sw *simWorker) report() Report {
+	rep := Report{Born: sw.Born, ClockMs: sw.clock(), Ended: append([]EndRow(nil), sw.ended...)}
+	for _, t := range sortedTasks(sw.runs) {
+		r := sw.runs[t]
+		percent := 100
+		if r.step.LongRunning && sw.w.now.Sub(r.startedAt) < simStartup {
+			percent = 0
+		}
+		rep.Running = append(rep.Running, RunRow{Task: t, Run: r.number, Percent: percent})
+	}
+	return rep
+}
+
+// hold carries out a hold, which may wait for an end.
+func (o *simOwner) hold(h Hold) {
+	w := o.w
+	sentAt := w.now
+	var rep Report
+	reply := func(a Answer) {
+		o.s.Held(w.now, w.wall(), h.Worker, h.SeenUpto, sentAt, a, rep)
+	}
+	take := func(sw *simWorker) (Answer, bool) {
+		if sw.Life != h.Worker {
+			rep = sw.report()
+			return sw.answer(Accepted), false
+		}
+		if !sw.admit(h.Token) {
+			return sw.answer(Fenced), false
+		}
+		if h.DeadlineMs > 0 {
+			sw.extend(h.DeadlineMs)
+		}
+		sw.note(h.SeenUpto)
+		return sw.answer(Accepted), h.Wait > 0 && len(sw.ended) == 0
+	}
+	if h.Wait == 0 {
+		o.call(h.Worker, func(sw *simWorker) Answer { a, _ := take(sw); rep = sw.report(); return a }, reply)
+		return
+	}
+	w.after(simHop, func() {
+		sw := w.workers[h.Worker.ID]
+		if sw == nil || !sw.isUp || sw.cut[o.id] {
+			w.after(h.Wait+simTimeout, func() { o.answered(func() { reply(Answer{Outcome: Unknown}) }) })
+			return
+		}
+		a, waits := take(sw)
+		answered := false
+		finish := func() {
+			if answered {
+				return
+			}
+			answered = true
+			if !sw.isUp || sw.cut[o.id] {
+				w.after(simTimeout, func() { o.answered(func() { reply(Answer{Outcome: Unknown}) }) })
+				return
+			}
+			rep = sw.report()
+			a.ClockMs = sw.clock()
+			w.after(simHop, func() { o.answered(func() { reply(a) }) })
+		}
+		if !waits {
+			finish()
+			return
+		}
+		sw.waiter = finish
+		w.after(h.Wait, finish)
+	})
+}
+
+func (o *simOwner) answered(do func()) {
+	if o.isUp {
+		o.wake(do)
+	}
+}
+
+// takeOver makes a new owner of the log's state.
+func (w *world) takeOver() *simOwner {
+	w.epoch++
+	w.log = append(w.log, simRecord{mark: w.epoch})
+	o := &simOwner{id: len(w.owners), w: w, epoch: w.epoch, isUp: true, read: len(w.log), known: make(map[WorkerID]Entry), signAt: w.now}
+	cfg := w.cfg
+	cfg.Epoch, cfg.Term = w.epoch, w.epoch-1
+	o.s = New(w.now, cfg)
+	o.s.Configure(w.conf)
+	r := Restored{Progress: make(map[job.ID]job.Progress), Waves: make(map[int64]WaveProgress)}
+	seen := make(map[job.ID]bool)
+	for _, rec := range w.log {
+		if rec.accepted != nil && !seen[rec.accepted.ID] {
+			seen[rec.accepted.ID] = true
+			r.Jobs = append(r.Jobs, *rec.accepted)
+		}
+		if rec.cancelled != "" {
+			r.Cancelled = append(r.Cancelled, rec.cancelled)
+		}
+	}
+	for _, key := range sortedKeys(w.stored) {
+		w.restoreRecord(&r, key, w.stored[key])
+	}
+	o.s.Restore(w.now, w.wall(), r)
+	for _, v := range w.waves {
+		o.s.Request(w.now, w.wall(), v)
+	}
+	w.owners = append(w.owners, o)
+	o.loop()
+	return o
+}
+
+func (w *world) restoreRecord(r *Restored, key string, value []byte) {
+	switch {
+	case key[:2] == ProgressPrefix:
+		p, err := job.DecodeProgress(value)
+		if err != nil {
+			panic(err)
+		}
+		r.Progress[job.ID(key[2:])] = p
+	case key[:2] == RosterPrefix:
+		e, err := DecodeEntry(value)
+		if err != nil {
+			panic(err)
+		}
+		r.Roster = append(r.Roster, e)
+	case key[:2] == WavePrefix:
+		p, err := DecodeWave(value)
+		if err != nil {
+			panic(err)
+		}
+		r.Waves[p.Number] = p
+	}
+}
+
+// elect finds the next owner once the last gives no sign.
+func (w *world) elect() {
+	o := w.owners[len(w.owners)-1]
+	if w.storeUp && w.now.Sub(o.signAt) > 1600*time.Millisecond {
+		w.takeOver()
+	}
+}
+
+// loop is an owner's task.
+func (o *simOwner) loop() {
+	w := o.w
+	w.after(w.pace, func() {
+		if !o.isUp || o.s.Fenced() {
+			o.isUp = false
+			return
+		}
+		o.wake(o.round)
+		o.loop()
+	})
+}
+
+func (o *simOwner) round() {
+	w := o.w
+	if w.storeUp && !o.cut {
+		o.readLog()
+		o.list()
+		o.sign()
+	}
+	o.s.Tick(w.now, w.wall())
+	if !o.commits {
+		o.s.Flush()
+	}
+	for _, a := range o.s.Take() {
+		if w.tamper == nil {
+			o.carryOut(a)
+			continue
+		}
+		for _, b := range w.tamper(w, a) {
+			o.carryOut(b)
+		}
+	}
+}
+
+func (o *simOwner) readLog() {
+	w := o.w
+	for ; o.read < len(w.log); o.read++ {
+		switch rec := w.log[o.read]; {
+		case rec.mark > o.epoch:
+			o.s.Depose()
+			return
+		case rec.accepted != nil:
+			o.s.Accept(w.now, w.wall(), *rec.accepted)
+		case rec.cancelled != "":
+			o.s.Cancel(w.now, w.wall(), rec.cancelled)
+		}
+	}
+	for _, id := range sortedKeys(w.entries) {
+		if e := w.entries[id]; !sameEntry(o.known[id], e) {
+			o.known[id] = e
+			o.s.Enlist(w.now, e)
+		}
+	}
+	for _, id := range sortedKeys(o.known) {
+		if _, ok := w.entries[id]; !ok {
+			delete(o.known, id)
+			o.s.Delist(w.now, id)
+		}
+	}
+}
+
+// list lists the hosts once a second.
+func (o *simOwner) list() {
+	w := o.w
+	if w.now.Sub(o.listedAt) < time.Second {
+		return
+	}
+	o.listedAt = w.now
+	var hosts []Host
+	for _, id := range sortedKeys(w.hosts) {
+		hosts = append(hosts, w.hosts[id].Host)
+	}
+	o.s.List(w.now, w.now, hosts)
+}
+
+func sameEntry(a, b Entry) bool {
+	return a.Life == b.Life && a.Draining == b.Draining && a.Pool == b.Pool
+}
+
+// sign proves twice a second that the owner still owns.
+func (o *simOwner) sign() {
+	if o.w.epoch != o.epoch {
+		o.s.Depose()
+		return
+	}
+	if o.w.now.Sub(o.signAt) >= 500*time.Millisecond {
+		o.signAt = o.w.now
+		o.s.Confirm(o.w.now)
+	}
+}
+
+func (o *simOwner) carryOut(a Action) {
+	w := o.w
+	switch a := a.(type) {
+	case Start:
+		o.call(a.Worker, func(sw *simWorker) Answer { return sw.start(a) }, func(x Answer) { o.s.Started(w.now, a.Worker, a.Task, a.Run, x) })
+	case Stop:
+		o.call(a.Worker, func(sw *simWorker) Answer { return sw.stop(a) }, func(x Answer) { o.s.Stopped(w.now, a.Worker, a.Task, a.Run, x) })
+	case Hold:
+		o.hold(a)
+	case Commit:
+		o.commits = true
+		w.after(simStore, func() { o.store(a) })
+	case Move:
+		w.after(simStore, func() {
+			o.answered(func() { o.s.Ordered(w.now, a.Host, a.Token, w.order(a.Host, a.Token, a.Pool, 0)) })
+		})
+	case Maintain:
+		w.after(simStore, func() {
+			o.answered(func() { o.s.Ordered(w.now, a.Host, a.Token, w.order(a.Host, a.Token, "", a.Wave)) })
+		})
+	}
+}
+
+// store appends an owner's progress under its epoch.
+func (o *simOwner) store(c Commit) {
+	w := o.w
+	if !o.isUp {
+		return
+	}
+	if !w.storeUp || o.cut {
+		w.after(100*time.Millisecond, func() { o.store(c) })
+		return
+	}
+	if w.epoch != o.epoch {
+		o.answered(o.s.Depose)
+		return
+	}
+	for _, r := range c.Records {
+		if len(r.Value) == 0 {
+			delete(w.stored, r.Key)
+			continue
+		}
+		w.stored[r.Key] = r.Value
+	}
+	sentAt := w.now
+	o.answered(func() {
+		o.commits = false
+		o.s.Confirm(sentAt)
+		o.s.Committed(c.Number)
+		w.shown(o)
+	})
+}
+
+// shown notes which jobs are shown as ended.
+func (w *world) shown(o *simOwner) {
+	for _, id := range sortedKeys(w.jobs) {
+		j := w.jobs[id]
+		if !j.endedAt.IsZero() {
+			continue
+		}
+		if st, _, ok := o.s.State(id); ok && st.Final() {
+			j.endedAt = w.now
+			if st == job.Completed {
+				w.judgeCompleted(j)
+			}
+		}
+	}
+}
+
+func (w *world) judgeCompleted(j *simJob) {
+	for k := range j.Occurrences() {
+		for si, st := range j.Steps {
+			for i := range st.Count {
+				if t := (job.Task{Job: j.ID, Occurrence: k, Step: si, Index: i}); !j.done[t] {
+					w.breaks("MIXED", "%s is shown as completed before %s", j.ID, t)
+					return
+				}
+			}
+		}
+	}
+}
+
+// order carries out a duty of a host.
+func (w *world) order(id HostID, token int64, pool string, wave int64) Outcome {
+	h := w.hosts[id]
+	if token < h.token {
+		return Fenced
+	}
+	h.token = token
+	if h.State != HostUp {
+		return Busy
+	}
+	if sw := w.workers[h.Worker]; sw != nil {
+		for _, t := range sortedTasks(sw.runs) {
+			w.judgeInterrupt(t, sw.runs[t], "an order for its host")
+		}
+		sw.isUp = false
+		sw.runs = make(map[job.Task]*simRun)
+		delete(w.entries, sw.ID)
+	}
+	away := w.cfg.MoveTime
+	h.State, h.Worker = HostMoving, ""
+	if wave > 0 {
+		h.State, away = HostMaintenance, w.cfg.MaintenanceTime
+		w.judgeWave(wave)
+	} else {
+		h.Pool = pool
+		w.moves++
+	}
+	w.after(away, func() {
+		h.State = HostUp
+		if h.Pool != "spare" {
+			w.bear(h)
+		}
+	})
+	return Accepted
+}
+
+func (w *world) judgeWave(number int64) {
+	down := 0
+	for _, v := range w.waves {
+		if v.Number != number {
+			continue
+		}
+		for _, id := range v.Hosts {
+			if w.hosts[id].State == HostMaintenance {
+				down++
+			}
+		}
+		if down > v.MaxCount {
+			w.breaks("LIMIT", "%d hosts are down for wave %d, %d may be", down, number, v.MaxCount)
+		}
+	}
+}
+
+func (w *world) countPools() {
+	for _, h := range w.hosts {
+		if h.Pool != "spare" {
+			w.poolSeconds++
+		}
+	}
+}
+
+// submit accepts a job at the log.
+func (w *world) submit(j job.Job, work time.Duration, doomed bool) {
+	w.jobs[j.ID] = &simJob{
+		Job: j, acceptedAt: w.now, work: work, doomed: doomed, done: make(map[job.Task]bool),
+		noted: make(map[job.Task]bool), failed: make(map[job.Task]int),
+	}
+	w.log = append(w.log, simRecord{accepted: &j})
+}
+
+func (w *world) cancel(id job.ID) {
+	w.jobs[id].cancelledAt = w.now
+	w.log = append(w.log, simRecord{cancelled: id})
+}
+
+// newJob draws a job of a pool's queue.
+func (w *world) newJob(pool string, cpu int64, width int) job.Job {
+	w.seq++
+	j := job.Job{
+		ID: job.ID(fmt.Sprintf("%016x", w.seq)), Queue: "q-" + pool, Pool: pool, Version: 1, Text: fmt.Sprintf("text %d", w.seq),
+		AcceptedAt: w.wall(), Steps: []job.Step{{
+			Count: 1 + w.rng.Intn(2*width), Room: job.Room{CPU: cpu/2 + w.rng.Int63n(cpu), MemMB: 4000}, Estimate: time.Second,
+		}},
+	}
+	if w.rng.Intn(2) == 0 {
+		st := j.Steps[0]
+		st.After, st.Speculative = []int{0}, w.rng.Intn(3) == 0
+		j.Steps = append(j.Steps, st)
+	}
+	return j
+}
+
+// newLasting draws a job whose tasks last.
+func (w *world) newLasting(pool string, count int) job.Job {
+	j := w.newJob(pool, 5000, 1)
+	j.Steps = []job.Step{{
+		Count: count, Room: job.Room{CPU: 5000, MemMB: 9000}, LongRunning: true, AntiAffinity: 1, MayMiss: 1,
+	}}
+	return j
+}
