fix: unknown runs aren't taken down by a wave; late starts are stopped at a worker's next life

Change: such hosts wait until their workers are accounted for; a reborn worker is told to stop what may still arrive.

--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -63,6 +63,9 @@
 	// leaveSoon is how long before a draining worker leaves its tasks that last are
 	// stopped whatever their step's budget says: they end there anyway.
 	leaveSoon = 2 * time.Second
+	// lateOrders is how long an order without an answer may still be carried out: the
+	// platform speaks of seconds, its users of 2 to 12.
+	lateOrders = 13 * time.Second
 	// keptFailures bounds the failed runs that are kept of a task that lasts, whose
 	// number has no limit.
 	keptFailures = 8
--- a/fleet/scheduling/days_test.go
+++ b/fleet/scheduling/days_test.go
@@ -210,3 +210,29 @@
 	require.Len(t, w.owners, 1)
 	require.Zero(t, w.startsRejected)
 }
+
+// Days that broke a rule once, each with its cause.
+func TestDaysThatBrokeARuleOnce(t *testing.T) {
+	tests := map[string]struct {
+		seed     int64
+		troubles []trouble
+	}{
+		// A new owner maintained hosts whose workers it had not heard of yet.
+		"a dark rack at a takeover beside a wave": {0, []trouble{{"owner killed", 10, 30, 11}, {"rack dark", 14, 78, 63}}},
+		// A start that had no answer arrived at the worker's next life under the same ID.
+		"a late start meets a reborn worker": {32, []trouble{
+			{"worker reborn", 6, 74, 435},
+			{"orders late", 113, 44, 6},
+			{"worker crashes", 12, 8, 38},
+			{"worker reborn", 139, 6, 820},
+			{"worker cut", 150, 77, 0},
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := playDay(tt.seed, tt.troubles)
+			w.judgeEnd()
+			require.Empty(t, w.broken)
+		})
+	}
+}
--- a/fleet/scheduling/orders.go
+++ b/fleet/scheduling/orders.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"slices"
 	"time"
 
 	"github.com/godwitcross/godwitcross/fleet/job"
@@ -111,6 +112,8 @@
 		if r.phase == starting {
 			r.phase = uncertain
 		}
+		w.unanswered = slices.DeleteFunc(w.unanswered, func(u unanswered) bool { return now.Sub(u.at) >= lateOrders })
+		w.unanswered = append(w.unanswered, unanswered{task: id, number: number, at: now})
 		r.retryAt = now.Add(retryGap)
 	case OtherLife:
 		s.endLife(now, w, "its address belongs to another worker")
--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -171,8 +171,8 @@
 		}
 		return s.maintain(now, v, h)
 	}
-	if !w.greeted && w.failing.IsZero() {
-		return false
+	if _, ok := s.unaccounted[w.ID]; ok || (!w.greeted && w.failing.IsZero()) {
+		return false // what runs there isn't known
 	}
 	if _, ok := v.prepared[h.ID]; !ok {
 		v.prepared[h.ID] = now
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -54,11 +54,20 @@
 	idleSince time.Time
 	// cordoned workers get no new tasks: their host is due for maintenance.
 	cordoned bool
+	// unanswered are starts that had no answer and may still arrive.
+	unanswered []unanswered
 	// leavesAt is when a draining worker leaves at the earliest.
 	leavesAt time.Time
 	steps    map[*step]int
 }
 
+// unanswered is a start without an answer.
+type unanswered struct {
+	task   job.Task
+	number int64
+	at     time.Time
+}
+
 func newWorker(now time.Time, e Entry) *worker {
 	return &worker{
 		Entry: e, runs: newTable[job.Task, *run](), steps: make(map[*step]int),
@@ -149,6 +158,11 @@
 		r.retryAt = now
 		s.attach(n, r)
 	}
+	for _, u := range w.unanswered {
+		if now.Sub(u.at) < lateOrders && n.runs.get(u.task) == nil {
+			s.emit(Stop{Worker: n.Life, Address: n.Address, Task: u.task, Run: u.number, Token: s.cfg.Epoch})
+		}
+	}
 }
 
 // Delist tells that a worker's entry is gone. What runs there goes on under its lease.
