--- /dev/null
+++ b/standin/estate/estate.go
@@ -0,0 +1,322 @@
+package estate
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Config is the size and the pace of an estate.
+type Config struct {
+	// Services have this many machines each; the one named Spare is off.
+	Services map[string]int
+	Spare    string
+	// TaskTime is how long a task takes.
+	TaskTime time.Duration
+	// MaxRuns bounds the runs of one worker.
+	MaxRuns int
+	// Capacity is what each worker says it has.
+	Capacity any
+	// MoveTime is how long a machine is away for a move or an upkeep.
+	MoveTime time.Duration
+}
+
+// Estate is the platform.
+type Estate struct {
+	cfg   Config
+	Log   *Log
+	store listener
+	cloud listener
+	guide listener
+
+	mu sync.Mutex
+	// All below is guarded by mu.
+	machines map[string]*machine
+	workers  map[string]*Worker
+	next     int
+	starts   []Start
+	version  int
+	token    map[string]int64
+}
+
+type listener struct {
+	address string
+	server  *fasthttp.Server
+}
+
+type machine struct {
+	id, pool, state string
+	worker          *Worker
+}
+
+// New starts an estate on loopback addresses.
+func New(cfg Config) (*Estate, error) {
+	e := &Estate{cfg: cfg, Log: NewLog(), machines: make(map[string]*machine), workers: make(map[string]*Worker), token: make(map[string]int64)}
+	var err error
+	if e.store, err = listen(e.Log.Handle); err != nil {
+		return nil, err
+	}
+	if e.cloud, err = listen(e.handleCloud); err != nil {
+		return nil, err
+	}
+	if e.guide, err = listen(e.handleAdvice); err != nil {
+		return nil, err
+	}
+	for service, n := range cfg.Services {
+		for range n {
+			e.next++
+			m := &machine{id: fmt.Sprintf("m-%03d", e.next), pool: service, state: "up"}
+			e.machines[m.id] = m
+			if service != cfg.Spare {
+				if err := e.bear(m); err != nil {
+					return nil, err
+				}
+			}
+		}
+	}
+	return e, nil
+}
+
+func listen(h fasthttp.RequestHandler) (listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return listener{}, err
+	}
+	s := &fasthttp.Server{Handler: h, MaxRequestBodySize: 8 << 20}
+	go func() { _ = s.Serve(l) }()
+	return listener{address: l.Addr().String(), server: s}, nil
+}
+
+// Stop ends all servers.
+func (e *Estate) Stop() {
+	for _, l := range []listener{e.store, e.cloud, e.guide} {
+		_ = l.server.Shutdown()
+	}
+	for _, w := range e.Workers() {
+		w.leave()
+	}
+}
+
+// StoreAddress is where the store listens.
+func (e *Estate) StoreAddress() string { return e.store.address }
+
+// CloudAddress is where machines are listed and ordered.
+func (e *Estate) CloudAddress() string { return e.cloud.address }
+
+// AdviceAddress is where the adviser listens.
+func (e *Estate) AdviceAddress() string { return e.guide.address }
+
+// bear starts a worker on a machine and registers it.
+func (e *Estate) bear(m *machine) error {
+	e.next++
+	w, err := newWorker(e, fmt.Sprintf("i-%03d", e.next), m.pool, m.id)
+	if err != nil {
+		return err
+	}
+	m.worker, m.state = w, "up"
+	e.workers[w.id] = w
+	e.Log.Put("keyed.servers", w.id, w.entry("ready"))
+	return nil
+}
+
+// Workers returns the workers that live.
+func (e *Estate) Workers() []*Worker {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []*Worker
+	for _, w := range e.workers {
+		out = append(out, w)
+	}
+	return out
+}
+
+// Crash ends a worker without a word; its entry goes after a while.
+func (e *Estate) Crash(w *Worker) {
+	w.leave()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.workers, w.id)
+	e.Log.Put("keyed.servers", w.id, nil)
+}
+
+// started notes a start and says how its run ends: by its text, "lasts" never and
+// "fails" as failed.
+func (e *Estate) started(s Start) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.starts = append(e.starts, s)
+	switch {
+	case strings.HasPrefix(s.Spec, "lasts"):
+		return ""
+	case strings.HasPrefix(s.Spec, "fails"):
+		return "failed"
+	}
+	return "done"
+}
+
+// Starts returns all starts so far.
+func (e *Estate) Starts() []Start {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Start(nil), e.starts...)
+}
+
+// Publish writes a configuration with a queue for each service but the spare one,
+// at the host "jobs.example" and the path of the service's name. Advised names those
+// whose steps the adviser decides on.
+func (e *Estate) Publish(advised ...string) {
+	e.mu.Lock()
+	e.version++
+	version := e.version
+	e.mu.Unlock()
+	var routes, services []map[string]any
+	for service := range e.cfg.Services {
+		services = append(services, map[string]any{"Name": service, "AdmissionControl": true, "Spare": service == e.cfg.Spare})
+		if service == e.cfg.Spare {
+			continue
+		}
+		r := map[string]any{
+			"Name": "r-" + service, "Host": "jobs.example", "PathPrefix": "/" + service + "/", "Kind": "unsafe", "TimeoutMs": 3000,
+			"TargetLatencyMs": 600, "Priority": 0, "Service": service, "MaxAttempts": 3, "Stretch": 1.6,
+		}
+		for _, a := range advised {
+			if a == service {
+				r["Advice"] = map[string]any{"DecideMs": 1, "EachMs": 0.1, "ValidMs": 3000}
+			}
+		}
+		routes = append(routes, r)
+	}
+	b, err := json.Marshal(map[string]any{
+		"Version": version, "Routes": routes, "Services": services,
+		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+	})
+	if err != nil {
+		panic(fmt.Sprintf("a configuration of fixed fields is not encoded: %s", err))
+	}
+	e.Log.Put("keyed.op", "config", b)
+}
+
+// Request asks for the upkeep of all machines that are up.
+func (e *Estate) Request(wave int, duration float64, maxCount int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var ids []string
+	for id := range e.machines {
+		ids = append(ids, id)
+	}
+	b, err := json.Marshal(map[string]any{"Wave": wave, "Machines": ids, "DurationS": duration, "MaxCount": maxCount})
+	if err != nil {
+		panic(fmt.Sprintf("a wave of fixed fields is not encoded: %s", err))
+	}
+	e.Log.Put("keyed.op", fmt.Sprintf("wave/%d", wave), b)
+}
+
+// Pools counts the machines of each pool.
+func (e *Estate) Pools() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := make(map[string]int)
+	for _, m := range e.machines {
+		n[m.pool]++
+	}
+	return n
+}
+
+func (e *Estate) handleCloud(rc *fasthttp.RequestCtx) {
+	if string(rc.Path()) == "/v1/machines" {
+		e.listMachines(rc)
+		return
+	}
+	var body struct {
+		Machine string
+		Pool    string
+		Wave    int
+	}
+	if err := json.Unmarshal(rc.PostBody(), &body); err != nil {
+		rc.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	token, err := strconv.ParseInt(string(rc.Request.Header.Peek("X-Godwitcross-Fencing-Token")), 10, 64)
+	if err != nil || len(rc.Request.Header.Peek("X-Godwitcross-Lease-Holder")) == 0 {
+		rc.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := e.machines[body.Machine]
+	switch {
+	case m == nil:
+		rc.SetStatusCode(fasthttp.StatusBadRequest)
+	case token < e.token[m.id]:
+		reply(rc, fasthttp.StatusConflict, map[string]string{"Reason": "fence"})
+	case m.state != "up":
+		e.token[m.id] = token
+		reply(rc, fasthttp.StatusConflict, map[string]string{"Reason": "busy"})
+	default:
+		e.token[m.id] = token
+		e.away(m, body.Pool)
+		rc.SetStatusCode(fasthttp.StatusOK)
+	}
+}
+
+// away takes a machine down for a move, or for an upkeep if there is no pool.
+func (e *Estate) away(m *machine, pool string) {
+	m.state = "upkeep"
+	if pool != "" {
+		m.state, m.pool = "moving", pool
+	}
+	if w := m.worker; w != nil {
+		m.worker = nil
+		delete(e.workers, w.id)
+		e.Log.Put("keyed.servers", w.id, nil)
+		go w.leave()
+	}
+	time.AfterFunc(e.cfg.MoveTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		m.state = "up"
+		if m.pool != e.cfg.Spare {
+			_ = e.bear(m)
+		}
+	})
+}
+
+func (e *Estate) listMachines(rc *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := []map[string]any{}
+	for _, m := range e.machines {
+		row := map[string]any{"Machine": m.id, "Pool": m.pool, "State": m.state, "Zone": "z1", "Labels": []string{"a", "r1"}, "Capacity": e.cfg.Capacity}
+		if m.worker != nil {
+			row["Id"] = m.worker.id
+		}
+		list = append(list, row)
+	}
+	reply(rc, fasthttp.StatusOK, map[string]any{"Machines": list, "NextToken": nil})
+}
+
+// handleAdvice allows every second worker that a question names, and all if there
+// is one only.
+func (e *Estate) handleAdvice(rc *fasthttp.RequestCtx) {
+	var body struct {
+		Step    string
+		Workers []string
+	}
+	if err := json.Unmarshal(rc.PostBody(), &body); err != nil || body.Step == "" {
+		rc.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	good := [][2]string{}
+	for i, w := range body.Workers {
+		if i%2 == 0 {
+			good = append(good, [2]string{w, "t-" + body.Step + "-" + w})
+		}
+	}
+	reply(rc, fasthttp.StatusOK, map[string]any{"Good": good, "ValidMs": 3000})
+}
--- /dev/null
+++ b/standin/estate/log.go
@@ -0,0 +1,346 @@
+// Package estate is a small stand-in for the users' platform: its store, workers,
+// machines and adviser on loopback addresses, with their published protocol and some
+// of their faults. It shares no code with the product's adapter.
+package estate
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Limits of the stand-in's log.
+const (
+	// pageItems is how many records a page of the newest holds at most.
+	pageItems = 500
+	// repeatsKept is how many appends of a producer are answered again.
+	repeatsKept = 5
+	// maxWait bounds a waiting read.
+	maxWait = 30 * time.Second
+)
+
+// Mode is what the log does with a call.
+type Mode string
+
+// Modes of the log.
+const (
+	Up     Mode = ""
+	Busy   Mode = "busy"
+	Silent Mode = "silent"
+	// Lossy does each append and answers none.
+	Lossy Mode = "lossy"
+)
+
+// Log is the store.
+type Log struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	mode   Mode
+	// appends counts appends that were done.
+	appends int
+}
+
+// topic is one partition of a topic; the stand-in keeps partition 0 only.
+type topic struct {
+	records [][]byte
+	// first is the offset of the first record that is kept.
+	first     int64
+	newest    map[string]keyed
+	producers map[string]*producer
+	changed   chan struct{}
+}
+
+type keyed struct {
+	value  []byte
+	offset int64
+}
+
+type producer struct {
+	epoch, seq int64
+	answers    map[int64]appended
+}
+
+type appended struct {
+	Offset int64
+	End    int64
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log {
+	return &Log{topics: make(map[string]*topic)}
+}
+
+// SetMode changes what the log does with calls of the system.
+func (l *Log) SetMode(m Mode) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mode = m
+}
+
+// Appends returns how many appends were done.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Trim forgets the records of a topic before an offset; the newest of each key stays.
+func (l *Log) Trim(name string, before int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.topic(name)
+	for t.first < before && len(t.records) > 0 {
+		t.records = t.records[1:]
+		t.first++
+	}
+}
+
+// Put writes a key as the operator or a worker does; no value drops it.
+func (l *Log) Put(name, key string, value []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	content := append([]byte{byte(len(key))}, key...)
+	l.topic(name).add([][]byte{append(content, value...)})
+}
+
+// Get returns the newest value of a key.
+func (l *Log) Get(name, key string) ([]byte, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k, ok := l.topic(name).newest[key]
+	return k.value, ok
+}
+
+func (l *Log) topic(name string) *topic {
+	t := l.topics[name]
+	if t == nil {
+		t = &topic{newest: make(map[string]keyed), producers: make(map[string]*producer), changed: make(chan struct{})}
+		l.topics[name] = t
+	}
+	return t
+}
+
+func (t *topic) end() int64 {
+	return t.first + int64(len(t.records))
+}
+
+func (t *topic) add(contents [][]byte) appended {
+	a := appended{Offset: t.end()}
+	for _, c := range contents {
+		if len(c) > 0 && len(c) > int(c[0]) {
+			key, value := string(c[1:1+c[0]]), c[1+c[0]:]
+			if len(value) == 0 {
+				delete(t.newest, key)
+			} else {
+				t.newest[key] = keyed{value: value, offset: t.end()}
+			}
+		}
+		t.records = append(t.records, c)
+	}
+	a.End = t.end()
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return a
+}
+
+// Handle answers a call.
+func (l *Log) Handle(rc *fasthttp.RequestCtx) {
+	l.mu.Lock()
+	mode := l.mode
+	l.mu.Unlock()
+	switch mode {
+	case Busy:
+		rc.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	case Silent:
+		drop(rc)
+		return
+	}
+	switch string(rc.Path()) {
+	case "/v1/log-append":
+		l.append(rc)
+		if mode == Lossy {
+			drop(rc)
+		}
+	case "/v1/log-read":
+		l.read(rc)
+	case "/v1/log-newest":
+		l.page(rc)
+	default:
+		rc.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// drop leaves a call without an answer and closes its connection.
+func drop(rc *fasthttp.RequestCtx) {
+	rc.HijackSetNoResponse(true)
+	rc.Hijack(func(c net.Conn) { _ = c.Close() })
+}
+
+func arg(rc *fasthttp.RequestCtx, name string) int64 {
+	n, err := strconv.ParseInt(string(rc.QueryArgs().Peek(name)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func reply(rc *fasthttp.RequestCtx, status int, body any) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		rc.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	rc.SetStatusCode(status)
+	rc.SetContentType("application/json")
+	rc.SetBody(b)
+}
+
+func split(b []byte) ([][]byte, bool) {
+	var out [][]byte
+	for len(b) > 0 {
+		if len(b) < 4 {
+			return nil, false
+		}
+		n := int(binary.BigEndian.Uint32(b))
+		if len(b) < 4+n {
+			return nil, false
+		}
+		out = append(out, slices.Clone(b[4:4+n]))
+		b = b[4+n:]
+	}
+	return out, true
+}
+
+func (l *Log) append(rc *fasthttp.RequestCtx) {
+	name := string(rc.QueryArgs().Peek("Topic"))
+	contents, ok := split(rc.PostBody())
+	switch {
+	case !ok:
+		rc.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	case name == "keyed.op" || name == "keyed.servers":
+		rc.SetStatusCode(fasthttp.StatusForbidden)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.topic(name)
+	if rc.QueryArgs().Has("Producer") && !l.sequence(rc, t, len(contents)) {
+		return
+	}
+	if rc.QueryArgs().Has("At") && arg(rc, "At") != t.end() {
+		reply(rc, fasthttp.StatusPreconditionFailed, map[string]int64{"End": t.end()})
+		return
+	}
+	a := appended{Offset: t.end(), End: t.end()}
+	if len(contents) > 0 {
+		a = t.add(contents)
+		l.appends++
+		if p := t.producers[string(rc.QueryArgs().Peek("Producer"))]; p != nil {
+			seq := arg(rc, "Seq")
+			p.seq = seq + 1
+			p.answers[seq] = a
+			delete(p.answers, seq-repeatsKept)
+		}
+	}
+	reply(rc, fasthttp.StatusOK, a)
+}
+
+// sequence checks a producer's epoch and sequence number. It answers and reports
+// false where the append isn't to be done.
+func (l *Log) sequence(rc *fasthttp.RequestCtx, t *topic, records int) bool {
+	name, epoch, seq := string(rc.QueryArgs().Peek("Producer")), arg(rc, "epoch"), arg(rc, "Seq")
+	p := t.producers[name]
+	switch {
+	case p != nil && epoch < p.epoch:
+		reply(rc, fasthttp.StatusConflict, map[string]any{"Reason": "fenced", "epoch": p.epoch})
+		return false
+	case p == nil || epoch > p.epoch:
+		t.producers[name] = &producer{epoch: epoch, seq: seq, answers: make(map[int64]appended)}
+		return true
+	case records == 0:
+		return true
+	}
+	if a, ok := p.answers[seq]; ok {
+		reply(rc, fasthttp.StatusOK, a)
+		return false
+	}
+	if seq != p.seq && len(p.answers) > 0 {
+		reply(rc, fasthttp.StatusConflict, map[string]any{"Reason": "seq", "Seq": p.seq})
+		return false
+	}
+	return true
+}
+
+func (l *Log) read(rc *fasthttp.RequestCtx) {
+	name, from := string(rc.QueryArgs().Peek("Topic")), arg(rc, "From")
+	wait := min(time.Duration(arg(rc, "WaitMs"))*time.Millisecond, maxWait)
+	deadline := time.After(wait)
+	for {
+		l.mu.Lock()
+		t := l.topic(name)
+		if from < t.first {
+			first := t.first
+			l.mu.Unlock()
+			reply(rc, fasthttp.StatusGone, map[string]int64{"First": first})
+			return
+		}
+		if from < t.end() || wait == 0 {
+			rc.SetBody(t.since(from))
+			l.mu.Unlock()
+			return
+		}
+		changed := t.changed
+		l.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			wait = 0
+		}
+	}
+}
+
+// since writes the records from an offset on as a read answers them.
+func (t *topic) since(from int64) []byte {
+	b := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
+	b = binary.BigEndian.AppendUint64(b, uint64(t.first))
+	for i := from; i < t.end(); i++ {
+		c := t.records[i-t.first]
+		b = binary.BigEndian.AppendUint32(b, uint32(len(c)))
+		b = append(b, c...)
+	}
+	return b
+}
+
+func (l *Log) page(rc *fasthttp.RequestCtx) {
+	type item struct {
+		Key    string
+		Value  string
+		Offset int64
+	}
+	name, after := string(rc.QueryArgs().Peek("Topic")), string(rc.QueryArgs().Peek("After"))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.topic(name)
+	items := []item{}
+	for k, v := range t.newest {
+		if k > after {
+			items = append(items, item{k, base64.StdEncoding.EncodeToString(v.value), v.offset})
+		}
+	}
+	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	more := len(items) > pageItems
+	if more {
+		items = items[:pageItems]
+	}
+	reply(rc, fasthttp.StatusOK, map[string]any{"items": items, "More": more, "End": t.end()})
+}
