--- a/fleet/scheduling/budget.go
+++ b/fleet/scheduling/budget.go
@@ -7,10 +7,11 @@
 // time between two reports.
 const atWorkAge = holdWait + 500*time.Millisecond
 
-// isAtWork reports whether a task is known to work at full pace.
+// isAtWork reports whether a task is known to work at full pace, on a worker whose
+// host was not ordered away.
 func (t *task) isAtWork(now time.Time) bool {
 	r := t.run
-	return r != nil && r.phase == running && r.percent >= 100 && r.worker.failing.IsZero() && now.Sub(r.knownAt) <= atWorkAge
+	return r != nil && r.phase == running && r.percent >= 100 && !r.worker.ordered && r.worker.failing.IsZero() && now.Sub(r.knownAt) <= atWorkAge
 }
 
 // away counts the tasks of a step that are not at work, leaving out one of them.
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -18,6 +18,8 @@
 	idleToSpare = 700 * time.Millisecond
 	// listFresh is how old the list of hosts may be for an order.
 	listFresh = 3 * time.Second
+	// describeEvery is how often the log tells how pools stand.
+	describeEvery = time.Second
 	// tokenStep leaves room for the orders of one epoch below the next epoch's tokens.
 	tokenStep = 1_000_000
 	// orderRetry is the pause before an order for a host is sent again.
@@ -140,10 +142,15 @@
 
 // duty counts an order against the platform's rate and returns its token.
 func (s *Scheduler) duty(now time.Time) (int64, bool) {
-	if s.cfg.DutiesPerSecond > 0 && now.Sub(s.lastDuty) < time.Duration(float64(time.Second)/s.cfg.DutiesPerSecond) {
-		return 0, false
+	if s.cfg.DutiesPerSecond > 0 {
+		// A second's worth may go at once: that is how the platform counts them.
+		s.duties = min(s.duties+now.Sub(s.lastDuty).Seconds()*s.cfg.DutiesPerSecond, s.cfg.DutiesPerSecond)
+		s.lastDuty = now
+		if s.duties < 1 {
+			return 0, false
+		}
+		s.duties--
 	}
-	s.lastDuty = now
 	s.dutySeq++
 	return s.cfg.Epoch*tokenStep + s.dutySeq, true
 }
@@ -154,7 +161,11 @@
 	demand
 	// coming hosts are on their way to the pool.
 	coming int
-	// need is how many more hosts the waiting tasks would fill.
+	// used and total are of the workers that stay.
+	used, total job.Room
+	// arriving is the rate of work that comes, in thousandths of a core.
+	arriving int64
+	// need is how many more hosts the pool should have; below 0 it has too many.
 	need int
 }
 
@@ -162,20 +173,46 @@
 // pools whose hosts idle, and idle hosts back to the spare pool.
 func (s *Scheduler) balance(now time.Time) {
 	wants := s.poolDemands(now)
+	s.describe(now, wants)
 	for _, p := range wants {
 		for ; p.need > 0; p.need-- {
 			h := s.donor(now, p.name, wants)
 			if h == nil {
 				break
 			}
+			from := h.Pool
 			if !s.moveHost(now, h, p.name, "tasks wait") {
 				return
 			}
+			takeSurplus(wants, from)
 		}
 	}
 	s.releaseIdle(now, wants)
 }
 
+// describe writes a line for each pool once a second.
+func (s *Scheduler) describe(now time.Time, wants []*poolDemand) {
+	if now.Before(s.nextDescription) {
+		return
+	}
+	s.nextDescription = now.Add(describeEvery)
+	for _, p := range wants {
+		hosts, idle, room := 0, 0, job.Room{}
+		for _, w := range s.workers.all() {
+			if w.Pool != p.name {
+				continue
+			}
+			hosts++
+			if w.runs.len() == 0 {
+				idle++
+			}
+			room = room.Add(w.free())
+		}
+		s.note("pool", "", "Pool", p.name, "Workers", hosts, "Idle", idle, "Coming", p.coming, "Need", p.need,
+			"Arriving", p.arriving, "WaitingTasks", p.tasks, "WaitingCPU", p.room.CPU, "FreeCPU", room.CPU)
+	}
+}
+
 // poolDemands lists the pools with queues, the neediest first.
 func (s *Scheduler) poolDemands(now time.Time) []*poolDemand {
 	d := s.demands(now)
@@ -198,13 +235,64 @@
 			}
 		}
 	}
+	for _, w := range s.workers.all() {
+		if e := byName[w.Pool]; e != nil && w.listed && !w.Draining && !w.cordoned && w.failing.IsZero() {
+			e.used, e.total = e.used.Add(w.used), e.total.Add(w.Capacity)
+		}
+	}
 	for _, e := range list {
-		e.need = hostsFor(e.room, typical) - e.coming
+		e.arriving = s.arriving(now, e.name)
+		e.need = e.wants(typical) - e.has(typical)
+		if at, ok := s.crowded[e.name]; ok && now.Sub(at) < 2*balanceEvery {
+			e.need = max(e.need, 1-e.coming)
+		}
+		if s.waitsLong(now, e) {
+			// Room alone doesn't help them: they need other workers, or larger gaps.
+			e.need = max(e.need, hostsFor(e.room, typical)-e.coming)
+		}
 	}
 	slices.SortFunc(list, func(a, b *poolDemand) int { return cmp.Or(cmp.Compare(b.need, a.need), cmp.Compare(a.name, b.name)) })
 	return list
 }
 
+// stuckAfter is how long a pool's tasks may wait before hosts are fetched for them
+// although there seems to be room.
+const stuckAfter = 250 * time.Millisecond
+
+// waitsLong reports whether tasks of a pool have waited all the time for a while.
+func (s *Scheduler) waitsLong(now time.Time, p *poolDemand) bool {
+	if p.tasks == 0 {
+		delete(s.waitingSince, p.name)
+		return false
+	}
+	since, ok := s.waitingSince[p.name]
+	if !ok {
+		s.waitingSince[p.name] = now
+		return false
+	}
+	return now.Sub(since) >= stuckAfter
+}
+
+// fillable is the share of a host that tasks fill on average: what is left of a host
+// is often too small for the next task.
+const fillable = 0.9
+
+// wants is how many hosts serve what runs and waits, and at least what arrives.
+func (p *poolDemand) wants(size job.Room) int {
+	r := p.used.Add(p.room)
+	r.CPU = max(r.CPU, p.arriving)
+	r.CPU = int64(float64(r.CPU) / fillable)
+	return hostsFor(r, size)
+}
+
+// has is how many hosts the pool has and gets.
+func (p *poolDemand) has(size job.Room) int {
+	if size.CPU == 0 {
+		return p.coming
+	}
+	return p.coming + int(p.total.CPU/size.CPU)
+}
+
 // hostsFor is how many hosts of a size a room fills.
 func hostsFor(need, size job.Room) int {
 	n := int64(0)
@@ -233,7 +321,7 @@
 		switch w := s.workerOn(h); {
 		case s.isSpare(h.Pool):
 			rank = 2
-		case w != nil && w.runs.len() == 0 && w.greeted && w.failing.IsZero() && !w.Draining && !hasDemand(wants, h.Pool):
+		case w != nil && w.runs.len() == 0 && w.greeted && w.failing.IsZero() && !w.Draining && hasSurplus(wants, h.Pool):
 			rank = 1
 		}
 		if rank > bestRank || (rank == bestRank && best != nil && rank > 0 && h.ID < best.ID) {
@@ -243,8 +331,18 @@
 	return best
 }
 
-func hasDemand(wants []*poolDemand, pool string) bool {
-	return slices.ContainsFunc(wants, func(p *poolDemand) bool { return p.name == pool && p.tasks > 0 })
+// hasSurplus reports whether a pool can give a host away.
+func hasSurplus(wants []*poolDemand, pool string) bool {
+	return slices.ContainsFunc(wants, func(p *poolDemand) bool { return p.name == pool && p.need < 0 })
+}
+
+// takeSurplus counts a host that a pool gives away.
+func takeSurplus(wants []*poolDemand, pool string) {
+	for _, p := range wants {
+		if p.name == pool {
+			p.need++
+		}
+	}
 }
 
 // isCordoned reports whether a host is being emptied for its maintenance.
@@ -266,7 +364,7 @@
 	}
 	for _, h := range s.hosts.all() {
 		w := s.workerOn(h)
-		if w == nil || !h.isFree(now) || s.isSpare(h.Pool) || w.cordoned || h.refusedPools[spare] || hasDemand(wants, h.Pool) {
+		if w == nil || !h.isFree(now) || s.isSpare(h.Pool) || w.cordoned || h.refusedPools[spare] || !hasSurplus(wants, h.Pool) {
 			continue
 		}
 		if w.runs.len() > 0 || !w.greeted || w.Draining || w.idleSince.IsZero() || now.Sub(w.idleSince) < idleToSpare {
@@ -275,6 +373,7 @@
 		if !s.moveHost(now, h, spare, "idle") {
 			return
 		}
+		takeSurplus(wants, h.Pool)
 	}
 }
 
@@ -289,7 +388,7 @@
 	}
 	s.note("host move ordered", "", "Host", string(h.ID), "From", h.Pool, "To", pool, "Reason", reason, "Token", token, "ListAgeMs", now.Sub(s.listed).Milliseconds())
 	if w := s.workerOn(h); w != nil {
-		w.cordoned = true
+		w.cordoned, w.ordered = true, true
 	}
 	h.order = hostOrder{kind: moveOrder, pool: pool, sent: now}
 	s.emit(Move{Host: h.ID, Pool: pool, Token: token})
@@ -349,8 +448,9 @@
 }
 
 func (s *Scheduler) cancelOrder(now time.Time, h *host) {
-	if w := s.workerOn(h); w != nil && h.order.kind == moveOrder {
-		w.cordoned = false
+	if w := s.workerOn(h); w != nil {
+		w.ordered = false
+		w.cordoned = w.cordoned && h.order.kind != moveOrder
 		s.dirty = true
 	}
 	h.order = hostOrder{}
--- /dev/null
+++ b/fleet/scheduling/rate.go
@@ -0,0 +1,70 @@
+package scheduling
+
+import "time"
+
+const (
+	// rateWindow is over how long arrivals are counted: short against a peak of some
+	// seconds, long enough that some ten jobs come in it.
+	rateWindow = time.Second
+	// rateBuckets divide the window.
+	rateBuckets = 10
+)
+
+// rate counts the work that arrives, in thousandths of a core: what has to run at
+// once, on average, so that as much ends as comes.
+type rate struct {
+	buckets [rateBuckets]float64
+	// last is the bucket that is filled now, counted since the zero time.
+	last int64
+}
+
+// at moves the window on.
+func (r *rate) at(now time.Time) int64 {
+	n := now.UnixNano() / int64(rateWindow/rateBuckets)
+	for i := max(r.last+1, n-rateBuckets+1); i <= n; i++ {
+		r.buckets[i%rateBuckets] = 0
+	}
+	r.last = max(r.last, n)
+	return n
+}
+
+// add counts work of so many thousandths of a core for a time.
+func (r *rate) add(now time.Time, cpu int64, took time.Duration) {
+	r.buckets[r.at(now)%rateBuckets] += float64(cpu) * took.Seconds()
+}
+
+// value returns the rate over the window.
+func (r *rate) value(now time.Time) int64 {
+	r.at(now)
+	sum := 0.0
+	for _, b := range r.buckets {
+		sum += b
+	}
+	return int64(sum / rateWindow.Seconds())
+}
+
+// arrive counts the work of a new job for its pool.
+func (s *Scheduler) arrive(now time.Time, js *jobState) {
+	pool, ok := s.poolOf(js)
+	if !ok || js.Times > 0 {
+		return
+	}
+	r := s.arrivals[pool]
+	if r == nil {
+		r = &rate{}
+		s.arrivals[pool] = r
+	}
+	for _, st := range js.Steps {
+		if !st.LongRunning && !st.Fills {
+			r.add(now, int64(st.Count)*st.Room.CPU, s.learned[js.Queue].estimate(st.Estimate))
+		}
+	}
+}
+
+// arriving returns the rate of work that arrives for a pool.
+func (s *Scheduler) arriving(now time.Time, pool string) int64 {
+	if r := s.arrivals[pool]; r != nil {
+		return r.value(now)
+	}
+	return 0
+}
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -27,6 +27,12 @@
 	early map[job.ID]time.Time
 	// timed jobs have occurrences that aren't due yet.
 	timed *table[job.ID, *jobState]
+	// arrivals holds, for each pool, the rate of work that comes.
+	arrivals map[string]*rate
+	// waitingSince is since when tasks of a pool have been waiting.
+	waitingSince map[string]time.Time
+	// crowded is when a pool last had no room for a task that has to leave its worker.
+	crowded map[string]time.Time
 	// learned holds, for each queue, how long its tasks take.
 	learned map[string]*durations
 	// waiting lists, for each queue, the steps with waiting tasks.
@@ -46,10 +52,13 @@
 	startedAt time.Time
 	// listed is when the hosts were last listed.
 	listed time.Time
-	// lastDuty is when a host was last ordered.
+	// duties is how many orders for hosts may go now, as of lastDuty.
+	duties   float64
 	lastDuty time.Time
 	// nextBalance is when pools are compared with their demand again.
 	nextBalance time.Time
+	// nextDescription is when the log tells again how pools stand.
+	nextDescription time.Time
 	// dutySeq makes the token of each order for hosts higher than all before.
 	dutySeq int64
 
@@ -86,6 +95,9 @@
 		jobs:           make(map[job.ID]*jobState),
 		early:          make(map[job.ID]time.Time),
 		timed:          newTable[job.ID, *jobState](),
+		arrivals:       make(map[string]*rate),
+		waitingSince:   make(map[string]time.Time),
+		crowded:        make(map[string]time.Time),
 		learned:        make(map[string]*durations),
 		waiting:        newTable[string, []*step](),
 		queued:         make(map[string]int),
@@ -166,6 +178,7 @@
 		s.finish(now, wall, js, job.Cancelled, "cancelled before it came")
 		return
 	}
+	s.arrive(now, js)
 	s.open(now, wall, js)
 }
 
--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -187,12 +187,36 @@
 
 // isUrgent reports whether the wave would be late if its hosts were emptied first.
 func (s *Scheduler) isUrgent(now time.Time, v *wave) bool {
-	left := len(v.Hosts) - len(v.begun)
+	left, lasting := 0, 0
+	for _, id := range v.Hosts {
+		h := s.hosts.get(id)
+		if h == nil || v.begun[id] {
+			continue
+		}
+		left++
+		if w := s.workerOn(h); w != nil && w.hasLasting() {
+			lasting++
+		}
+	}
 	rounds := (left + v.MaxCount - 1) / max(v.MaxCount, 1)
-	need := time.Duration(rounds) * (s.cfg.MaintenanceTime + emptyTime)
+	// Hosts with tasks that last may have to go one after the other.
+	need := max(time.Duration(rounds)*(s.cfg.MaintenanceTime+emptyTime), time.Duration(lasting)*(s.cfg.MaintenanceTime+returnTime))
 	return now.Add(need).After(v.since.Add(v.Duration))
 }
 
+// hasLasting reports whether a task that lasts runs on the worker.
+func (w *worker) hasLasting() bool {
+	for _, r := range w.runs.all() {
+		if r.task.step.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// returnTime is how long a task that lasts takes until it is at work elsewhere.
+const returnTime = 2 * time.Second
+
 // emptyTime is how long tasks that end usually still run on a host that gets no
 // new ones: about two of the users' longer tasks.
 const emptyTime = 3 * time.Second
@@ -205,7 +229,11 @@
 			continue
 		}
 		leaves := w.Draining && now.Add(leaveSoon).After(w.leavesAt)
-		if (!leaves && !mayInterrupt(now, r)) || !s.fitsElsewhere(now, r) {
+		if !leaves && !mayInterrupt(now, r) {
+			continue
+		}
+		if !s.fitsElsewhere(now, r) {
+			s.crowded[w.Pool] = now
 			continue
 		}
 		r.relocating = true
@@ -240,6 +268,7 @@
 	runs := 0
 	if w := s.workerOn(h); w != nil {
 		runs = w.runs.len()
+		w.ordered = true
 	}
 	s.note("maintenance ordered", "", "Host", string(h.ID), "Wave", v.Number, "Token", token, "Runs", runs,
 		"AfterMs", now.Sub(v.since).Milliseconds())
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -54,6 +54,8 @@
 	idleSince time.Time
 	// cordoned workers get no new tasks: their host is due for maintenance.
 	cordoned bool
+	// ordered is set once the worker's host was ordered away.
+	ordered bool
 	// unanswered are starts that had no answer and may still arrive.
 	unanswered []unanswered
 	// leavesAt is when a draining worker leaves at the earliest.
