feat: the owner is a host with much of a core, and gives way to a stronger one

Cause: on the grown site a host with 0.19 of a core owned: half of the jobs started after 1.4 s and later owners were overloaded too.

--- a/entry/ownership/candidate.go
+++ b/entry/ownership/candidate.go
@@ -29,6 +29,13 @@
 	retryPause = 150 * time.Millisecond
 	// yieldPause is how long a host that gave ownership up does not claim again.
 	yieldPause = 4 * time.Second
+	// firstDeference is how much longer a host without any share of a core waits for the
+	// first claim; all hosts start within 300 ms.
+	firstDeference = 2 * time.Second
+	// deferenceTime is how much longer a host waits if a stronger one is there.
+	deferenceTime = 400 * time.Millisecond
+	// strongerBy is the factor in the share of a core that makes a host a stronger one.
+	strongerBy = 1.3
 	// firstPatience is the pause of the first start, when there has been no owner.
 	firstPatience = 50 * time.Millisecond
 )
@@ -49,8 +56,6 @@
 	Now func() time.Time
 	// Reign is run for each ownership of this host.
 	Reign Reign
-	// Share is the host's share of a core; hosts with more claim earlier.
-	Share float64
 }
 
 // Candidate follows who owns and claims when nobody does.
@@ -186,17 +191,26 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(c.cfg.Self.Name))
 	own := time.Duration(float64(h.Sum32()%100) / 100 * float64(spread))
-	if c.cfg.Share > 0 {
-		own = time.Duration(float64(own) * min(1, 0.4/c.cfg.Share))
-	}
 	switch {
 	case st.Epoch == 0:
-		return firstPatience + own/2
+		// The others aren't known yet: a whole core goes first.
+		return firstPatience + own/2 + time.Duration((1-min(c.cfg.Self.Share, 1))*float64(firstDeference))
 	case st.Released:
-		return own / 2
+		return own/2 + c.deference(st)
 	default:
-		return patience + own
+		return patience + own + c.deference(st)
+	}
+}
+
+// deference is how much longer a host waits than one that has more of a core: the
+// owner carries the calls to all workers.
+func (c *Candidate) deference(st State) time.Duration {
+	for _, p := range st.Peers {
+		if p.Name != st.Claim.Host.Name && p.Share > strongerBy*c.cfg.Self.Share {
+			return deferenceTime
+		}
 	}
+	return 0
 }
 
 // consider claims if nobody owns, and runs the ownership that it wins.
--- a/entry/ownership/signs.go
+++ b/entry/ownership/signs.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/godwitcross/godwitcross/entry/relay"
@@ -18,6 +20,9 @@
 // Signs gives an owner's signs of life and proves with each that it still owns.
 type Signs struct {
 	Epoch int64
+	// Term numbers the owners; later ones give way later, so that ownership doesn't go
+	// to and fro where the stronger host can't claim.
+	Term  int64
 	Self  relay.Peer
 	Store store.Store
 	Log   logrus.FieldLogger
@@ -31,15 +36,25 @@
 	seq int64
 }
 
+// ErrStronger says that the owner gave way to a host with more of a core.
+var ErrStronger = eris.New("a stronger host is there")
+
+// yieldAfter is how long an owner has owned before it gives way to a stronger host.
+const yieldAfter = 3 * time.Second
+
 // Run gives signs until the context ends or another owner is met, which is
 // store.ErrFenced.
 func (s *Signs) Run(ctx context.Context) error {
+	began := s.Now()
 	for ctx.Err() == nil {
 		sentAt := s.Now()
 		err := s.give(ctx, false)
 		switch {
 		case err == nil:
 			s.Confirmed(sentAt)
+			if s.Now().Sub(began) > time.Duration(s.Term+1)*yieldAfter && s.isWeak() {
+				return ErrStronger
+			}
 		case errors.Is(err, store.ErrFenced):
 			return err
 		case ctx.Err() == nil:
@@ -50,6 +65,11 @@
 	return ctx.Err()
 }
 
+// isWeak reports whether a much stronger host is there.
+func (s *Signs) isWeak() bool {
+	return slices.ContainsFunc(s.Peers(), func(p relay.Peer) bool { return p.Share > strongerBy*s.Self.Share })
+}
+
 // Release tells that this owner stops.
 func (s *Signs) Release(ctx context.Context) error {
 	return s.give(ctx, true)
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -37,6 +37,8 @@
 type Peer struct {
 	Name    string
 	Address string
+	// Share is the host's share of a core, 0 where it isn't known.
+	Share float64 `json:",omitempty"`
 }
 
 // StateRequest asks for a job's state.
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -51,8 +51,6 @@
 	Now        func() time.Time
 	Wall       func() int64
 	Scheduling scheduling.Config
-	// Share is the host's share of a core.
-	Share float64
 }
 
 // Site is one entry host.
@@ -84,7 +82,7 @@
 	s := &Site{cfg: cfg, peers: make(map[string]seenPeer), addresses: cfg.Seeds}
 	s.store = relay.NewStore(cfg.Direct, cfg.Relay, s.others, cfg.Log)
 	s.candidate = ownership.NewCandidate(ownership.Config{
-		Self: cfg.Self, Direct: cfg.Direct, Store: s.store, Log: cfg.Log, Now: cfg.Now, Reign: s.reign, Share: cfg.Share,
+		Self: cfg.Self, Direct: cfg.Direct, Store: s.store, Log: cfg.Log, Now: cfg.Now, Reign: s.reign,
 	})
 	s.follower = publication.NewFollower(publication.Config{
 		Store: s.store, Decode: s.decodeConfiguration, Log: cfg.Log, Now: cfg.Now,
--- a/entry/steward/steward.go
+++ b/entry/steward/steward.go
@@ -99,7 +99,7 @@
 	}
 	s.lanes = newLanes(s)
 	s.signs = &ownership.Signs{
-		Epoch: epoch, Self: cfg.Self, Store: cfg.Store, Log: s.log, Now: cfg.Now, Peers: cfg.Peers,
+		Epoch: epoch, Term: term, Self: cfg.Self, Store: cfg.Store, Log: s.log, Now: cfg.Now, Peers: cfg.Peers,
 		Confirmed: func(sentAt time.Time) {
 			s.tell(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.Confirm(sentAt) })
 		},
@@ -143,10 +143,10 @@
 	if errors.Is(err, store.ErrFenced) {
 		return eris.Wrap(ErrFenced, err.Error())
 	}
-	if errors.Is(err, ErrFenced) || ctx.Err() == nil {
-		return err
+	if ctx.Err() != nil || errors.Is(err, ownership.ErrStronger) {
+		return errors.Join(err, s.release())
 	}
-	return s.release()
+	return err
 }
 
 // release tells the other hosts that this owner has stopped.
--- /dev/null
+++ b/fleet/scheduling/scale_test.go
@@ -0,0 +1,49 @@
+package scheduling
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// BenchmarkASecondOfAPeak measures the scheduler in a peak: jobs of 16 tasks come
+// faster than their pool can run them, beside pools that are quiet.
+func BenchmarkASecondOfAPeak(b *testing.B) {
+	for _, workers := range []int{50, 350, 1000} {
+		b.Run(fmt.Sprintf("%d workers", workers), func(b *testing.B) {
+			each := workers / 6
+			w := newWorld(1, map[string]int{"a": each, "b": each, "c": each, "d": each}, 2*each)
+			w.tamper = func(w *world, a Action) []Action {
+				if _, isNote := a.(Note); isNote {
+					return nil
+				}
+				return []Action{a}
+			}
+			w.run(2 * time.Second)
+			perSecond := workers / 5
+			var spent time.Duration
+			w.spent = &spent
+			b.ResetTimer()
+			for range b.N {
+				for i := range perSecond {
+					w.after(time.Duration(i)*time.Second/time.Duration(perSecond), func() {
+						w.submit(w.peakJob("a"), time.Second, false)
+					})
+				}
+				w.run(time.Second)
+			}
+			b.ReportMetric(float64(spent.Milliseconds())/float64(b.N), "ms/s-of-scheduling")
+			b.ReportMetric(float64(w.runsDone)/float64(b.N), "runs/s")
+		})
+	}
+}
+
+func (w *world) peakJob(pool string) job.Job {
+	j := w.newJob(pool, 6000, 4)
+	for i := range j.Steps {
+		j.Steps[i].Count, j.Steps[i].Speculative = 8, false
+	}
+	return j
+}
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -45,6 +45,8 @@
 	waves                    []Wave
 	// tamper plants faults into owners' actions, or is nil.
 	tamper func(w *world, a Action) []Action
+	// spent sums the time that the scheduler takes, or is nil.
+	spent *time.Duration
 	// lastAtWork and orderedOff are of tasks that last: when they were at work last,
 	// and whether an order has ended them since.
 	lastAtWork map[job.Task]time.Time
@@ -722,10 +724,14 @@
 		o.list()
 		o.sign()
 	}
+	began := time.Now()
 	o.s.Tick(w.now, w.wall())
 	if !o.commits {
 		o.s.Flush()
 	}
+	if w.spent != nil {
+		*w.spent += time.Since(began)
+	}
 	for _, a := range o.s.Take() {
 		if w.tamper == nil {
 			o.carryOut(a)
