--- a/entry/publication/follower.go
+++ b/entry/publication/follower.go
@@ -124,9 +124,14 @@
 		log.WithField("Error", err.Error()).Warn("publication skipped")
 		return
 	}
-	if c == nil {
-		return
+	if c != nil {
+		f.Adopt(c)
 	}
+}
+
+// Adopt takes a configuration into force unless a newer one is. All parts of a host
+// hand on what they read, so that none acts by an older version than another.
+func (f *Follower) Adopt(c *queue.Configuration) {
 	for {
 		old := f.current.Load()
 		if old != nil && old.Version >= c.Version {
@@ -139,7 +144,7 @@
 		if old != nil {
 			from = old.Version
 		}
-		log.WithFields(logrus.Fields{"Version": c.Version, "From": from, "Queues": len(c.Queues), "Pools": len(c.Pools)}).Info("configuration in force")
+		f.cfg.Log.WithFields(logrus.Fields{"Version": c.Version, "From": from, "Queues": len(c.Queues), "Pools": len(c.Pools)}).Info("configuration in force")
 		if f.cfg.Published != nil {
 			f.cfg.Published(c)
 		}
--- /dev/null
+++ b/entry/publication/follower_test.go
@@ -0,0 +1,115 @@
+package publication
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/entry/store"
+	"github.com/godwitcross/godwitcross/fleet/queue"
+)
+
+// fakeStore answers reads of the operators' stream.
+type fakeStore struct {
+	store.Store
+	page store.Page
+	err  error
+	// reads and newest count the calls.
+	reads, newest int
+}
+
+func (f *fakeStore) Read(context.Context, store.Stream, int64, time.Duration) (store.Page, error) {
+	f.reads++
+	return f.page, f.err
+}
+
+func (f *fakeStore) Newest(context.Context, store.Stream) (store.Page, error) {
+	f.newest++
+	return f.page, f.err
+}
+
+// decode reads a version from a record; a text is not one.
+func decode(r store.Record) (*queue.Configuration, error) {
+	n, err := strconv.ParseInt(string(r.Value), 10, 64)
+	if err != nil {
+		return nil, eris.New("no version")
+	}
+	return queue.New(n, nil, nil, queue.Limits{}), nil
+}
+
+func newTestFollower(s store.Store, now *time.Time) (*Follower, *test.Hook) {
+	log, hook := test.NewNullLogger()
+	log.SetLevel(logrus.DebugLevel)
+	return NewFollower(Config{Store: s, Decode: decode, Log: log, Now: func() time.Time { return *now }}), hook
+}
+
+func record(value string) store.Record {
+	return store.Record{Key: "config", Value: []byte(value)}
+}
+
+func TestVersionsOnlyRise(t *testing.T) {
+	now := time.Unix(100, 0)
+	tests := map[string]struct {
+		values []string
+		want   int64
+	}{
+		"in order":                       {[]string{"1", "4", "9"}, 9},
+		"out of order":                   {[]string{"9", "4", "1"}, 9},
+		"with one that can't be read":    {[]string{"3", "x", "2"}, 3},
+		"the same again":                 {[]string{"5", "5"}, 5},
+		"with gaps between the versions": {[]string{"1", "100"}, 100},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f, _ := newTestFollower(&fakeStore{}, &now)
+			for _, v := range tt.values {
+				f.apply(record(v))
+			}
+			require.Equal(t, tt.want, f.Current().Version)
+		})
+	}
+}
+
+// The scheduler may read a publication first: requests are routed by it at once.
+func TestAConfigurationThatAnotherPartReadIsInForce(t *testing.T) {
+	now := time.Unix(100, 0)
+	f, _ := newTestFollower(&fakeStore{}, &now)
+	f.apply(record("4"))
+	f.Adopt(queue.New(8, nil, nil, queue.Limits{}))
+	require.EqualValues(t, 8, f.Current().Version)
+	f.apply(record("7"))
+	require.EqualValues(t, 8, f.Current().Version)
+}
+
+// Only a look at the store a moment ago proves that nothing newer is there.
+func TestFreshLooksAtTheStore(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := &fakeStore{page: store.Page{Records: []store.Record{record("2")}, Next: 1}}
+	f, _ := newTestFollower(s, &now)
+	c, ok := f.Fresh(context.Background())
+	require.True(t, ok)
+	require.EqualValues(t, 2, c.Version)
+	require.Equal(t, 1, s.newest)
+
+	s.page = store.Page{Next: 1}
+	_, ok = f.Fresh(context.Background())
+	require.True(t, ok)
+	require.Zero(t, s.reads, "it was proved a moment ago")
+
+	now = now.Add(time.Second)
+	s.err = store.ErrUnavailable
+	c, ok = f.Fresh(context.Background())
+	require.False(t, ok)
+	require.EqualValues(t, 2, c.Version, "the old one is still told")
+
+	s.err = store.ErrTrimmed
+	_, ok = f.Fresh(context.Background())
+	require.False(t, ok)
+	require.Equal(t, 2, s.newest, "a gap is read anew")
+}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -85,7 +85,7 @@
 		Self: cfg.Self, Direct: cfg.Direct, Store: s.store, Log: cfg.Log, Now: cfg.Now, Reign: s.reign,
 	})
 	s.follower = publication.NewFollower(publication.Config{
-		Store: s.store, Decode: s.decodeConfiguration, Log: cfg.Log, Now: cfg.Now,
+		Store: s.store, Decode: s.decodeConfiguration, Log: cfg.Log, Now: cfg.Now, Published: s.published,
 	})
 	s.batcher = intake.NewBatcher(s.store, cfg.Log, cfg.Metrics)
 	s.intake = intake.New(intake.Config{
@@ -133,12 +133,19 @@
 	return p.Configuration, err
 }
 
+// published hands a configuration to the scheduler, if this host is the owner.
+func (s *Site) published(c *queue.Configuration) {
+	if st := s.steward.Load(); st != nil {
+		go st.Configure(c)
+	}
+}
+
 // reign runs the scheduler during one ownership of this host.
 func (s *Site) reign(ctx context.Context, epoch int64, claim ownership.Claim) error {
 	st := steward.New(steward.Config{
 		Self: s.cfg.Self, Store: s.store, Workers: s.cfg.Workers, Hosts: s.cfg.Hosts, Adviser: s.cfg.Adviser,
 		Decoder: s.cfg.Decoder, Log: s.cfg.Log, Metrics: s.cfg.Metrics, Now: s.cfg.Now, Wall: s.cfg.Wall,
-		Scheduling: s.cfg.Scheduling, Peers: s.known,
+		Scheduling: s.cfg.Scheduling, Peers: s.known, Published: s.follower.Adopt,
 	}, epoch, claim.Term)
 	s.steward.Store(st)
 	defer s.steward.Store(nil)
--- a/entry/steward/load.go
+++ b/entry/steward/load.go
@@ -131,6 +131,7 @@
 			continue
 		}
 		if p.Configuration != nil {
+			s.cfg.Published(p.Configuration)
 			sch.Configure(p.Configuration)
 		}
 	}
--- a/entry/steward/steward.go
+++ b/entry/steward/steward.go
@@ -64,6 +64,8 @@
 	Wall func() int64
 	// Scheduling holds the bounds; epoch and term are set for each ownership.
 	Scheduling scheduling.Config
+	// Published is told of each configuration that is read, before it is acted on.
+	Published func(c *queue.Configuration)
 	// Peers are told to all hosts with each sign of life.
 	Peers func() []relay.Peer
 }
