--- a/entry/ownership/candidate.go
+++ b/entry/ownership/candidate.go
@@ -40,8 +40,9 @@
 	firstPatience = 50 * time.Millisecond
 )
 
-// Reign is one ownership: Run returns when it ends.
-type Reign func(ctx context.Context, epoch int64, claim Claim) error
+// Reign is one ownership; it returns when it ends. silent is how long the owner
+// before had given no sign, negative if it stopped as planned.
+type Reign func(ctx context.Context, epoch int64, claim Claim, silent time.Duration) error
 
 // Config is what a candidate is built from.
 type Config struct {
@@ -62,6 +63,8 @@
 type Candidate struct {
 	cfg   Config
 	nonce string
+	// silent is what the next reign is told of the owner before.
+	silent time.Duration
 
 	mu sync.Mutex
 	// state is guarded by mu.
@@ -246,6 +249,10 @@
 		c.cfg.Log.WithField("Error", err.Error()).Error("claim not encoded")
 		return
 	}
+	c.silent = c.cfg.Now().Sub(st.SignAt)
+	if st.Stopping {
+		c.silent = -1
+	}
 	at := st.Next
 	_, err = c.cfg.Direct.Append(ctx, store.Append{Stream: store.Owner, At: &at, Records: []store.Record{{Key: keyClaim, Value: b}}})
 	entry := c.cfg.Log.WithFields(logrus.Fields{
@@ -266,7 +273,7 @@
 func (c *Candidate) reign(ctx context.Context, st State) {
 	log := c.cfg.Log.WithFields(logrus.Fields{"Epoch": st.Epoch, "Term": st.Claim.Term})
 	log.Info("ownership begins")
-	err := c.cfg.Reign(ctx, st.Epoch, st.Claim)
+	err := c.cfg.Reign(ctx, st.Epoch, st.Claim, c.silent)
 	fields := logrus.Fields{}
 	if err != nil {
 		fields["Error"] = err.Error()
--- a/entry/ownership/record.go
+++ b/entry/ownership/record.go
@@ -32,8 +32,10 @@
 	Host  relay.Peer
 	// Peers are the entry hosts that the owner knows.
 	Peers []relay.Peer
-	// Released owners have stopped as planned: the next one need not wait.
+	// Released owners own no more: the next one need not wait.
 	Released bool
+	// Stopping owners released since their host stops.
+	Stopping bool
 }
 
 // State is what a host knows of the owner.
@@ -44,6 +46,8 @@
 	Peers []relay.Peer
 	// Released is set once the owner has stopped as planned.
 	Released bool
+	// Stopping is set if it released since its host stops.
+	Stopping bool
 	// SignAt is when the last claim or sign of the epoch was read.
 	SignAt time.Time
 	// Next is the offset from which to read on.
@@ -62,7 +66,7 @@
 		if r.Offset+1 <= s.Epoch {
 			return false, nil
 		}
-		s.Epoch, s.Claim, s.SignAt, s.Released = r.Offset+1, c, now, false
+		s.Epoch, s.Claim, s.SignAt, s.Released, s.Stopping = r.Offset+1, c, now, false, false
 		return true, nil
 	case keySign:
 		var b Sign
@@ -72,7 +76,7 @@
 		if b.Epoch != s.Epoch {
 			return false, nil
 		}
-		s.SignAt, s.Peers, s.Released = now, b.Peers, b.Released
+		s.SignAt, s.Peers, s.Released, s.Stopping = now, b.Peers, b.Released, b.Stopping
 	}
 	return false, nil
 }
--- a/entry/ownership/signs.go
+++ b/entry/ownership/signs.go
@@ -48,7 +48,7 @@
 	began := s.Now()
 	for ctx.Err() == nil {
 		sentAt := s.Now()
-		err := s.give(ctx, false)
+		err := s.give(ctx, false, false)
 		switch {
 		case err == nil:
 			s.Confirmed(sentAt)
@@ -71,12 +71,12 @@
 }
 
 // Release tells that this owner stops.
-func (s *Signs) Release(ctx context.Context) error {
-	return s.give(ctx, true)
+func (s *Signs) Release(ctx context.Context, stopping bool) error {
+	return s.give(ctx, true, stopping)
 }
 
-func (s *Signs) give(ctx context.Context, released bool) error {
-	b, err := json.Marshal(Sign{Epoch: s.Epoch, Host: s.Self, Peers: s.Peers(), Released: released})
+func (s *Signs) give(ctx context.Context, released, stopping bool) error {
+	b, err := json.Marshal(Sign{Epoch: s.Epoch, Host: s.Self, Peers: s.Peers(), Released: released, Stopping: stopping})
 	if err != nil {
 		return err
 	}
--- a/entry/steward/steward.go
+++ b/entry/steward/steward.go
@@ -146,16 +146,16 @@
 		return eris.Wrap(ErrFenced, err.Error())
 	}
 	if ctx.Err() != nil || errors.Is(err, ownership.ErrStronger) {
-		return errors.Join(err, s.release())
+		return errors.Join(err, s.release(ctx.Err() != nil))
 	}
 	return err
 }
 
 // release tells the other hosts that this owner has stopped.
-func (s *Steward) release() error {
+func (s *Steward) release(stopping bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	return s.signs.Release(ctx)
+	return s.signs.Release(ctx, stopping)
 }
 
 // takeOver shuts out the owner before and marks the place in the order of work.
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -111,16 +111,22 @@
 		return
 	}
 	s.nextBalance = now.Add(balanceEvery)
-	if now.Sub(s.startedAt) < s.cfg.HostLease && s.cfg.Term > 0 {
-		return
-	}
-	if now.Sub(s.confirmed) > s.cfg.Grace {
+	if now.Before(s.hostsFrom()) || !s.confirmedForHosts(now) {
 		return
 	}
 	s.tickWaves(now)
 	s.balance(now)
 }
 
+// hostsFrom is when this owner may order hosts: the orders of the owner before must
+// have ended for the time of a host's lease, unless it stopped as planned.
+func (s *Scheduler) hostsFrom() time.Time {
+	if s.cfg.Term == 0 || s.cfg.FormerSilent < 0 {
+		return s.startedAt
+	}
+	return s.startedAt.Add(hostProof + s.cfg.HostLease - s.cfg.FormerSilent)
+}
+
 // workerOn returns the worker that runs on a host, or nil.
 func (s *Scheduler) workerOn(h *host) *worker {
 	if h.Worker == "" {
@@ -398,7 +404,7 @@
 // confirmedForHosts reports whether this owner was proved to be the owner a short
 // time ago. Orders for hosts have no lease that would end on its own.
 func (s *Scheduler) confirmedForHosts(now time.Time) bool {
-	return now.Sub(s.confirmed) < s.cfg.HostLease
+	return now.Sub(s.confirmed) < hostProof
 }
 
 // Ordered takes the platform's answer to an order for a host.
