--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -58,6 +58,7 @@
 		*step
 		priority int
 		prospect prospect
+		isBegun  bool
 		slack    time.Duration
 	}
 	var all []keyed
@@ -70,7 +71,7 @@
 			}
 			kept = append(kept, st)
 			q, _ := s.conf.Queue(name)
-			k := keyed{step: st, priority: q.Priority}
+			k := keyed{step: st, priority: q.Priority, isBegun: st.occ.isBegun()}
 			k.prospect, k.slack = s.prospect(now, q, st)
 			all = append(all, k)
 		}
@@ -78,7 +79,7 @@
 		s.waiting.put(name, kept)
 	}
 	slices.SortFunc(all, func(a, b keyed) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.prospect, b.prospect), cmp.Compare(a.slack, b.slack), cmp.Compare(a.occ.job.ID, b.occ.job.ID), cmp.Compare(a.number, b.number))
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.prospect, b.prospect), compareBool(b.isBegun, a.isBegun), cmp.Compare(a.slack, b.slack), cmp.Compare(a.occ.job.ID, b.occ.job.ID), cmp.Compare(a.number, b.number))
 	})
 	steps := make([]*step, len(all))
 	for i, k := range all {
@@ -87,6 +88,29 @@
 	return steps
 }
 
+// compareBool puts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// isBegun reports whether a task of the occurrence runs or has run to its end: what
+// was begun is only worth something once all of it is done.
+func (o *occurrence) isBegun() bool {
+	for _, st := range o.steps {
+		if st.done > 0 || len(st.waiting) < st.Count && st.released {
+			return true
+		}
+	}
+	return false
+}
+
 // poolOf returns the pool that runs a job's tasks now, and false while the job was
 // accepted under a configuration that isn't known here yet.
 func (s *Scheduler) poolOf(js *jobState) (string, bool) {
