--- a/entry/backend/conn.go
+++ b/entry/backend/conn.go
@@ -152,3 +152,13 @@
 func (c *Conn) Close() {
 	_ = c.raw.Close()
 }
+
+// Abort closes the connection and takes back what the other end has not received
+// yet: a request that was given up must not arrive once the network works again.
+func (c *Conn) Abort() {
+	if l, ok := c.raw.(interface{ SetLinger(seconds int) error }); ok {
+		// Without it the bytes may still arrive, as before any close.
+		_ = l.SetLinger(0)
+	}
+	_ = c.raw.Close()
+}
--- a/entry/backend/pool.go
+++ b/entry/backend/pool.go
@@ -94,7 +94,8 @@
 		return err
 	}
 	if err := c.Do(r.Message, r.Answer, r.MaxBody, r.Deadline); err != nil {
-		p.discard(r.Address, c)
+		c.Abort()
+		p.forget(r.Address)
 		if isSilent := !time.Now().Before(r.Deadline); isSilent {
 			p.closeIdle(r.Address)
 		}
--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -72,6 +72,8 @@
 	// lateOrders is how long an order without an answer may still be carried out: the
 	// platform speaks of seconds, its users of 2 to 12.
 	lateOrders = 13 * time.Second
+	// strayGap is the pause before a run that isn't wanted is told to stop again.
+	strayGap = 500 * time.Millisecond
 	// keptFailures bounds the failed runs that are kept of a task that lasts, whose
 	// number has no limit.
 	keptFailures = 8
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -126,8 +126,11 @@
 // view lists the workers of a pool that may get tasks.
 func (s *Scheduler) view(now time.Time, pool string) *poolView {
 	v := &poolView{}
+	// Workers that don't reject what doesn't fit must have no run of unknown size.
+	p, _ := s.conf.Pool(pool)
+	isGuarded := p.Guarded
 	for _, w := range s.workers.all() {
-		if w.Pool != pool || !w.mayServe(now) {
+		if w.Pool != pool || !w.mayServe(now) || (!isGuarded && len(w.strays) > 0) {
 			continue
 		}
 		v.workers = append(v.workers, w)
--- a/fleet/scheduling/restore_test.go
+++ b/fleet/scheduling/restore_test.go
@@ -144,3 +144,34 @@
 	state, _, _ = s.State(testID)
 	require.Equal(t, job.Failed, state, "three attempts are used up")
 }
+
+// A run of a job that has ended takes room that isn't known. A worker that starts
+// whatever it is told gets nothing until that run is gone.
+func TestAStrayRunKeepsAWorkerWithoutAdmissionControlFree(t *testing.T) {
+	for _, isGuarded := range []bool{true, false} {
+		s, now := readyScheduler(t)
+		c := testConfiguration()
+		s.Configure(queue.New(2, c.Queues, []queue.Pool{{Name: "p", Guarded: isGuarded}}, queue.Limits{}))
+		w := s.workers.get("w1")
+		stray := RunRow{Task: job.Task{Job: "ffffffffffffffff"}, Run: 1}
+		ok := Answer{Outcome: Accepted, ClockMs: 10}
+		s.Held(now, 0, w.Life, 0, now, ok, Report{Born: 1, ClockMs: 10, Running: []RunRow{stray}})
+		s.Accept(now, 0, testJob(1))
+		s.Tick(now, 0)
+		actions := s.Take()
+		require.Equal(t, isGuarded, len(starts(actions)) == 1)
+		stops := 0
+		for _, a := range actions {
+			if _, isStop := a.(Stop); isStop {
+				stops++
+			}
+		}
+		require.Equal(t, 1, stops)
+		if isGuarded {
+			continue
+		}
+		s.Held(now, 0, w.Life, 0, now, ok, Report{Born: 1, ClockMs: 10})
+		s.Tick(now, 0)
+		require.Len(t, starts(s.Take()), 1, "the stray run is gone")
+	}
+}
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -58,11 +58,20 @@
 	ordered bool
 	// unanswered are starts that had no answer and may still arrive.
 	unanswered []unanswered
+	// strays are runs that the last report listed and that belong to no task, with
+	// when they were told to stop.
+	strays map[strayRun]time.Time
 	// leavesAt is when a draining worker leaves at the earliest.
 	leavesAt time.Time
 	steps    map[*step]int
 }
 
+// strayRun names a run that belongs to no task.
+type strayRun struct {
+	task   job.Task
+	number int64
+}
+
 // unanswered is a start without an answer.
 type unanswered struct {
 	task   job.Task
@@ -282,7 +291,7 @@
 
 // needsHold reports whether the worker has a lease to keep or ends to be told of.
 func (w *worker) needsHold() bool {
-	return !w.greeted || w.runs.len() > 0 || w.seen > w.told
+	return !w.greeted || w.runs.len() > 0 || w.seen > w.told || len(w.strays) > 0
 }
 
 func (s *Scheduler) hold(now time.Time, w *worker) {
@@ -299,6 +308,9 @@
 
 // isQuiet reports whether no answer of the worker is awaited but for ends.
 func (w *worker) isQuiet() bool {
+	if len(w.strays) > 0 {
+		return false
+	}
 	for _, r := range w.runs.all() {
 		if r.phase == stopped {
 			return false
@@ -378,6 +390,9 @@
 	if rep.Partial {
 		w.nextHold = now
 	}
+	if len(w.strays) > 0 {
+		w.nextHold = now.Add(storeWait)
+	}
 }
 
 func (s *Scheduler) unreachable(now time.Time, w *worker, o Outcome) {
@@ -418,6 +433,8 @@
 
 // reportRunning compares what runs on a worker with what should.
 func (s *Scheduler) reportRunning(now time.Time, w *worker, rep Report) {
+	strays := w.strays
+	w.strays = make(map[strayRun]time.Time)
 	for _, row := range rep.Running {
 		r := w.runs.get(row.Task)
 		if r != nil && r.number == row.Run {
@@ -426,12 +443,12 @@
 		}
 		t := s.find(row.Task)
 		if t == nil {
-			s.stopStranger(w, row)
+			s.stopStray(now, w, row, strays)
 			continue
 		}
 		t.lastRun = max(t.lastRun, row.Run)
 		if r != nil || t.done || t.run != nil || t.owner().state.Final() {
-			s.stopStranger(w, row)
+			s.stopStray(now, w, row, strays)
 			continue
 		}
 		s.adopt(now, w, t, row)
@@ -440,6 +457,7 @@
 		delete(s.unaccounted, w.ID)
 		s.dirty = true
 	}
+	s.dirty = s.dirty || len(strays) > len(w.strays)
 }
 
 func (s *Scheduler) observe(now time.Time, r *run, row RunRow) {
@@ -479,8 +497,15 @@
 	}
 }
 
-// stopStranger stops a run that isn't wanted and belongs to no task.
-func (s *Scheduler) stopStranger(w *worker, row RunRow) {
+// stopStray stops a run that isn't wanted and belongs to no task. It takes room that
+// isn't known until it is gone.
+func (s *Scheduler) stopStray(now time.Time, w *worker, row RunRow, before map[strayRun]time.Time) {
+	key := strayRun{row.Task, row.Run}
+	if at, ok := before[key]; ok && now.Sub(at) < strayGap {
+		w.strays[key] = at
+		return
+	}
+	w.strays[key] = now
 	s.note("stray run stopped", row.Task.Job, "Task", row.Task.String(), "Run", row.Run, "Worker", string(w.ID))
 	s.emit(Stop{Worker: w.Life, Address: w.Address, Task: row.Task, Run: row.Run, Token: s.cfg.Epoch})
 }
