--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -1,11 +1,9 @@
 package scheduling
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
-
-	"github.com/godwitcross/godwitcross/fleet/job"
 )
 
 // Policy of pools and maintenance.
@@ -161,168 +159,54 @@
 	return s.cfg.Epoch*tokenStep + s.dutySeq, true
 }
 
-// poolDemand is how a pool stands in one round of balancing.
-type poolDemand struct {
-	name string
-	demand
-	// coming hosts are on their way to the pool.
-	coming int
-	// used and total are of the workers that stay.
-	used, total job.Room
-	// arriving is the rate of work that comes, in thousandths of a core.
-	arriving int64
-	// need is how many more hosts the pool should have; below 0 it has too many.
-	need int
-}
-
 // balance moves hosts to the pools whose tasks wait, from the spare pool and from
 // pools whose hosts idle, and idle hosts back to the spare pool.
 func (s *Scheduler) balance(now time.Time) {
 	wants := s.poolDemands(now)
 	s.describe(now, wants)
 	for _, p := range wants {
-		for ; p.need > 0; p.need-- {
-			h := s.donor(now, p.name, wants)
-			if h == nil {
-				break
-			}
-			from := h.Pool
-			if !s.moveHost(now, h, p.name, "tasks wait") {
+		for _, label := range slices.Sorted(maps.Keys(p.labeled)) {
+			if !s.fetch(now, p, label, p.lacks(label), wants) {
 				return
 			}
-			takeSurplus(wants, from)
 		}
-	}
-	s.releaseIdle(now, wants)
-}
-
-// describe writes a line for each pool once a second.
-func (s *Scheduler) describe(now time.Time, wants []*poolDemand) {
-	if now.Before(s.nextDescription) {
-		return
-	}
-	s.nextDescription = now.Add(describeEvery)
-	for _, p := range wants {
-		hosts, idle, room := 0, 0, job.Room{}
-		for _, w := range s.workers.all() {
-			if w.Pool != p.name {
-				continue
-			}
-			hosts++
-			if w.runs.len() == 0 {
-				idle++
-			}
-			room = room.Add(w.free())
+		if !s.fetch(now, p, "", p.need, wants) {
+			return
 		}
-		s.note("pool", "", "Pool", p.name, "Workers", hosts, "Idle", idle, "Coming", p.coming, "Need", p.need,
-			"Arriving", p.arriving, "WaitingTasks", p.tasks, "WaitingCPU", p.room.CPU, "FreeCPU", room.CPU)
 	}
+	s.releaseIdle(now, wants)
 }
 
-// poolDemands lists the pools with queues, the neediest first.
-func (s *Scheduler) poolDemands(now time.Time) []*poolDemand {
-	d := s.demands(now)
-	byName := make(map[string]*poolDemand)
-	var list []*poolDemand
-	for _, p := range s.conf.Pools {
-		if p.Spare {
-			continue
-		}
-		e := &poolDemand{name: p.Name, demand: d[p.Name]}
-		byName[p.Name] = e
-		list = append(list, e)
-	}
-	var typical job.Room
-	for _, h := range s.hosts.all() {
-		typical = job.Room{CPU: max(typical.CPU, h.Capacity.CPU), MemMB: max(typical.MemMB, h.Capacity.MemMB), GPU: max(typical.GPU, h.Capacity.GPU)}
-		if h.order.kind == moveOrder {
-			if e := byName[h.order.pool]; e != nil {
-				e.coming++
-			}
-		}
-	}
-	for _, w := range s.workers.all() {
-		if e := byName[w.Pool]; e != nil && w.listed && !w.Draining && !w.cordoned && w.failing.IsZero() {
-			e.used, e.total = e.used.Add(w.used), e.total.Add(w.Capacity)
-		}
-	}
-	for _, e := range list {
-		e.arriving = s.arriving(now, e.name)
-		e.need = e.wants(typical) - e.has(typical)
-		if at, ok := s.crowded[e.name]; ok && now.Sub(at) < 2*balanceEvery {
-			e.need = max(e.need, 1-e.coming)
+// fetch moves up to n hosts with a label to a pool, or any hosts if there is none. It
+// reports false once no order may be given now.
+func (s *Scheduler) fetch(now time.Time, p *poolDemand, label string, n int, wants []*poolDemand) bool {
+	for range max(n, 0) {
+		h := s.donor(now, p.name, label, wants)
+		if h == nil {
+			return true
 		}
-		if s.waitsLong(now, e) {
-			// Room alone doesn't help them: they need other workers, or larger gaps.
-			e.need = max(e.need, hostsFor(e.room, typical)-e.coming)
+		from := h.Pool
+		if !s.moveHost(now, h, p.name, "tasks wait") {
+			return false
 		}
+		p.need--
+		takeSurplus(wants, from)
 	}
-	slices.SortFunc(list, func(a, b *poolDemand) int { return cmp.Or(cmp.Compare(b.need, a.need), cmp.Compare(a.name, b.name)) })
-	return list
-}
-
-// stuckAfter is how long a pool's tasks may wait before hosts are fetched for them
-// although there seems to be room.
-const stuckAfter = 250 * time.Millisecond
-
-// waitsLong reports whether tasks of a pool have waited all the time for a while.
-func (s *Scheduler) waitsLong(now time.Time, p *poolDemand) bool {
-	if p.tasks == 0 {
-		delete(s.waitingSince, p.name)
-		return false
-	}
-	since, ok := s.waitingSince[p.name]
-	if !ok {
-		s.waitingSince[p.name] = now
-		return false
-	}
-	return now.Sub(since) >= stuckAfter
-}
-
-// fillable is the share of a host that tasks fill on average: what is left of a host
-// is often too small for the next task.
-const fillable = 0.9
-
-// wants is how many hosts serve what runs and waits, and at least what arrives.
-func (p *poolDemand) wants(size job.Room) int {
-	r := p.used.Add(p.room)
-	r.CPU = max(r.CPU, p.arriving)
-	r.CPU = int64(float64(r.CPU) / fillable)
-	return hostsFor(r, size)
-}
-
-// has is how many hosts the pool has and gets.
-func (p *poolDemand) has(size job.Room) int {
-	if size.CPU == 0 {
-		return p.coming
-	}
-	return p.coming + int(p.total.CPU/size.CPU)
-}
-
-// hostsFor is how many hosts of a size a room fills.
-func hostsFor(need, size job.Room) int {
-	n := int64(0)
-	if size.CPU > 0 {
-		n = max(n, (need.CPU+size.CPU-1)/size.CPU)
-	}
-	if size.MemMB > 0 {
-		n = max(n, (need.MemMB+size.MemMB-1)/size.MemMB)
-	}
-	if size.GPU > 0 {
-		n = max(n, (need.GPU+size.GPU-1)/size.GPU)
-	}
-	return int(n)
+	return true
 }
 
-// donor finds a host for a pool: a spare one, else an idle one of a pool without
+// donor finds a host with a label, if there is one, for a pool: a spare one, else an idle one of a pool without
 // waiting tasks.
-func (s *Scheduler) donor(now time.Time, pool string, wants []*poolDemand) *host {
+func (s *Scheduler) donor(now time.Time, pool, label string, wants []*poolDemand) *host {
 	var best *host
 	bestRank := 0
 	for _, h := range s.hosts.all() {
 		if !h.isFree(now) || h.Pool == pool || h.refusedPools[pool] || s.isCordoned(h) {
 			continue
 		}
+		if label != "" && !slices.Contains(h.Labels, label) {
+			continue
+		}
 		rank := 0
 		switch w := s.workerOn(h); {
 		case s.isSpare(h.Pool):
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -8,14 +8,6 @@
 	"github.com/godwitcross/godwitcross/fleet/job"
 )
 
-// demand is what a pool's waiting tasks ask for beyond what could be placed.
-type demand struct {
-	// room is the sum over all waiting tasks.
-	room job.Room
-	// tasks counts them.
-	tasks int
-}
-
 // poolView is a pool during one round of placement.
 type poolView struct {
 	workers []*worker
@@ -382,30 +374,3 @@
 	}
 	return ws
 }
-
-// demands sums what waits for each pool.
-func (s *Scheduler) demands(now time.Time) map[string]demand {
-	d := make(map[string]demand)
-	for _, list := range s.waiting.all() {
-		for _, st := range list {
-			if len(st.waiting) == 0 {
-				continue
-			}
-			pool, ok := s.poolOf(st.occ.job)
-			if !ok {
-				continue
-			}
-			e := d[pool]
-			takes := st.Takes()
-			for _, t := range st.waiting {
-				if now.Before(t.notBefore) {
-					continue
-				}
-				e.room = e.room.Add(takes)
-				e.tasks++
-			}
-			d[pool] = e
-		}
-	}
-	return d
-}
--- a/fleet/scheduling/types.go
+++ b/fleet/scheduling/types.go
@@ -155,7 +155,9 @@
 	State      HostState
 	DataCentre string
 	Rack       string
-	Capacity   job.Room
+	// Labels are those that a worker on the host has.
+	Labels   []string
+	Capacity job.Room
 	// Worker is empty while no worker runs on the host.
 	Worker WorkerID
 }
