--- a/fleet/scheduling/scale_test.go
+++ b/fleet/scheduling/scale_test.go
@@ -15,7 +15,7 @@
 		b.Run(fmt.Sprintf("%d workers", workers), func(b *testing.B) {
 			each := workers / 6
 			w := newWorld(1, map[string]int{"a": each, "b": each, "c": each, "d": each}, 2*each)
-			w.tamper = func(w *world, a Action) []Action {
+			w.tamper = func(_ *world, a Action) []Action {
 				if _, isNote := a.(Note); isNote {
 					return nil
 				}
--- a/standin/check/check.go
+++ b/standin/check/check.go
@@ -44,6 +44,7 @@
 	{"operators and callers prove who they are over TLS", overTLS},
 	{"a stopped entry host cuts off no request", stopWithRequests},
 	{"no request was executed twice", noDoubles},
+	{"on the platform's path a job is submitted, run, read and cancelled", platformPath},
 }
 
 // Run walks all steps, writes a line for each, and ends at the first that is wrong.
