feat: a fault soak of processes, and nobody says that a job isn't known without a look

Change: before it says that a job isn't known, the owner reads the work up to its end; if it can't, the caller's host asks on.

--- a/entry/steward/load.go
+++ b/entry/steward/load.go
@@ -188,25 +188,48 @@
 func (s *Steward) tailWork(ctx context.Context, from int64) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	isDeposed := false
 	apply := func(records []store.Record) {
-		for _, r := range records {
-			if isDeposed = isDeposed || s.isLaterOwner(r); isDeposed {
-				// What follows in the order of the work is another owner's.
-				s.tell(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.Depose() })
-				cancel()
-				return
-			}
-			s.applyWork(r)
+		if s.applyWorkPage(records); s.isDeposed.Load() {
+			cancel()
 		}
 	}
 	err := s.tail(ctx, store.Work, from, apply, apply)
-	if isDeposed {
+	if s.isDeposed.Load() {
 		return ErrFenced
 	}
 	return err
 }
 
+// applyWorkPage hands on records of the work stream up to the mark of a later owner:
+// what follows in the order of the work is that owner's.
+func (s *Steward) applyWorkPage(records []store.Record) {
+	for _, r := range records {
+		if s.isLaterOwner(r) {
+			s.isDeposed.Store(true)
+			s.tell(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.Depose() })
+		}
+		if s.isDeposed.Load() {
+			return
+		}
+		s.applyWork(r)
+		s.workNext.Store(max(s.workNext.Load(), r.Offset+1))
+	}
+}
+
+// catchUp reads the work up to its end, so that a job that isn't known then wasn't
+// accepted before.
+func (s *Steward) catchUp(ctx context.Context) error {
+	page, err := s.cfg.Store.Read(ctx, store.Work, s.workNext.Load(), 0)
+	if err != nil {
+		return err
+	}
+	s.applyWorkPage(page.Records)
+	if s.isDeposed.Load() {
+		return ErrFenced
+	}
+	return nil
+}
+
 // isLaterOwner reports whether a record marks where a later owner took over.
 func (s *Steward) isLaterOwner(r store.Record) bool {
 	if r.Key != keyOwner || r.Err != nil {
--- a/entry/steward/steward.go
+++ b/entry/steward/steward.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -88,6 +89,10 @@
 	// commitAt is when the open commit is sent at the latest.
 	commitAt time.Time
 	commits  chan scheduling.Commit
+	// workNext is the offset up to which the work was handed on.
+	workNext atomic.Int64
+	// isDeposed is set once a later owner's mark was read.
+	isDeposed atomic.Bool
 }
 
 // New returns the steward of an ownership.
@@ -132,6 +137,7 @@
 	if err != nil {
 		return err
 	}
+	s.workNext.Store(barrier + 1)
 	s.log.WithFields(logrus.Fields{"TookMs": s.cfg.Now().Sub(began).Milliseconds(), "Barrier": barrier}).Info("took over")
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.signs.Run(gctx) })
@@ -307,8 +313,21 @@
 	s.tell(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.Configure(c) })
 }
 
-// State answers what callers may be told of a job.
+// State answers what callers may be told of a job. That it isn't known is only said
+// after a look at the end of the work.
 func (s *Steward) State(ctx context.Context, id job.ID) (relay.StateAnswer, error) {
+	a, err := s.known(ctx, id)
+	if err != nil || a.Known {
+		return a, err
+	}
+	if err := s.catchUp(ctx); err != nil {
+		return a, eris.Wrap(relay.ErrNoOwner, err.Error())
+	}
+	return s.known(ctx, id)
+}
+
+// known answers what the scheduler knows of a job.
+func (s *Steward) known(ctx context.Context, id job.ID) (relay.StateAnswer, error) {
 	return ask(ctx, s, func(sch *scheduling.Scheduler) relay.StateAnswer {
 		state, queue, ok := sch.State(id)
 		return relay.StateAnswer{Known: ok, State: state, Queue: queue}
--- a/standin/estate/estate.go
+++ b/standin/estate/estate.go
@@ -41,8 +41,12 @@
 	workers  map[string]*Worker
 	next     int
 	starts   []Start
-	version  int
-	token    map[string]int64
+	// running counts the runs of each task, done those that ended so.
+	running, done map[string]int
+	// doubles lists tasks that ran twice at a time.
+	doubles []string
+	version int
+	token   map[string]int64
 }
 
 type listener struct {
@@ -57,7 +61,7 @@
 
 // New starts an estate on loopback addresses.
 func New(cfg Config) (*Estate, error) {
-	e := &Estate{cfg: cfg, Log: NewLog(), machines: make(map[string]*machine), workers: make(map[string]*Worker), token: make(map[string]int64)}
+	e := &Estate{cfg: cfg, Log: NewLog(), machines: make(map[string]*machine), workers: make(map[string]*Worker), token: make(map[string]int64), running: make(map[string]int), done: make(map[string]int)}
 	var err error
 	if e.store, err = listen(e.Log.Handle); err != nil {
 		return nil, err
@@ -151,6 +155,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts = append(e.starts, s)
+	if e.running[s.Task]++; e.running[s.Task] > 1 {
+		e.doubles = append(e.doubles, s.Task)
+	}
 	switch {
 	case strings.HasPrefix(s.Spec, "lasts"):
 		return ""
@@ -160,6 +167,37 @@
 	return "done"
 }
 
+// endedRun notes the end of a run.
+func (e *Estate) endedRun(task, how string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running[task]--
+	if how == "done" {
+		e.done[task]++
+	}
+}
+
+// Doubles returns the tasks that ran twice at a time.
+func (e *Estate) Doubles() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.doubles...)
+}
+
+// Running returns how many runs a task has now.
+func (e *Estate) Running(task string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running[task]
+}
+
+// Done returns how often a task has ended as done.
+func (e *Estate) Done(task string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.done[task]
+}
+
 // Starts returns all starts so far.
 func (e *Estate) Starts() []Start {
 	e.mu.Lock()
@@ -275,6 +313,7 @@
 		m.worker = nil
 		delete(e.workers, w.id)
 		e.Log.Put("keyed.servers", w.id, nil)
+		// A worker's lock may be held by a start that waits for the estate's.
 		go w.leave()
 	}
 	time.AfterFunc(e.cfg.MoveTime, func() {
--- a/standin/estate/worker.go
+++ b/standin/estate/worker.go
@@ -79,6 +79,7 @@
 	}
 	w.server = &fasthttp.Server{Handler: w.handle}
 	go func() { _ = w.server.Serve(l) }()
+	go w.lapse()
 	return w, nil
 }
 
@@ -93,12 +94,38 @@
 	return time.Since(w.born).Milliseconds() + 1
 }
 
+// lapseEvery is how often leases are looked at.
+const lapseEvery = 50 * time.Millisecond
+
+// lapse ends what has no lease any more.
+func (w *Worker) lapse() {
+	for range time.Tick(lapseEvery) {
+		w.mu.Lock()
+		if w.gone {
+			w.mu.Unlock()
+			return
+		}
+		lapsed := make(map[string]*run)
+		if w.clock() > w.deadline {
+			for task, r := range w.runs {
+				lapsed[task] = r
+			}
+		}
+		w.mu.Unlock()
+		for task, r := range lapsed {
+			r.timer.Stop()
+			w.finish(task, r, "lapsed")
+		}
+	}
+}
+
 // leave ends the life with all that runs.
 func (w *Worker) leave() {
 	w.mu.Lock()
 	w.gone = true
-	for _, r := range w.runs {
+	for task, r := range w.runs {
 		r.timer.Stop()
+		w.e.endedRun(task, "gone")
 	}
 	w.runs = make(map[string]*run)
 	w.mu.Unlock()
@@ -188,6 +215,7 @@
 		return
 	}
 	delete(w.runs, task)
+	w.e.endedRun(task, how)
 	w.ended = append(w.ended, []any{w.nextEnd, task, r.number, how, r.saved})
 	w.nextEnd++
 	close(w.changed)
--- a/standin/main.go
+++ b/standin/main.go
@@ -25,7 +25,7 @@
 	app := &cli.Command{
 		Name:     "standin",
 		Usage:    "stand-ins for the platform and for backend servers",
-		Commands: []*cli.Command{newDev(), newSample(), newPlatform(), newBackend(), newEstate()},
+		Commands: []*cli.Command{newDev(), newSample(), newPlatform(), newBackend(), newEstate(), newSoak()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
--- /dev/null
+++ b/standin/soak.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/godwitcross/godwitcross/standin/soak"
+)
+
+// newSoak runs the soak.
+func newSoak() *cli.Command {
+	var cfg soak.Config
+	var seed, seeds, seconds int
+	return &cli.Command{
+		Name: "soak", Usage: "run entry hosts as processes under random faults and check what callers and workers see",
+		Description: "Build the program first: go build -ldflags=-linkmode=external -o target/ ./platform/godwitcross\n\nExample: standin soak --seed 1 --seconds 10",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "seed", Usage: "first seed of faults and jobs", Value: 1, Destination: &seed},
+			&cli.IntFlag{Name: "seeds", Usage: "how many seeds, one after the other", Value: 1, Destination: &seeds},
+			&cli.IntFlag{Name: "seconds", Usage: "how long faults are injected, for each seed", Value: 10, Destination: &seconds},
+			&cli.IntFlag{Name: "entry-hosts", Usage: "processes", Value: 3, Destination: &cfg.Hosts},
+			&cli.IntFlag{Name: "workers", Usage: "workers at the start; half as many hosts are spare", Value: 6, Destination: &cfg.Workers},
+			&cli.StringFlag{Name: "binary", Usage: "program of an entry host", Value: "target/godwitcross", Destination: &cfg.Binary},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			cfg.Duration, cfg.Out = time.Duration(seconds)*time.Second, cmd.Root().Writer
+			for i := range seeds {
+				cfg.Seed = int64(seed + i)
+				dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", cfg.Seed))
+				if err != nil {
+					return err
+				}
+				cfg.Dir = dir
+				if err := soak.Run(ctx, cfg); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/standin/soak/fault.go
@@ -0,0 +1,98 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/godwitcross/godwitcross/standin/estate"
+)
+
+// inject brings faults about, one after the other and overlapping, until the time is
+// over and all have ended.
+func (s *soak) inject(ctx context.Context) {
+	began := time.Now()
+	var wg sync.WaitGroup
+	for time.Since(began) < s.cfg.Duration && ctx.Err() == nil {
+		p := s.any(s.rng)
+		lasts := time.Duration(s.rng.Int63n(int64(faultTime))) + 200*time.Millisecond
+		kind := s.rng.Intn(8)
+		which := s.rng.Intn(1000)
+		wg.Go(func() { s.fault(ctx, p, kind, which, lasts) })
+		pause(ctx, time.Duration(s.rng.Int63n(int64(faultGap))))
+	}
+	wg.Wait()
+}
+
+// fault brings one fault about and ends it.
+func (s *soak) fault(ctx context.Context, p *process, kind, which int, lasts time.Duration) {
+	switch kind {
+	case 0, 1:
+		s.tell(p, "killed", lasts)
+		p.end()
+		pause(ctx, lasts)
+		s.restart(p)
+	case 2:
+		s.tell(p, "stopped as planned", lasts)
+		p.signal(syscall.SIGTERM)
+		p.wait()
+		s.restart(p)
+	case 3:
+		s.tell(p, "paused", lasts)
+		p.signal(syscall.SIGSTOP)
+		pause(ctx, lasts)
+		p.signal(syscall.SIGCONT)
+	case 4, 5:
+		m := mode(1 + which%int(modes-1))
+		s.tell(p, "store "+modeNames[m], lasts)
+		p.proxy.set(m)
+		pause(ctx, lasts)
+		p.proxy.set(pass)
+	case 6:
+		m := []estate.Mode{estate.Busy, estate.Silent, estate.Lossy}[which%3]
+		s.tell(nil, "store "+string(m), lasts)
+		s.estate.Log.SetMode(m)
+		pause(ctx, lasts)
+		s.estate.Log.SetMode(estate.Up)
+	case 7:
+		s.worker(ctx, which, lasts)
+	}
+}
+
+// worker lets a worker answer nothing, or crash.
+func (s *soak) worker(ctx context.Context, which int, lasts time.Duration) {
+	all := s.estate.Workers()
+	if len(all) == 0 {
+		return
+	}
+	w := all[which%len(all)]
+	if which%2 == 0 {
+		s.tell(nil, "worker crashes", 0)
+		s.estate.Crash(w)
+		return
+	}
+	s.tell(nil, "worker mute", lasts)
+	w.SetMute(true)
+	pause(ctx, lasts)
+	w.SetMute(false)
+}
+
+func (s *soak) restart(p *process) {
+	// Another fault may have started it again meanwhile; it is ended first.
+	p.end()
+	if err := p.start(); err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.breaks("an entry host didn't start again: %s", err)
+	}
+}
+
+func (s *soak) tell(p *process, what string, lasts time.Duration) {
+	who := "platform"
+	if p != nil {
+		who = p.callers
+	}
+	fmt.Fprintf(s.cfg.Out, "%s %-16s %s for %s\n", time.Now().Format("15:04:05.000"), who, what, lasts.Round(time.Millisecond))
+}
--- /dev/null
+++ b/standin/soak/process.go
@@ -0,0 +1,94 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/BurntSushi/toml"
+	"github.com/rotisserie/eris"
+
+	"github.com/godwitcross/godwitcross/platform"
+	"github.com/godwitcross/godwitcross/standin/local"
+)
+
+// process is an entry host as a process of its own.
+type process struct {
+	binary, settings, output string
+	callers                  string
+	proxy                    *proxy
+
+	mu sync.Mutex
+	// cmd is nil while the process doesn't run; guarded by mu.
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+func newProcess(binary, dir string, s platform.Settings, p *proxy) (*process, error) {
+	s.Platform.Address = p.address()
+	path := filepath.Join(dir, s.Node+".toml")
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "write settings")
+	}
+	defer func() { _ = f.Close() }()
+	if err := toml.NewEncoder(f).Encode(s); err != nil {
+		return nil, eris.Wrap(err, "write settings")
+	}
+	return &process{binary: binary, settings: path, output: filepath.Join(dir, s.Node+".log"), callers: s.Listen.Front, proxy: p}, nil
+}
+
+// start starts the process; its lines go to a file.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out, err := os.OpenFile(p.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "open the log")
+	}
+	cmd := exec.Command(p.binary)
+	cmd.Env = []string{platform.SettingsVariable + "=" + p.settings, "GODWITCROSS_METRICS_PORT=0"}
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return eris.Wrap(err, "start an entry host")
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait()
+		_ = out.Close()
+		close(done)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process, which this soak has started.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// end kills the process and waits for its end.
+func (p *process) end() {
+	p.signal(syscall.SIGKILL)
+	p.wait()
+}
+
+func (p *process) wait() {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	if done != nil {
+		<-done
+	}
+}
+
+// ask sends one request of a caller to the process.
+func (p *process) ask(method, path, body string) (int, []byte) {
+	return local.Ask(p.callers, method, path, body)
+}
--- /dev/null
+++ b/standin/soak/soak.go
@@ -0,0 +1,339 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/godwitcross/godwitcross/standin/estate"
+	"github.com/godwitcross/godwitcross/standin/local"
+)
+
+// ErrBroken says that a promise was broken.
+var ErrBroken = eris.New("a promise was broken")
+
+const (
+	// jobEvery is the pause between two submissions.
+	jobEvery = 60 * time.Millisecond
+	// readTime is how long all hosts have to become ready, and how long all jobs have
+	// after the last fault: a lease, a grace and two takeovers.
+	readyTime  = 20 * time.Second
+	finishTime = 40 * time.Second
+	// faultGap is the longest pause between two faults; they overlap.
+	faultGap = 1500 * time.Millisecond
+	// faultTime is the longest that a fault lasts.
+	faultTime = 4 * time.Second
+	taskTime  = 200 * time.Millisecond
+	steps     = 2
+	tasks     = 3
+)
+
+// Config is what a soak is built from.
+type Config struct {
+	// Seed decides the faults and jobs.
+	Seed int64
+	// Duration is how long faults are injected.
+	Duration time.Duration
+	Hosts    int
+	Workers  int
+	// Binary is the program of an entry host.
+	Binary string
+	// Dir keeps settings and logs.
+	Dir string
+	Out io.Writer
+}
+
+// job is what the soak knows of a job as its caller.
+type job struct {
+	path string
+	id   string
+	// accepted, rejected and unknown count the answers to its submissions.
+	accepted, rejected, unknown int
+	cancelled                   bool
+	last                        string
+}
+
+// soak is one run.
+type soak struct {
+	cfg       Config
+	rng       *rand.Rand
+	estate    *estate.Estate
+	processes []*process
+
+	mu sync.Mutex
+	// jobs and broken are guarded by mu.
+	jobs   []*job
+	broken []string
+}
+
+// Run runs a soak and returns ErrBroken if a promise was.
+func Run(ctx context.Context, cfg Config) error {
+	s := &soak{cfg: cfg, rng: rand.New(rand.NewSource(cfg.Seed))}
+	if err := s.set(); err != nil {
+		return err
+	}
+	defer s.clear()
+	if err := s.waitReady(); err != nil {
+		return err
+	}
+	cctx, stopClients := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { s.submit(cctx, rand.New(rand.NewSource(cfg.Seed+1))) })
+	wg.Go(func() { s.read(cctx, rand.New(rand.NewSource(cfg.Seed+2))) })
+	s.inject(ctx)
+	stopClients()
+	wg.Wait()
+	s.finish(ctx)
+	return s.verdict()
+}
+
+// set starts the platform and the entry hosts.
+func (s *soak) set() error {
+	var err error
+	s.estate, err = estate.New(estate.Config{
+		Services: map[string]int{"desk": s.cfg.Workers, "spare": s.cfg.Workers / 2}, Spare: "spare", TaskTime: taskTime, MaxRuns: 12,
+		Capacity: map[string]any{"Cpu": 64000, "MemMb": 131072, "Gpu": 0}, MoveTime: 300 * time.Millisecond,
+	})
+	if err != nil {
+		return err
+	}
+	s.estate.Publish()
+	var control []string
+	for range s.cfg.Hosts {
+		a, err := local.FreeAddress()
+		if err != nil {
+			return err
+		}
+		control = append(control, a)
+	}
+	for i := range s.cfg.Hosts {
+		p, err := newProxy(s.estate.StoreAddress())
+		if err != nil {
+			return err
+		}
+		settings, err := local.Settings(s.estate, fmt.Sprintf("entry-%d", i+1), control[:min(3, len(control))], control[i])
+		if err != nil {
+			return err
+		}
+		proc, err := newProcess(s.cfg.Binary, s.cfg.Dir, settings, p)
+		if err != nil {
+			return err
+		}
+		if err := proc.start(); err != nil {
+			return err
+		}
+		s.processes = append(s.processes, proc)
+	}
+	return nil
+}
+
+func (s *soak) clear() {
+	for _, p := range s.processes {
+		p.signal(syscall.SIGCONT)
+		p.end()
+		_ = p.proxy.listener.Close()
+	}
+	s.estate.Stop()
+}
+
+func (s *soak) waitReady() error {
+	end := time.Now().Add(readyTime)
+	for _, p := range s.processes {
+		for {
+			if status, _ := p.ask(fasthttp.MethodGet, "/desk/", ""); status == fasthttp.StatusOK {
+				break
+			}
+			if time.Now().After(end) {
+				return eris.Errorf("an entry host didn't become ready within %s, see %s", readyTime, p.output)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (s *soak) any(rng *rand.Rand) *process {
+	return s.processes[rng.Intn(len(s.processes))]
+}
+
+// submit sends jobs to any host; what has no answer is sent again elsewhere.
+func (s *soak) submit(ctx context.Context, rng *rand.Rand) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for n := 1; ctx.Err() == nil; n++ {
+		j := &job{id: fmt.Sprintf("%016x", n)}
+		j.path = "/desk/" + j.id
+		tries := []*process{s.any(rng), s.any(rng), s.any(rng)}
+		isCancelled := rng.Intn(10) == 0
+		wg.Go(func() { s.hand(j, tries, isCancelled) })
+		pause(ctx, jobEvery)
+	}
+}
+
+// hand submits one job, and cancels it if it is to be.
+func (s *soak) hand(j *job, tries []*process, isCancelled bool) {
+	body := fmt.Sprintf(`{"Spec":"job %s","Steps":[{"Count":%d,"Cpu":1000,"EstimateMs":200},{"Count":%d,"Cpu":1000,"EstimateMs":200,"After":[0]}]}`, j.id, tasks, tasks)
+	s.mu.Lock()
+	s.jobs = append(s.jobs, j)
+	s.mu.Unlock()
+	for _, p := range tries {
+		status, _ := p.ask(fasthttp.MethodPost, j.path, body)
+		s.mu.Lock()
+		switch status {
+		case fasthttp.StatusOK:
+			j.accepted++
+		case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+			j.rejected++
+		default:
+			j.unknown++
+		}
+		isDone := j.accepted > 0
+		s.mu.Unlock()
+		if isDone {
+			break
+		}
+	}
+	if !isCancelled {
+		return
+	}
+	if status, _ := tries[0].ask(fasthttp.MethodDelete, j.path, ""); status == fasthttp.StatusOK {
+		s.mu.Lock()
+		j.cancelled = true
+		s.mu.Unlock()
+	}
+}
+
+// read asks for states while faults go on: a final state never changes.
+func (s *soak) read(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		var j *job
+		if len(s.jobs) > 0 {
+			j = s.jobs[rng.Intn(len(s.jobs))]
+		}
+		s.mu.Unlock()
+		if j != nil {
+			s.look(j, s.any(rng))
+		}
+		pause(ctx, jobEvery/2)
+	}
+}
+
+// look reads a job's state once and judges it by what is known.
+func (s *soak) look(j *job, p *process) {
+	s.mu.Lock()
+	wasAccepted := j.accepted > 0
+	before := j.last
+	s.mu.Unlock()
+	state := local.State(p.callers, j.path)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case "completed", "failed", "cancelled":
+		if isFinal(before) && before != state {
+			s.breaks("%s was %s and is %s", j.id, before, state)
+		}
+		j.last = state
+	case "queued", "running":
+		if isFinal(before) {
+			s.breaks("%s was %s and is %s", j.id, before, state)
+		}
+	case "410":
+		if wasAccepted {
+			s.breaks("%s was accepted and isn't known", j.id)
+		}
+	}
+}
+
+func isFinal(state string) bool {
+	return state == "completed" || state == "failed" || state == "cancelled"
+}
+
+// breaks notes a broken promise; mu is held.
+func (s *soak) breaks(format string, args ...any) {
+	s.broken = append(s.broken, fmt.Sprintf(format, args...))
+}
+
+// finish lets the work end without faults.
+func (s *soak) finish(ctx context.Context) {
+	end := time.Now().Add(finishTime)
+	for _, j := range s.jobs {
+		if j.accepted == 0 {
+			continue
+		}
+		for !isFinal(j.last) && time.Now().Before(end) && ctx.Err() == nil {
+			s.look(j, s.any(s.rng))
+			if !isFinal(j.last) {
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	}
+}
+
+// verdict counts what was promised and what came.
+func (s *soak) verdict() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	started := make(map[string]string)
+	for _, st := range s.estate.Starts() {
+		started[st.Task[:16]] = st.Spec
+	}
+	counts := make(map[string]int)
+	for _, j := range s.jobs {
+		counts[j.last]++
+		spec, isStarted := started[j.id]
+		switch {
+		case j.accepted > 0 && !isFinal(j.last):
+			s.breaks("%s was accepted and is %q at the end", j.id, j.last)
+		case j.cancelled && j.last != "cancelled" && j.last != "completed" && j.accepted > 0:
+			s.breaks("%s was cancelled and is %s", j.id, j.last)
+		case j.last == "failed":
+			s.breaks("%s is failed without cause", j.id)
+		case isStarted && j.accepted == 0 && j.unknown == 0:
+			s.breaks("%s was rejected and runs", j.id)
+		case isStarted && spec != "job "+j.id:
+			s.breaks("%s runs with the text %q", j.id, spec)
+		case j.last == "completed":
+			s.judgeTasks(j)
+		}
+	}
+	for _, t := range s.estate.Doubles() {
+		s.breaks("%s ran twice at a time", t)
+	}
+	fmt.Fprintf(s.cfg.Out, "seed %d: %d jobs, %d completed, %d cancelled, %d starts, %d promises broken\n",
+		s.cfg.Seed, len(s.jobs), counts["completed"], counts["cancelled"], len(s.estate.Starts()), len(s.broken))
+	for _, b := range s.broken {
+		fmt.Fprintln(s.cfg.Out, "  broken:", b)
+	}
+	if len(s.broken) > 0 {
+		return eris.Wrapf(ErrBroken, "%d times, logs in %s", len(s.broken), s.cfg.Dir)
+	}
+	return os.RemoveAll(s.cfg.Dir)
+}
+
+func (s *soak) judgeTasks(j *job) {
+	for st := range steps {
+		for i := range tasks {
+			if t := fmt.Sprintf("%s.0.%d.%d", j.id, st, i); s.estate.Done(t) == 0 {
+				s.breaks("%s is completed and %s never was", j.id, t)
+			}
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
