fix: the second run of a done task is stopped, and starts that waited are not sent

Waiting tasks that only time holds back were not looked at again without an event. Change: a run left over when a task is done is stopped; starts decided more than 400 ms ago are not sent; placement looks again every 100 ms.

--- a/entry/steward/lanes.go
+++ b/entry/steward/lanes.go
@@ -15,6 +15,9 @@
 	// laneWidth is how many orders to one worker are out at once: starts are short,
 	// and each lane keeps a connection open.
 	laneWidth = 2
+	// startAge is how old a decision to start may be when it is sent: well below the
+	// second within which ends, cancellations and leaving workers have to count.
+	startAge = 400 * time.Millisecond
 	// laneQueue is the length at which a lane's queue is worth a line in the log.
 	laneQueue = 500
 	// advisers is how many questions to the adviser are out at once: it handles one
@@ -76,7 +79,8 @@
 		case scheduling.Note:
 			s.write(a)
 		case scheduling.Start:
-			s.lanes.put(a.Address, laneWidth, func() { s.start(ctx, a) })
+			decided := s.cfg.Now()
+			s.lanes.put(a.Address, laneWidth, func() { s.start(ctx, a, decided) })
 		case scheduling.Stop:
 			s.lanes.put(a.Address, laneWidth, func() { s.stop(ctx, a) })
 		case scheduling.Pace:
@@ -112,9 +116,14 @@
 	s.log.WithFields(fields).Info(n.Event)
 }
 
-func (s *Steward) start(ctx context.Context, o scheduling.Start) {
+// start sends a start, unless it waited for so long that what decided it may not hold
+// any more.
+func (s *Steward) start(ctx context.Context, o scheduling.Start, decided time.Time) {
 	sentAt := s.cfg.Now()
-	a := s.cfg.Workers.Start(ctx, o)
+	a := scheduling.Answer{Outcome: scheduling.Late}
+	if sentAt.Sub(decided) <= startAge {
+		a = s.cfg.Workers.Start(ctx, o)
+	}
 	s.cfg.Metrics.Count("orders", 1, metricLabel("Kind", "start"), metricLabel("Outcome", a.Outcome.String()))
 	s.cfg.Metrics.Observe("start_time", s.cfg.Now().Sub(sentAt))
 	s.tell(func(sch *scheduling.Scheduler, now time.Time, _ int64) { sch.Started(now, o.Worker, o.Task, o.Run, a) })
--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -74,6 +74,9 @@
 	lateOrders = 13 * time.Second
 	// strayGap is the pause before a run that isn't wanted is told to stop again.
 	strayGap = 500 * time.Millisecond
+	// placeEvery is how often waiting tasks are looked at without an event: some wait for
+	// a time only.
+	placeEvery = 100 * time.Millisecond
 	// keptFailures bounds the failed runs that are kept of a task that lasts, whose
 	// number has no limit.
 	keptFailures = 8
--- a/fleet/scheduling/restore_test.go
+++ b/fleet/scheduling/restore_test.go
@@ -175,3 +175,34 @@
 		require.Len(t, starts(s.Take()), 1, "the stray run is gone")
 	}
 }
+
+// A speculative task that runs twice is done with the first end: the other run, also
+// one that has no answer yet, is stopped.
+func TestTheSecondRunOfADoneTaskIsStopped(t *testing.T) {
+	s := New(testStart, testConfig())
+	s.Configure(testConfiguration())
+	w1, w2 := testWorker("w1"), testWorker("w2")
+	j := testJob(2)
+	j.Steps[0].Speculative = true
+	s.Restore(testStart, 0, Restored{Jobs: []job.Job{j}, Roster: []Entry{w1, w2}})
+	s.Enlist(testStart, w2)
+	ok := Answer{Outcome: Accepted, ClockMs: 5}
+	s.Held(testStart, 0, w2.Life, 0, testStart, ok, Report{Born: 1, ClockMs: 5})
+	s.Tick(testStart, 0)
+	require.Empty(t, starts(s.Take()), "an earlier run may be reported")
+	now := testStart.Add(2 * speculativePause)
+	s.Confirm(now)
+	s.Tick(now, 0)
+	require.Len(t, starts(s.Take()), 2)
+	s.Held(now, 0, w1.Life, 0, testStart, ok, Report{
+		Born: 1, ClockMs: 5, Ended: []EndRow{{Number: 1, Task: job.Task{Job: testID}, Run: 1, How: EndDone}},
+	})
+	var stops []Stop
+	for _, a := range s.Take() {
+		if o, isStop := a.(Stop); isStop {
+			stops = append(stops, o)
+		}
+	}
+	require.Len(t, stops, 1)
+	require.Equal(t, w2.Life, stops[0].Worker)
+}
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -57,6 +57,8 @@
 	lastDuty time.Time
 	// nextBalance is when pools are compared with their demand again.
 	nextBalance time.Time
+	// nextPlace is when waiting tasks are looked at again although nothing happened.
+	nextPlace time.Time
 	// nextDescription is when the log tells again how pools stand.
 	nextDescription time.Time
 	// dutySeq makes the token of each order for hosts higher than all before.
@@ -259,8 +261,9 @@
 	}
 	s.tickWorkers(now)
 	s.tickHosts(now)
-	if s.dirty {
+	if s.dirty || !now.Before(s.nextPlace) {
 		s.dirty = false
+		s.nextPlace = now.Add(placeEvery)
 		s.place(now)
 	}
 }
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -208,6 +208,9 @@
 	}
 	t.done = true
 	s.unqueue(t)
+	if t.run != nil {
+		s.stopRun(now, t.run) // a second run of a task that may run twice
+	}
 	st, o, js := t.step, t.step.occ, t.owner()
 	st.done++
 	s.change(js)
