--- /dev/null
+++ b/entry/intake/batcher_test.go
@@ -0,0 +1,112 @@
+package intake
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/entry/metric"
+	"github.com/godwitcross/godwitcross/entry/store"
+)
+
+// scriptedStore answers appends in order, then with success.
+type scriptedStore struct {
+	store.Store
+	mu      sync.Mutex
+	answers []error
+	appends []store.Append
+	wait    chan struct{}
+}
+
+func (s *scriptedStore) Append(ctx context.Context, a store.Append) (store.Appended, error) {
+	if s.wait != nil {
+		select {
+		case <-s.wait:
+		case <-ctx.Done():
+			return store.Appended{}, store.ErrUnknown
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appends = append(s.appends, a)
+	if len(s.answers) == 0 {
+		return store.Appended{}, nil
+	}
+	err := s.answers[0]
+	s.answers = s.answers[1:]
+	return store.Appended{}, err
+}
+
+func startBatcher(t *testing.T, s store.Store) *Batcher {
+	t.Helper()
+	log, _ := test.NewNullLogger()
+	b := NewBatcher(s, log, metric.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go b.Run(ctx)
+	return b
+}
+
+// What a caller is told depends on whether anything may still be stored.
+func TestAnswersOfTheBatcher(t *testing.T) {
+	tests := map[string]struct {
+		answers []error
+		err     error
+		appends int
+	}{
+		"stored":                          {nil, nil, 1},
+		"nothing was done":                {[]error{store.ErrUnavailable}, store.ErrUnavailable, 1},
+		"no answer, then stored":          {[]error{store.ErrUnknown}, nil, 2},
+		"no answer, then nothing is done": {[]error{store.ErrUnknown, store.ErrUnavailable}, nil, 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := &scriptedStore{answers: tt.answers}
+			b := startBatcher(t, s)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			require.ErrorIs(t, b.Put(ctx, store.Record{Key: "k"}), tt.err)
+			require.Len(t, s.appends, tt.appends)
+		})
+	}
+}
+
+// An append without an answer until the deadline is neither accepted nor refused.
+func TestNoAnswerUntilTheDeadline(t *testing.T) {
+	s := &scriptedStore{wait: make(chan struct{})}
+	b := startBatcher(t, s)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, b.Put(ctx, store.Record{Key: "k"}), store.ErrUnknown)
+}
+
+// Records that come while an append is out share the next one.
+func TestRecordsShareAnAppend(t *testing.T) {
+	s := &scriptedStore{wait: make(chan struct{})}
+	b := startBatcher(t, s)
+	var wg sync.WaitGroup
+	const records = 50
+	for range records {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_ = b.Put(ctx, store.Record{Key: "k"})
+		})
+	}
+	require.Eventually(t, func() bool { return len(b.items) >= records-1-maxBatch }, time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond)
+	close(s.wait)
+	wg.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, a := range s.appends {
+		n += len(a.Records)
+	}
+	require.Equal(t, records, n)
+	require.Less(t, len(s.appends), records/2)
+}
--- /dev/null
+++ b/entry/ownership/record_test.go
@@ -0,0 +1,155 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/entry/relay"
+	"github.com/godwitcross/godwitcross/entry/store"
+)
+
+var start = time.Unix(1000, 0)
+
+func claimRecord(t *testing.T, offset int64, name string) store.Record {
+	t.Helper()
+	b, err := json.Marshal(Claim{Host: relay.Peer{Name: name}, Nonce: name})
+	require.NoError(t, err)
+	return store.Record{Key: keyClaim, Value: b, Offset: offset}
+}
+
+func signRecord(t *testing.T, s Sign) store.Record {
+	t.Helper()
+	b, err := json.Marshal(s)
+	require.NoError(t, err)
+	return store.Record{Key: keySign, Value: b}
+}
+
+func TestTheLatestClaimOwns(t *testing.T) {
+	var s State
+	isNew, err := s.Fold(start, claimRecord(t, 4, "a"))
+	require.NoError(t, err)
+	require.True(t, isNew)
+	require.EqualValues(t, 5, s.Epoch)
+
+	isNew, err = s.Fold(start, claimRecord(t, 2, "b"))
+	require.NoError(t, err)
+	require.False(t, isNew, "an earlier claim")
+
+	later := start.Add(time.Second)
+	_, err = s.Fold(later, signRecord(t, Sign{Epoch: 3}))
+	require.NoError(t, err)
+	require.Equal(t, start, s.SignAt, "a sign of a former owner")
+
+	_, err = s.Fold(later, signRecord(t, Sign{Epoch: 5, Released: true, Stopping: true, Peers: []relay.Peer{{Name: "c"}}}))
+	require.NoError(t, err)
+	require.Equal(t, later, s.SignAt)
+	require.True(t, s.Released && s.Stopping)
+
+	isNew, err = s.Fold(later, claimRecord(t, 9, "c"))
+	require.NoError(t, err)
+	require.True(t, isNew)
+	require.False(t, s.Released || s.Stopping, "a new owner")
+
+	_, err = s.Fold(later, store.Record{Key: keySign, Value: []byte("{")})
+	require.Error(t, err, "a record that can't be read")
+}
+
+// scriptedStore answers appends in order.
+type scriptedStore struct {
+	store.Store
+	answers []error
+	seq     int64
+	appends []store.Append
+}
+
+func (s *scriptedStore) Append(_ context.Context, a store.Append) (store.Appended, error) {
+	s.appends = append(s.appends, a)
+	if len(s.answers) == 0 {
+		return store.Appended{}, store.ErrFenced
+	}
+	err := s.answers[0]
+	s.answers = s.answers[1:]
+	return store.Appended{Seq: s.seq}, err
+}
+
+func newSigns(s store.Store, peers []relay.Peer, confirmed *int) *Signs {
+	log, _ := test.NewNullLogger()
+	return &Signs{
+		Epoch: 5, Self: relay.Peer{Name: "a", Share: 0.4}, Store: s, Log: log, Now: time.Now,
+		Peers: func() []relay.Peer { return peers }, Confirmed: func(time.Time) { *confirmed++ },
+	}
+}
+
+// Only a sign that the store took proves the ownership; a fence ends it.
+func TestSignsProveTheOwnership(t *testing.T) {
+	s := &scriptedStore{answers: []error{nil, store.ErrUnknown}, seq: 7}
+	confirmed := 0
+	require.ErrorIs(t, newSigns(s, nil, &confirmed).Run(context.Background()), store.ErrFenced)
+	require.Equal(t, 1, confirmed)
+	require.EqualValues(t, 0, s.appends[0].Fence.Seq)
+	require.EqualValues(t, 1, s.appends[1].Fence.Seq)
+	require.EqualValues(t, 1, s.appends[2].Fence.Seq, "a sign without an answer is given again")
+}
+
+// A sign without an answer that was taken after all moves the sequence on.
+func TestSignsFollowTheStoresSequence(t *testing.T) {
+	s := &scriptedStore{answers: []error{store.ErrSequence}, seq: 7}
+	confirmed := 0
+	signs := newSigns(s, nil, &confirmed)
+	require.ErrorIs(t, signs.give(context.Background(), false, false), store.ErrSequence)
+	require.ErrorIs(t, signs.give(context.Background(), false, false), store.ErrFenced)
+	require.EqualValues(t, 7, s.appends[1].Fence.Seq)
+}
+
+func TestAWeakOwnerKnowsAStrongerHost(t *testing.T) {
+	tests := map[string]struct {
+		peers []relay.Peer
+		want  bool
+	}{
+		"none":            {nil, false},
+		"a like one":      {[]relay.Peer{{Name: "b", Share: 0.45}}, false},
+		"a stronger one":  {[]relay.Peer{{Name: "b", Share: 0.2}, {Name: "c", Share: 0.8}}, true},
+		"one that is mum": {[]relay.Peer{{Name: "b"}}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tt.want, newSigns(&scriptedStore{}, tt.peers, new(int)).isWeak())
+		})
+	}
+}
+
+// How long a host waits before it claims: never less than the patience with an owner
+// that may live, at once after a release, and longer beside a stronger host.
+func TestPatience(t *testing.T) {
+	c := NewCandidate(Config{Self: relay.Peer{Name: "a", Share: 0.4}})
+	first := c.patience(State{})
+	require.Greater(t, first, firstPatience)
+	alive := c.patience(State{Epoch: 5})
+	require.GreaterOrEqual(t, alive, patience)
+	require.Less(t, alive, patience+spread)
+	require.Less(t, c.patience(State{Epoch: 5, Released: true}), spread)
+	strong := State{Epoch: 5, Peers: []relay.Peer{{Name: "b", Share: 0.8}}}
+	require.Equal(t, alive+deferenceTime, c.patience(strong))
+	strong.Claim.Host.Name = "b"
+	require.Equal(t, alive, c.patience(strong), "the owner that is missed doesn't count")
+}
+
+// A claim without an answer is not repeated: whether it won is read from the stream.
+func TestAClaimIsSentOnce(t *testing.T) {
+	for _, err := range []error{nil, store.ErrUnknown, store.ErrConflict, store.ErrUnavailable} {
+		log, _ := test.NewNullLogger()
+		s := &scriptedStore{answers: []error{err}}
+		c := NewCandidate(Config{Self: relay.Peer{Name: "a"}, Direct: s, Log: log, Now: func() time.Time { return start }})
+		c.claim(context.Background(), State{Epoch: 5, Next: 9, SignAt: start.Add(-2 * time.Second)})
+		require.Len(t, s.appends, 1)
+		require.EqualValues(t, 9, *s.appends[0].At)
+		require.Equal(t, 2*time.Second, c.silent)
+		require.False(t, errors.Is(err, store.ErrFenced))
+	}
+}
--- /dev/null
+++ b/fleet/scheduling/policy_test.go
@@ -0,0 +1,207 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+	"github.com/godwitcross/godwitcross/fleet/queue"
+)
+
+func TestThePaceOfFillers(t *testing.T) {
+	tests := map[string]struct {
+		pace    int
+		worst   float64
+		serving bool
+		want    int
+	}{
+		"nothing serves beside it": {50, 0, false, 100},
+		"far below the target":     {50, 0.3, true, 60},
+		"never above the full":     {95, 0.3, true, 100},
+		"between the bounds":       {50, 0.7, true, 50},
+		"near the target":          {80, 0.9, true, 40},
+		"over the target":          {80, 1.5, true, 20},
+		"stopped below the floor":  {20, 1.5, true, 0},
+		"let go again":             {0, 0.1, true, 10},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tt.want, nextPace(tt.pace, tt.worst, tt.serving))
+		})
+	}
+}
+
+func TestTheRateOfArrivingWork(t *testing.T) {
+	var r rate
+	now := time.Unix(500, 0)
+	r.add(now, 4000, 500*time.Millisecond)
+	r.add(now.Add(300*time.Millisecond), 2000, time.Second)
+	require.EqualValues(t, 4000, r.value(now.Add(400*time.Millisecond)))
+	require.EqualValues(t, 2000, r.value(now.Add(1100*time.Millisecond)), "the first has left the window")
+	require.Zero(t, r.value(now.Add(time.Hour)))
+}
+
+// What a job can still earn decides before the time that is left.
+func TestProspects(t *testing.T) {
+	s := New(testStart, testConfig())
+	q := queue.Queue{Name: "q", Stretch: 1.5, TargetLatency: time.Second}
+	j := testJob(1) // a chain of one second: the objective is 2.5 s
+	tests := map[string]struct {
+		waited time.Duration
+		want   prospect
+	}{
+		"just come":             {0, inTime},
+		"a moment left":         {1400 * time.Millisecond, inTime},
+		"can't be met any more": {1600 * time.Millisecond, late},
+		"long over":             {8 * time.Second, overdue},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := newOccurrence(newJobState(j, testStart), 0, testStart)
+			got, _ := s.prospect(testStart.Add(tt.waited), q, o.steps[0])
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
+
+// An estimate that is off is corrected by what the queue's tasks really take.
+func TestLearnedDurations(t *testing.T) {
+	var d *durations
+	require.Equal(t, time.Second, d.estimate(time.Second), "nothing was learned")
+	d = &durations{}
+	for range 100 {
+		d.learn(4 * time.Second)
+	}
+	require.Equal(t, 2*time.Second, d.estimate(time.Second))
+	require.Equal(t, 4*time.Second, d.estimate(0), "nothing was declared")
+}
+
+// A pool in its turn: five times the mean comes for seconds. Hosts are ordered by the
+// rate of work that arrives, before tasks pile up, and leave once it is over.
+func TestAQueueThatAsksFiveTimesItsMean(t *testing.T) {
+	w := newWorld(5, map[string]int{"a": 2, "b": 2}, 12)
+	j := func() job.Job {
+		n := w.newJob("a", 4000, 1)
+		n.Steps = []job.Step{{Count: 4, Room: job.Room{CPU: 4000, MemMB: 100}, Estimate: time.Second}}
+		return n
+	}
+	w.run(2 * time.Second)
+	for i := range 200 { // 40 jobs a second of 16 core-seconds: ten hosts
+		w.after(time.Duration(i)*25*time.Millisecond, func() { w.submit(j(), time.Second, false) })
+	}
+	w.run(3 * time.Second)
+	in := func() (n int) {
+		for _, h := range w.hosts {
+			if h.Pool == "a" {
+				n++
+			}
+		}
+		return n
+	}
+	require.GreaterOrEqual(t, in(), 9, "hosts within 3 s")
+	w.run(7 * time.Second)
+	require.LessOrEqual(t, in(), 3, "they leave when the turn is over")
+	late := 0
+	for _, x := range w.jobs {
+		if x.endedAt.IsZero() || x.endedAt.Sub(x.acceptedAt) > 4*time.Second {
+			late++
+		}
+	}
+	require.LessOrEqual(t, late, 20, "of 200 jobs")
+	require.Empty(t, w.broken)
+}
+
+// A gang starts as a whole with one run number, or not at all.
+func TestAGangStartsAsAWhole(t *testing.T) {
+	s, now := readyScheduler(t)
+	j := testJob(3)
+	j.Steps[0].Gang = true
+	j.Steps[0].Room.CPU = 30000
+	s.Accept(now, 0, j)
+	s.Tick(now, 0)
+	require.Empty(t, starts(s.Take()), "two of three fit")
+	w2 := testWorker("w2")
+	s.Enlist(now, w2)
+	s.Flush()
+	s.Committed(2)
+	s.Held(now, 0, w2.Life, 0, now, Answer{Outcome: Accepted, ClockMs: 5}, Report{Born: 1, ClockMs: 5})
+	s.Tick(now, 0)
+	all := starts(s.Take())
+	require.Len(t, all, 3)
+	for _, o := range all {
+		require.Equal(t, all[0].Run, o.Run)
+	}
+}
+
+// Occurrences start when they are due, each by itself.
+func TestOccurrencesAreDueByTheTimeOfDay(t *testing.T) {
+	s, now := readyScheduler(t)
+	j := testJob(1)
+	j.Times, j.StartAt, j.Interval = 2, 5000, 3*time.Second
+	s.Accept(now, 4999, j)
+	s.Tick(now, 4999)
+	require.Empty(t, starts(s.Take()))
+	s.Tick(now, 5000)
+	require.Len(t, starts(s.Take()), 1)
+	s.Tick(now, 7999)
+	require.Empty(t, starts(s.Take()))
+	s.Tick(now, 8000)
+	second := starts(s.Take())
+	require.Len(t, second, 1)
+	require.Equal(t, 1, second[0].Task.Occurrence)
+}
+
+// A task goes where its queue, its label and its step's limit allow.
+func TestWhereATaskMayRun(t *testing.T) {
+	tests := map[string]struct {
+		change func(st *job.Step)
+		want   int
+	}{
+		"anywhere":               {func(*job.Step) {}, 3},
+		"one on a worker":        {func(st *job.Step) { st.AntiAffinity = 1 }, 1},
+		"a label that is there":  {func(st *job.Step) { st.Requires = "r1" }, 3},
+		"a label that is not":    {func(st *job.Step) { st.Requires = "z" }, 0},
+		"too large for a worker": {func(st *job.Step) { st.Room.CPU = 70000 }, 0},
+		"more than its memory":   {func(st *job.Step) { st.Room.MemMB = 60000 }, 2},
+		"fills beside others":    {func(st *job.Step) { st.Fills, st.Room.CPU = true, 64000 }, 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, now := readyScheduler(t)
+			j := testJob(3)
+			tt.change(&j.Steps[0])
+			s.Accept(now, 0, j)
+			s.Tick(now, 0)
+			require.Len(t, starts(s.Take()), tt.want)
+		})
+	}
+}
+
+// A queue with advice starts nothing without a ticket, and only where one allows it.
+func TestAnAdvisedQueue(t *testing.T) {
+	s, now := readyScheduler(t)
+	c := testConfiguration()
+	c.Queues[0].Advice = &queue.Advice{Valid: 3 * time.Second}
+	s.Configure(queue.New(2, c.Queues, c.Pools, queue.Limits{}))
+	s.Accept(now, 0, testJob(1))
+	s.Tick(now, 0)
+	actions := s.Take()
+	require.Empty(t, starts(actions))
+	var asked []Advise
+	for _, a := range actions {
+		if q, ok := a.(Advise); ok {
+			asked = append(asked, q)
+		}
+	}
+	require.Len(t, asked, 1)
+	s.Advised(now, testID, 0, 0, asked[0].Workers, []Row{{Worker: "w1", Ticket: "t"}}, 3*time.Second, true)
+	s.Tick(now, 0)
+	all := starts(s.Take())
+	require.Len(t, all, 1)
+	require.Equal(t, "t", all[0].Ticket)
+	s.Started(now, all[0].Worker, all[0].Task, all[0].Run, Answer{Outcome: NoTicket, ClockMs: 10})
+	s.Tick(now, 0)
+	require.Empty(t, starts(s.Take()), "the ticket is asked for again")
+}
--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -41,9 +42,16 @@
 	stop    func()
 }
 
+// ip is a loopback address of this process alone, so that ports which were found free
+// aren't taken by other processes before they are used.
+var ip = func() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, 1+pid&0x7f)
+}()
+
 // FreeAddress returns a loopback address on which nobody listens.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return "", eris.Wrap(err, "find a free port")
 	}
@@ -54,7 +62,7 @@
 // Settings returns the settings of an entry host that answers others at control.
 func Settings(e *estate.Estate, name string, seeds []string, control string) (platform.Settings, error) {
 	var s platform.Settings
-	s.Node, s.Zone, s.IP, s.Orders, s.Seeds = name, "z1", "127.0.0.1", "call", seeds
+	s.Node, s.Zone, s.IP, s.Orders, s.Seeds = name, "z1", ip, "call", seeds
 	var err error
 	if s.Listen.Front, err = FreeAddress(); err != nil {
 		return s, err
