--- a/entry/clock/clock.go
+++ b/entry/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -26,3 +27,15 @@
 func Wall() int64 {
 	return time.Now().UnixMilli()
 }
+
+// Pause waits, and reports false if the context ended before.
+func Pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/entry/eventlog/eventlog.go
+++ b/entry/eventlog/eventlog.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/godwitcross/godwitcross/entry/clock"
 )
 
 const (
@@ -80,7 +82,7 @@
 			return
 		}
 		w.tellDropped(b, &told)
-		pause(ctx, flushEvery)
+		clock.Pause(ctx, flushEvery)
 	}
 }
 
@@ -106,15 +108,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // NewLogger returns a logger of JSON lines that writes to w.
 func NewLogger(w io.Writer, level logrus.Level, host string) logrus.FieldLogger {
 	l := logrus.New()
--- a/entry/intake/batcher.go
+++ b/entry/intake/batcher.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/store"
 )
@@ -121,7 +122,7 @@
 		}
 		sent = true
 		b.log.WithFields(logrus.Fields{"Records": len(batch), "Error": err.Error()}).Info("append without an answer is repeated")
-		pause(ctx, retryPause)
+		clock.Pause(ctx, retryPause)
 		if ctx.Err() != nil {
 			answer(batch, store.ErrUnknown)
 			return
@@ -153,12 +154,3 @@
 		it.answer <- err
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/publication"
 	"github.com/godwitcross/godwitcross/entry/relay"
@@ -169,7 +170,7 @@
 		if err == nil {
 			return a, nil
 		}
-		pause(ctx, askPause)
+		clock.Pause(ctx, askPause)
 		if ctx.Err() != nil {
 			return a, eris.Wrap(ErrNoAnswer, err.Error())
 		}
--- a/entry/ownership/candidate.go
+++ b/entry/ownership/candidate.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/relay"
 	"github.com/godwitcross/godwitcross/entry/store"
 )
@@ -118,7 +119,7 @@
 	page, err := c.cfg.Store.Newest(ctx, store.Owner)
 	if err != nil {
 		c.cfg.Log.WithField("Error", err.Error()).Debug("owner not read")
-		pause(ctx, retryPause)
+		clock.Pause(ctx, retryPause)
 		return false
 	}
 	// The claim goes first: a sign counts only for its epoch.
@@ -145,7 +146,7 @@
 	case err != nil:
 		c.cfg.Log.WithField("Error", err.Error()).Debug("owner not read")
 		c.postpone()
-		pause(ctx, retryPause)
+		clock.Pause(ctx, retryPause)
 		return true
 	}
 	for _, r := range page.Records {
@@ -285,12 +286,3 @@
 	c.yieldedUntil = c.cfg.Now().Add(yieldPause)
 	c.mu.Unlock()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/ownership/signs.go
+++ b/entry/ownership/signs.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/relay"
 	"github.com/godwitcross/godwitcross/entry/store"
 )
@@ -60,7 +61,7 @@
 		case ctx.Err() == nil:
 			s.Log.WithField("Error", err.Error()).Debug("sign not given")
 		}
-		pause(ctx, SignEvery-s.Now().Sub(sentAt))
+		clock.Pause(ctx, SignEvery-s.Now().Sub(sentAt))
 	}
 	return ctx.Err()
 }
--- a/entry/platform/hostlist.go
+++ b/entry/platform/hostlist.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/view"
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 )
@@ -48,7 +49,7 @@
 		if err == nil && u.At.After(known.At) {
 			r.out.Publish(known.With(u))
 		}
-		pause(ctx, hostListPause)
+		clock.Pause(ctx, hostListPause)
 	}
 	return nil
 }
--- a/entry/platform/reader.go
+++ b/entry/platform/reader.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/fleet/journal"
 )
 
@@ -120,7 +121,7 @@
 		r.jump(ctx)
 	}
 	r.checks = r.next > 0
-	pause(ctx, min(journal.Backoff(r.failures, r.rnd), maxReadPause))
+	clock.Pause(ctx, min(journal.Backoff(r.failures, r.rnd), maxReadPause))
 }
 
 // read waits for records or the end of the context. A read that is given up
@@ -159,18 +160,8 @@
 	switch {
 	case b.Fault != nil:
 		r.checks = true
-		pause(ctx, maxReadPause)
+		clock.Pause(ctx, maxReadPause)
 	case r.pace > 0 && len(b.Records) > 0:
-		pause(ctx, r.pace)
-	}
-}
-
-// pause waits for the duration or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		clock.Pause(ctx, r.pace)
 	}
 }
--- a/entry/publication/follower.go
+++ b/entry/publication/follower.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/store"
 	"github.com/godwitcross/godwitcross/fleet/queue"
 )
@@ -66,7 +67,7 @@
 	for ctx.Err() == nil {
 		if err := f.read(ctx, readWait); err != nil {
 			f.cfg.Log.WithField("Error", err.Error()).Debug("publications not read")
-			pause(ctx, retryPause)
+			clock.Pause(ctx, retryPause)
 		}
 	}
 }
@@ -151,12 +152,3 @@
 		return
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/intake"
 	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/ownership"
@@ -170,12 +171,7 @@
 				}
 			}
 		}
-		t := time.NewTimer(every)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-		}
-		t.Stop()
+		clock.Pause(ctx, every)
 	}
 }
 
--- a/entry/steward/load.go
+++ b/entry/steward/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/store"
 	"github.com/godwitcross/godwitcross/fleet/job"
 	"github.com/godwitcross/godwitcross/fleet/scheduling"
@@ -52,7 +53,7 @@
 			return page, nil
 		}
 		s.log.WithFields(logrus.Fields{"Stream": string(stream), "Error": err.Error()}).Info("stream not read")
-		if !pause(ctx, retryPause) {
+		if !clock.Pause(ctx, retryPause) {
 			return page, ctx.Err()
 		}
 	}
@@ -173,7 +174,7 @@
 			}
 			lost(page.Records)
 		case err != nil:
-			if !pause(ctx, retryPause) {
+			if !clock.Pause(ctx, retryPause) {
 				return ctx.Err()
 			}
 			continue
@@ -313,7 +314,7 @@
 		} else {
 			s.tell(func(sch *scheduling.Scheduler, now time.Time, _ int64) { sch.List(now, sentAt, hosts) })
 		}
-		pause(ctx, listEvery)
+		clock.Pause(ctx, listEvery)
 	}
 	return ctx.Err()
 }
--- a/entry/steward/steward.go
+++ b/entry/steward/steward.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/metric"
 	"github.com/godwitcross/godwitcross/entry/ownership"
 	"github.com/godwitcross/godwitcross/entry/relay"
@@ -193,7 +194,7 @@
 		default:
 			return res, err
 		}
-		if !pause(ctx, retryPause) {
+		if !clock.Pause(ctx, retryPause) {
 			return res, ctx.Err()
 		}
 	}
@@ -357,15 +358,3 @@
 		return zero, ctx.Err()
 	}
 }
-
-// pause waits and reports false if the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -53,6 +53,8 @@
 	sent, doneBy time.Time
 	// given orders were accepted.
 	given bool
+	// resendAt is when an order without an answer is sent again, or zero.
+	resendAt time.Time
 }
 
 // List takes the platform's list of hosts.
@@ -112,6 +114,7 @@
 	if now.Before(s.hostsFrom()) || !s.confirmedForHosts(now) {
 		return
 	}
+	s.resend(now)
 	s.tickWaves(now)
 	s.balance(now)
 }
@@ -304,8 +307,8 @@
 	case Accepted:
 		s.orderGiven(now, h)
 	case Unknown:
-		// It may be carried out late, so it stays in force until the list tells.
-		s.repeat(now, h)
+		// It may be carried out late, so it stays in force and is sent again.
+		h.order.resendAt = now.Add(orderRetry)
 	case Fenced:
 		s.fenced = true
 		s.note("fenced by the platform", "", "Host", string(id), "Token", token)
@@ -347,14 +350,23 @@
 	h.retryAt = now.Add(orderRetry)
 }
 
-// repeat sends an order without an answer again, with a higher token.
-func (s *Scheduler) repeat(now time.Time, h *host) {
-	if !s.confirmedForHosts(now) {
-		h.retryAt = now.Add(orderRetry)
-		return
+// resend sends orders without an answer again, with a higher token.
+func (s *Scheduler) resend(now time.Time) {
+	for _, h := range s.hosts.all() {
+		if h.order.resendAt.IsZero() || now.Before(h.order.resendAt) {
+			continue
+		}
+		token, ok := s.duty(now)
+		if !ok {
+			return
+		}
+		h.order.resendAt = time.Time{}
+		s.sendAgain(h, token)
 	}
-	s.dutySeq++
-	token := s.cfg.Epoch*tokenStep + s.dutySeq
+}
+
+func (s *Scheduler) sendAgain(h *host, token int64) {
+	s.note("host order sent again", "", "Host", string(h.ID), "Token", token)
 	if h.order.kind == moveOrder {
 		s.emit(Move{Host: h.ID, Pool: h.order.pool, Token: token})
 		return
--- a/fleet/scheduling/policy_test.go
+++ b/fleet/scheduling/policy_test.go
@@ -205,3 +205,41 @@
 	s.Tick(now, 0)
 	require.Empty(t, starts(s.Take()), "the ticket is asked for again")
 }
+
+// An order for a host that has no answer stays in force: the host counts as down, and
+// the order is sent again with a higher token after a pause.
+func TestAnOrderForAHostWithoutAnAnswer(t *testing.T) {
+	s, now := readyScheduler(t)
+	hosts := []Host{
+		{ID: "m-1", Pool: "spare", State: HostUp, Capacity: job.Room{CPU: 64000, MemMB: 1000}},
+		{ID: "m-2", Pool: "spare", State: HostUp, Capacity: job.Room{CPU: 64000, MemMB: 1000}},
+	}
+	s.List(now, now, hosts)
+	s.Request(now, 0, Wave{Number: 1, Hosts: []HostID{"m-1", "m-2"}, Duration: 20 * time.Second, MaxCount: 1})
+	orders := func() (out []Maintain) {
+		for _, a := range s.Take() {
+			if m, ok := a.(Maintain); ok {
+				out = append(out, m)
+			}
+		}
+		return out
+	}
+	s.Tick(now, 0)
+	first := orders()
+	require.Len(t, first, 1)
+	s.Ordered(now, first[0].Host, first[0].Token, Unknown)
+	now = now.Add(balanceEvery)
+	s.Tick(now, 0)
+	require.Empty(t, orders(), "one may be down, and may be so now")
+	now = now.Add(orderRetry)
+	s.Confirm(now)
+	s.Tick(now, 0)
+	again := orders()
+	require.Len(t, again, 1)
+	require.Equal(t, first[0].Host, again[0].Host)
+	require.Greater(t, again[0].Token, first[0].Token)
+	s.Ordered(now, again[0].Host, again[0].Token, Accepted)
+	now = now.Add(balanceEvery)
+	s.Tick(now, 0)
+	require.Empty(t, orders(), "it is down")
+}
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/standin/estate"
 )
 
@@ -21,7 +22,7 @@
 		kind := s.rng.Intn(8)
 		which := s.rng.Intn(1000)
 		wg.Go(func() { s.fault(ctx, p, kind, which, lasts) })
-		pause(ctx, time.Duration(s.rng.Int63n(int64(faultGap))))
+		clock.Pause(ctx, time.Duration(s.rng.Int63n(int64(faultGap))))
 	}
 	wg.Wait()
 }
@@ -32,7 +33,7 @@
 	case 0, 1:
 		s.tell(p, "killed", lasts)
 		p.end()
-		pause(ctx, lasts)
+		clock.Pause(ctx, lasts)
 		s.restart(p)
 	case 2:
 		s.tell(p, "stopped as planned", lasts)
@@ -42,19 +43,19 @@
 	case 3:
 		s.tell(p, "paused", lasts)
 		p.signal(syscall.SIGSTOP)
-		pause(ctx, lasts)
+		clock.Pause(ctx, lasts)
 		p.signal(syscall.SIGCONT)
 	case 4, 5:
 		m := mode(1 + which%int(modes-1))
 		s.tell(p, "store "+modeNames[m], lasts)
 		p.proxy.set(m)
-		pause(ctx, lasts)
+		clock.Pause(ctx, lasts)
 		p.proxy.set(pass)
 	case 6:
 		m := []estate.Mode{estate.Busy, estate.Silent, estate.Lossy}[which%3]
 		s.tell(nil, "store "+string(m), lasts)
 		s.estate.Log.SetMode(m)
-		pause(ctx, lasts)
+		clock.Pause(ctx, lasts)
 		s.estate.Log.SetMode(estate.Up)
 	case 7:
 		s.worker(ctx, which, lasts)
@@ -75,7 +76,7 @@
 	}
 	s.tell(nil, "worker mute", lasts)
 	w.SetMute(true)
-	pause(ctx, lasts)
+	clock.Pause(ctx, lasts)
 	w.SetMute(false)
 }
 
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/standin/estate"
 	"github.com/godwitcross/godwitcross/standin/local"
 )
@@ -174,7 +175,7 @@
 		tries := []*process{s.any(rng), s.any(rng), s.any(rng)}
 		isCancelled := rng.Intn(10) == 0
 		wg.Go(func() { s.hand(j, tries, isCancelled) })
-		pause(ctx, jobEvery)
+		clock.Pause(ctx, jobEvery)
 	}
 }
 
@@ -223,7 +224,7 @@
 		if j != nil {
 			s.look(j, s.any(rng))
 		}
-		pause(ctx, jobEvery/2)
+		clock.Pause(ctx, jobEvery/2)
 	}
 }
 
@@ -328,12 +329,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
