--- a/fleet/scheduling/policy_test.go
+++ b/fleet/scheduling/policy_test.go
@@ -210,6 +210,7 @@
 // the order is sent again with a higher token after a pause.
 func TestAnOrderForAHostWithoutAnAnswer(t *testing.T) {
 	s, now := readyScheduler(t)
+	s.cfg.Term = 0
 	hosts := []Host{
 		{ID: "m-1", Pool: "spare", State: HostUp, Capacity: job.Room{CPU: 64000, MemMB: 1000}},
 		{ID: "m-2", Pool: "spare", State: HostUp, Capacity: job.Room{CPU: 64000, MemMB: 1000}},
