fix: an accepted order for a host ends its runs only once a list shows it; owners sign from the start

Change: the next list decides; signs of life begin before the takeover; adopted runs keep the lease that an earlier owner can have ordered.

--- a/entry/steward/lanes.go
+++ b/entry/steward/lanes.go
@@ -96,6 +96,11 @@
 		case scheduling.Commit:
 			s.committing = true
 			s.commits <- a
+		case scheduling.ListHosts:
+			select {
+			case s.relist <- struct{}{}:
+			default:
+			}
 		case scheduling.ReportWave:
 			s.lanes.put("status", 1, func() { s.report(ctx, a) })
 		}
--- a/entry/steward/load.go
+++ b/entry/steward/load.go
@@ -314,7 +314,13 @@
 		} else {
 			s.tell(func(sch *scheduling.Scheduler, now time.Time, _ int64) { sch.List(now, sentAt, hosts) })
 		}
-		clock.Pause(ctx, listEvery)
+		t := time.NewTimer(listEvery)
+		select {
+		case <-t.C:
+		case <-s.relist:
+		case <-ctx.Done():
+		}
+		t.Stop()
 	}
 	return ctx.Err()
 }
--- a/entry/steward/steward.go
+++ b/entry/steward/steward.go
@@ -90,6 +90,8 @@
 	// commitAt is when the open commit is sent at the latest.
 	commitAt time.Time
 	commits  chan scheduling.Commit
+	// relist asks for a list of hosts before its time.
+	relist chan struct{}
 	// workNext is the offset up to which the work was handed on.
 	workNext atomic.Int64
 	// isDeposed is set once a later owner's mark was read.
@@ -104,6 +106,7 @@
 		events:  make(chan event, queueEvents),
 		done:    make(chan struct{}),
 		commits: make(chan scheduling.Commit, 1),
+		relist:  make(chan struct{}, 1),
 	}
 	s.lanes = newLanes(s)
 	s.signs = &ownership.Signs{
@@ -130,6 +133,22 @@
 func (s *Steward) Run(ctx context.Context) error {
 	defer close(s.done)
 	began := s.cfg.Now()
+	g, gctx := errgroup.WithContext(ctx)
+	// The signs begin before all else: a slow store must not let others claim meanwhile.
+	g.Go(func() error { return s.signs.Run(gctx) })
+	g.Go(func() error { return s.own(gctx, g, began) })
+	err := g.Wait()
+	if errors.Is(err, store.ErrFenced) {
+		return eris.Wrap(ErrFenced, err.Error())
+	}
+	if ctx.Err() != nil || errors.Is(err, ownership.ErrStronger) {
+		return errors.Join(err, s.release(ctx.Err() != nil))
+	}
+	return err
+}
+
+// own takes over and starts the owner's tasks.
+func (s *Steward) own(ctx context.Context, g *errgroup.Group, began time.Time) error {
 	barrier, err := s.takeOver(ctx)
 	if err != nil {
 		return err
@@ -140,22 +159,13 @@
 	}
 	s.workNext.Store(barrier + 1)
 	s.log.WithFields(logrus.Fields{"TookMs": s.cfg.Now().Sub(began).Milliseconds(), "Barrier": barrier}).Info("took over")
-	g, gctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return s.signs.Run(gctx) })
-	g.Go(func() error { return s.tailWork(gctx, barrier+1) })
-	g.Go(func() error { return s.tailWorkers(gctx, from.workers) })
-	g.Go(func() error { return s.tailOperator(gctx, from.operator) })
-	g.Go(func() error { return s.listHosts(gctx) })
-	g.Go(func() error { return s.commit(gctx) })
-	g.Go(func() error { return s.loop(gctx, sch) })
-	err = g.Wait()
-	if errors.Is(err, store.ErrFenced) {
-		return eris.Wrap(ErrFenced, err.Error())
-	}
-	if ctx.Err() != nil || errors.Is(err, ownership.ErrStronger) {
-		return errors.Join(err, s.release(ctx.Err() != nil))
-	}
-	return err
+	g.Go(func() error { return s.tailWork(ctx, barrier+1) })
+	g.Go(func() error { return s.tailWorkers(ctx, from.workers) })
+	g.Go(func() error { return s.tailOperator(ctx, from.operator) })
+	g.Go(func() error { return s.listHosts(ctx) })
+	g.Go(func() error { return s.commit(ctx) })
+	g.Go(func() error { return s.loop(ctx, sch) })
+	return nil
 }
 
 // release tells the other hosts that this owner has stopped.
--- a/fleet/scheduling/days_test.go
+++ b/fleet/scheduling/days_test.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 var troubleKinds = []string{
 	"owner killed", "owner frozen", "owner cut from the store", "owner cut from workers", "store down",
 	"worker crashes", "worker reborn", "worker cut", "rack dark", "orders late", "answers lost", "jobs cancelled",
-	"worker fails everything", "hosts listed as gone",
+	"worker fails everything", "hosts listed as gone", "wave forgotten",
 }
 
 func drawTroubles(t *rapid.T) []trouble {
@@ -91,6 +92,14 @@
 	case "worker fails everything":
 		w.faulty.failing[sw.ID] = true
 		w.after(d, func() { delete(w.faulty.failing, sw.ID) })
+	case "wave forgotten":
+		// The owner is lost before it has stored which hosts were down for the wave.
+		for key := range w.stored {
+			if strings.HasPrefix(key, WavePrefix) {
+				delete(w.stored, key)
+			}
+		}
+		o.isUp = false
 	case "hosts listed as gone":
 		delete(w.entries, sw.ID)
 		w.after(d, func() {
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -51,8 +51,11 @@
 	wave int64
 	// sent is when the order went out; doneBy when its effect is over.
 	sent, doneBy time.Time
-	// given orders were accepted.
-	given bool
+	// given orders were accepted, at givenAt.
+	given   bool
+	givenAt time.Time
+	// former is the worker that ran on the host until a list tells what became of it.
+	former Entry
 	// resendAt is when an order without an answer is sent again, or zero.
 	resendAt time.Time
 }
@@ -69,6 +72,9 @@
 			s.hosts.put(l.ID, h)
 		}
 		h.Host = l
+		if h.order.given && sentAt.After(h.order.givenAt) {
+			s.check(now, h, l)
+		}
 		if w := s.workers.get(l.Worker); w != nil && w.Host == "" {
 			w.Host = l.ID
 		}
@@ -332,12 +338,42 @@
 		}
 	}
 	h.order.given = true
+	h.order.givenAt = now
 	h.order.doneBy = now.Add(away + leaseMargin)
 	h.State = HostMoving
-	if w := s.workerOn(h); w != nil {
+	w := s.workerOn(h)
+	h.Worker = ""
+	if w == nil {
+		return
+	}
+	h.order.former = w.Entry
+	if w.runs.len() > 0 {
+		// The platform also accepts an order that was carried out before: then nothing
+		// ended. The next list tells.
+		s.emit(ListHosts{})
+		return
+	}
+	s.endLife(now, w, "its host was ordered away")
+}
+
+// check compares an accepted order with a list that was asked for after it.
+func (s *Scheduler) check(now time.Time, h *host, l Host) {
+	former := h.order.former
+	if former.ID == "" {
+		return
+	}
+	h.order.former = Entry{}
+	w := s.workers.get(former.ID)
+	switch isThere := l.State == HostUp && l.Worker == former.ID; {
+	case isThere && w == nil:
+		s.Enlist(now, former)
+	case isThere:
+		s.note("host order had been carried out before", "", "Host", string(h.ID), "Worker", string(w.ID), "Runs", w.runs.len())
+		w.ordered, w.cordoned = false, false
+		s.dirty = true
+	case w != nil && w.Life == former.Life:
 		s.endLife(now, w, "its host was ordered away")
 	}
-	h.Worker = ""
 }
 
 func (s *Scheduler) cancelOrder(now time.Time, h *host) {
--- a/fleet/scheduling/policy_test.go
+++ b/fleet/scheduling/policy_test.go
@@ -244,3 +244,37 @@
 	s.Tick(now, 0)
 	require.Empty(t, orders(), "it is down")
 }
+
+// The platform accepts an order that an earlier owner had carried out. Nothing ends by
+// it: what runs on the host must not start elsewhere.
+func TestAnOrderThatWasCarriedOutBefore(t *testing.T) {
+	for _, isDown := range []bool{true, false} {
+		s, now := readyScheduler(t)
+		s.cfg.Term = 0
+		startOne(t, s, now, testJob(1))
+		h := Host{ID: "h-w1", Pool: "p", State: HostUp, Worker: "w1", Capacity: job.Room{CPU: 64000, MemMB: 131072}}
+		s.List(now, now, []Host{h})
+		s.Request(now, 0, Wave{Number: 1, Hosts: []HostID{h.ID}, Duration: time.Second, MaxCount: 1})
+		s.Tick(now, 0)
+		var order Maintain
+		isListed := false
+		for _, a := range s.Take() {
+			if m, ok := a.(Maintain); ok {
+				order = m
+			}
+		}
+		require.Equal(t, h.ID, order.Host)
+		s.Ordered(now, order.Host, order.Token, Accepted)
+		for _, a := range s.Take() {
+			_, ok := a.(ListHosts)
+			isListed = isListed || ok
+		}
+		require.True(t, isListed, "the list is asked for")
+		if isDown {
+			h.State, h.Worker = HostMaintenance, ""
+		}
+		later := now.Add(50 * time.Millisecond)
+		s.List(later, later.Add(-time.Millisecond), []Host{h})
+		require.Equal(t, isDown, s.find(job.Task{Job: testID}).run == nil)
+	}
+}
--- a/fleet/scheduling/types.go
+++ b/fleet/scheduling/types.go
@@ -249,6 +249,9 @@
 	Token int64
 }
 
+// ListHosts asks for the platform's list of hosts now.
+type ListHosts struct{}
+
 // Commit stores records in one append, in the order of their numbers.
 type Commit struct {
 	// Number rises by one with each commit.
@@ -282,6 +285,7 @@
 func (Advise) action()     {}
 func (Move) action()       {}
 func (Maintain) action()   {}
+func (ListHosts) action()  {}
 func (Commit) action()     {}
 func (ReportWave) action() {}
 func (Note) action()       {}
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -475,6 +475,9 @@
 
 // adopt takes over a run that an earlier owner started.
 func (s *Scheduler) adopt(now time.Time, w *worker, t *task, row RunRow) {
+	if s.inheritedUntil.After(w.granted) {
+		w.granted = s.inheritedUntil // its lease was ordered by an earlier owner
+	}
 	r := &run{task: t, number: row.Run, phase: running, since: now, knownAt: now, percent: row.Percent, load: row.Load, checkpoint: row.Checkpoint, pace: 100}
 	s.unqueue(t)
 	s.attach(w, r)
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -64,6 +64,8 @@
 	awayUntil time.Time
 	rack      string
 	token     int64
+	// maintained are the waves for which the host was down.
+	maintained map[int64]bool
 }
 
 // simRecord is a record of the work stream.
@@ -130,6 +132,7 @@
 	signAt  time.Time
 	// listedAt is when it listed the hosts last.
 	listedAt time.Time
+	relist   bool
 }
 
 type simEvent struct {
@@ -189,7 +192,7 @@
 	n := 0
 	add := func(pool string, count int) {
 		for range count {
-			h := &simHost{Host: Host{
+			h := &simHost{maintained: make(map[int64]bool), Host: Host{
 				ID: HostID(fmt.Sprintf("m-%03d", n)), Pool: pool, State: HostUp, Labels: []string{"a"},
 				Rack: fmt.Sprintf("r%d", n/4), Capacity: job.Room{CPU: 64000, MemMB: 131072},
 			}}
@@ -773,9 +776,10 @@
 // list lists the hosts once a second.
 func (o *simOwner) list() {
 	w := o.w
-	if w.now.Sub(o.listedAt) < time.Second {
+	if w.now.Sub(o.listedAt) < time.Second && !o.relist {
 		return
 	}
+	o.relist = false
 	o.listedAt = w.now
 	var hosts []Host
 	for _, id := range sortedKeys(w.hosts) {
@@ -809,6 +813,8 @@
 		o.call(a.Worker, func(sw *simWorker) Answer { return sw.stop(a) }, func(x Answer) { o.s.Stopped(w.now, a.Worker, a.Task, a.Run, x) })
 	case Hold:
 		o.hold(a)
+	case ListHosts:
+		o.relist = true
 	case Commit:
 		o.commits = true
 		w.after(simStore, func() { o.store(a) })
@@ -892,6 +898,9 @@
 	if h.State != HostUp {
 		return Busy
 	}
+	if wave > 0 && h.maintained[wave] {
+		return Accepted
+	}
 	if sw := w.workers[h.Worker]; sw != nil {
 		for _, t := range sortedTasks(sw.runs) {
 			w.judgeInterrupt(t, sw.runs[t], "an order for its host")
@@ -904,6 +913,7 @@
 	h.State, h.Worker = HostMoving, ""
 	if wave > 0 {
 		h.State, away = HostMaintenance, w.cfg.MaintenanceTime
+		h.maintained[wave] = true
 		w.judgeWave(wave)
 	} else {
 		h.Pool = pool
