--- a/entry/ownership/signs.go
+++ b/entry/ownership/signs.go
@@ -15,8 +15,8 @@
 	"github.com/godwitcross/godwitcross/entry/store"
 )
 
-// producer is the name under which owners append their signs.
-const producer = "Owner"
+// Producer is the name under which owners append their signs.
+const Producer = "Owner"
 
 // Signs gives an owner's signs of life and proves with each that it still owns.
 type Signs struct {
@@ -84,7 +84,7 @@
 	res, err := s.Store.Append(ctx, store.Append{
 		Stream:  store.Owner,
 		Records: []store.Record{{Key: keySign, Value: b}},
-		Fence:   &store.Fence{Producer: producer, Epoch: s.Epoch, Seq: s.seq},
+		Fence:   &store.Fence{Producer: Producer, Epoch: s.Epoch, Seq: s.seq},
 	})
 	switch {
 	case err == nil:
--- a/entry/steward/load.go
+++ b/entry/steward/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/store"
@@ -28,13 +29,9 @@
 	cfg.Epoch, cfg.Term = s.epoch, s.term
 	// Whoever owned before was shut out by now, so its last proof is older than this.
 	sch := scheduling.New(s.cfg.Now(), cfg)
-	pages := make(map[store.Stream]store.Page)
-	for _, stream := range []store.Stream{store.Operator, store.Workers, store.Progress, store.Work} {
-		page, err := s.newest(ctx, stream)
-		if err != nil {
-			return nil, from, err
-		}
-		pages[stream] = page
+	pages, err := s.newestOf(ctx, store.Operator, store.Workers, store.Progress, store.Work)
+	if err != nil {
+		return nil, from, err
 	}
 	from.workers, from.operator = pages[store.Workers].Next, pages[store.Operator].Next
 	now, wall := s.cfg.Now(), s.cfg.Wall()
@@ -45,6 +42,24 @@
 	return sch, from, nil
 }
 
+// newestOf reads several streams at once.
+func (s *Steward) newestOf(ctx context.Context, streams ...store.Stream) (map[store.Stream]store.Page, error) {
+	read := make([]store.Page, len(streams))
+	g, ctx := errgroup.WithContext(ctx)
+	for i, stream := range streams {
+		g.Go(func() (err error) {
+			read[i], err = s.newest(ctx, stream)
+			return err
+		})
+	}
+	err := g.Wait()
+	pages := make(map[store.Stream]store.Page, len(streams))
+	for i, stream := range streams {
+		pages[stream] = read[i]
+	}
+	return pages, err
+}
+
 // newest reads the newest records of a stream until that succeeds.
 func (s *Steward) newest(ctx context.Context, stream store.Stream) (store.Page, error) {
 	for {
--- a/entry/steward/steward.go
+++ b/entry/steward/steward.go
@@ -175,23 +175,30 @@
 	return s.signs.Release(ctx, stopping)
 }
 
-// takeOver shuts out the owner before and marks the place in the order of work.
+// takeOver shuts out the owner before and marks the place in the order of work. Each
+// of its appends is needed before anything is loaded; their order doesn't matter.
 func (s *Steward) takeOver(ctx context.Context) (int64, error) {
-	for _, f := range []struct {
-		stream   store.Stream
-		producer string
-	}{{store.Progress, producer}, {store.Owner, "Owner"}} {
-		a := store.Append{Stream: f.stream, Fence: &store.Fence{Producer: f.producer, Epoch: s.epoch}}
-		if _, err := s.persist(ctx, a); err != nil {
-			return 0, eris.Wrapf(err, "fence %s", f.stream)
-		}
-	}
 	b, err := json.Marshal(s.epoch)
 	if err != nil {
 		return 0, eris.Wrap(err, "encode the mark")
 	}
-	res, err := s.persist(ctx, store.Append{Stream: store.Work, Records: []store.Record{{Key: keyOwner, Value: b}}})
-	return res.Offset, eris.Wrap(err, "mark the work")
+	var barrier int64
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.fence(ctx, store.Progress, producer) })
+	g.Go(func() error { return s.fence(ctx, store.Owner, ownership.Producer) })
+	g.Go(func() error {
+		res, err := s.persist(ctx, store.Append{Stream: store.Work, Records: []store.Record{{Key: keyOwner, Value: b}}})
+		barrier = res.Offset
+		return eris.Wrap(err, "mark the work")
+	})
+	err = g.Wait()
+	return barrier, err
+}
+
+// fence shuts out the appends of earlier owners to a stream.
+func (s *Steward) fence(ctx context.Context, stream store.Stream, name string) error {
+	_, err := s.persist(ctx, store.Append{Stream: stream, Fence: &store.Fence{Producer: name, Epoch: s.epoch}})
+	return eris.Wrapf(err, "fence %s", stream)
 }
 
 // persist repeats an append that may be repeated until it is answered.
--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -9,14 +9,10 @@
 	Epoch int64
 	// Term numbers the owners from 0; run numbers of a term lie above all earlier ones.
 	Term int64
-	// HoldMax is the longest lease that a worker grants.
-	HoldMax time.Duration
-	// Lease is the lease that a hold asks for; at most HoldMax.
+	// Lease is the lease that a hold asks for; at most what workers grant.
 	Lease time.Duration
 	// Grace is how long after the last proof of its ownership an owner extends leases.
 	Grace time.Duration
-	// StopMax is the longest that a stop takes.
-	StopMax time.Duration
 	// HostLease is how long another owner's orders for hosts must have ended before
 	// this one gives its own.
 	HostLease time.Duration
--- /dev/null
+++ b/fleet/scheduling/report.go
@@ -0,0 +1,300 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// Held takes the answer to a hold that was sent at sentAt.
+func (s *Scheduler) Held(now time.Time, wall int64, life Life, seen int64, sentAt time.Time, a Answer, rep Report) {
+	w := s.workers.get(life.ID)
+	if w == nil || w.Life != life {
+		return
+	}
+	w.holding = false
+	switch a.Outcome {
+	case Accepted:
+	case Fenced:
+		s.metFence(w.ID, "hold")
+		return
+	case OtherLife:
+		s.endLife(now, w, "its address belongs to another worker")
+		return
+	default:
+		s.unreachable(now, w, a.Outcome)
+		return
+	}
+	if rep.Born != 0 && w.Born != 0 && rep.Born != w.Born {
+		e := w.Entry
+		e.Born = rep.Born
+		s.reborn(now, w, e)
+		return
+	}
+	s.reachable(now, w)
+	w.clock(now, rep.ClockMs)
+	w.told = max(w.told, seen)
+	s.greet(now, w, rep)
+	s.reportRunning(now, w, rep)
+	s.reportEnded(now, wall, w, rep)
+	if !rep.Partial {
+		s.reportAbsent(now, w, sentAt, rep)
+	}
+	if w.runs.len() == 0 && w.idleSince.IsZero() {
+		w.idleSince = now
+	}
+	s.pace(now, w)
+	w.nextHold = now.Add(holdGap)
+	if w.noted > w.seen {
+		// A hold answers at once while ends are listed that it doesn't acknowledge.
+		w.nextHold = now.Add(storeWait)
+	}
+	if rep.Partial {
+		w.nextHold = now
+	}
+	if len(w.strays) > 0 {
+		w.nextHold = now.Add(storeWait)
+	}
+}
+
+func (s *Scheduler) unreachable(now time.Time, w *worker, o Outcome) {
+	if w.failing.IsZero() {
+		w.failing = now
+		s.note("worker unreachable", "", "Worker", string(w.ID), "Outcome", o.String(), "Runs", w.runs.len(),
+			"LapsedInMs", w.granted.Sub(now).Milliseconds())
+	}
+	w.nextHold = now.Add(retryGap)
+}
+
+func (s *Scheduler) reachable(now time.Time, w *worker) {
+	if !w.failing.IsZero() {
+		s.note("worker reachable again", "", "Worker", string(w.ID), "AfterMs", now.Sub(w.failing).Milliseconds())
+		w.failing = time.Time{}
+		s.dirty = true
+	}
+}
+
+// greet notes that the worker knows this owner's token: nothing that an earlier
+// owner ordered can start there any more.
+func (s *Scheduler) greet(now time.Time, w *worker, rep Report) {
+	if w.greeted {
+		return
+	}
+	w.greeted = true
+	s.dirty = true
+	s.note("worker greeted", "", "Worker", string(w.ID), "Runs", len(rep.Running), "Ends", len(rep.Ended),
+		"SinceTakeoverMs", now.Sub(s.startedAt).Milliseconds())
+}
+
+func (s *Scheduler) metFence(id WorkerID, order string) {
+	if !s.fenced {
+		s.fenced = true
+		s.note("fenced by a worker", "", "Worker", string(id), "Order", order, "Token", s.cfg.Epoch)
+	}
+}
+
+// reportRunning compares what runs on a worker with what should.
+func (s *Scheduler) reportRunning(now time.Time, w *worker, rep Report) {
+	strays := w.strays
+	w.strays = make(map[strayRun]time.Time)
+	for _, row := range rep.Running {
+		r := w.runs.get(row.Task)
+		if r != nil && r.number == row.Run {
+			s.observe(now, r, row)
+			continue
+		}
+		t := s.find(row.Task)
+		if t == nil {
+			s.stopStray(now, w, row, strays)
+			continue
+		}
+		t.lastRun = max(t.lastRun, row.Run)
+		if r != nil || t.done || t.run != nil || t.owner().state.Final() {
+			s.stopStray(now, w, row, strays)
+			continue
+		}
+		s.adopt(now, w, t, row)
+	}
+	if _, ok := s.unaccounted[w.ID]; ok {
+		delete(s.unaccounted, w.ID)
+		s.dirty = true
+	}
+	s.dirty = s.dirty || len(strays) > len(w.strays)
+}
+
+func (s *Scheduler) observe(now time.Time, r *run, row RunRow) {
+	if r.phase == starting || r.phase == uncertain {
+		r.phase = running
+		r.retryAt = time.Time{}
+		s.countBegun(r.task.owner())
+	}
+	r.knownAt = now
+	r.percent, r.load = row.Percent, row.Load
+	if row.Checkpoint != "" {
+		r.checkpoint = row.Checkpoint
+	}
+}
+
+// adopt takes over a run that an earlier owner started.
+func (s *Scheduler) adopt(now time.Time, w *worker, t *task, row RunRow) {
+	if s.inheritedUntil.After(w.granted) {
+		w.granted = s.inheritedUntil // its lease was ordered by an earlier owner
+	}
+	r := &run{task: t, number: row.Run, phase: running, since: now, knownAt: now, percent: row.Percent, load: row.Load, checkpoint: row.Checkpoint, pace: 100}
+	s.unqueue(t)
+	s.attach(w, r)
+	w.idleSince = time.Time{}
+	s.countBegun(t.owner())
+	s.note("run adopted", t.owner().ID, "Task", row.Task.String(), "Run", row.Run, "Worker", string(w.ID))
+}
+
+// unqueue takes a task out of those that wait.
+func (s *Scheduler) unqueue(t *task) {
+	if !t.queued {
+		return
+	}
+	t.queued = false
+	for i, o := range t.step.waiting {
+		if o == t {
+			t.step.waiting = append(t.step.waiting[:i], t.step.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// stopStray stops a run that isn't wanted and belongs to no task. It takes room that
+// isn't known until it is gone.
+func (s *Scheduler) stopStray(now time.Time, w *worker, row RunRow, before map[strayRun]time.Time) {
+	key := strayRun{row.Task, row.Run}
+	if at, ok := before[key]; ok && now.Sub(at) < strayGap {
+		w.strays[key] = at
+		return
+	}
+	w.strays[key] = now
+	s.note("stray run stopped", row.Task.Job, "Task", row.Task.String(), "Run", row.Run, "Worker", string(w.ID))
+	s.emit(Stop{Worker: w.Life, Address: w.Address, Task: row.Task, Run: row.Run, Token: s.cfg.Epoch})
+}
+
+// reportEnded counts each end once.
+func (s *Scheduler) reportEnded(now time.Time, wall int64, w *worker, rep Report) {
+	for _, row := range rep.Ended {
+		if row.Number <= w.noted {
+			continue
+		}
+		w.noted = row.Number
+		s.ended[w.ID] = row.Number
+		s.end(now, wall, w, row)
+	}
+}
+
+func (s *Scheduler) end(now time.Time, wall int64, w *worker, row EndRow) {
+	t := s.find(row.Task)
+	r := w.runs.get(row.Task)
+	if r != nil && r.number <= row.Run {
+		if row.How == EndDone && !r.task.step.LongRunning {
+			s.learn(now, r)
+		}
+		s.detach(r)
+	}
+	s.note("run ended", row.Task.Job, "Task", row.Task.String(), "Run", row.Run, "Worker", string(w.ID), "How", string(row.How))
+	if t == nil {
+		return
+	}
+	t.lastRun = max(t.lastRun, row.Run)
+	s.countBegun(t.owner())
+	if row.Checkpoint != "" && t.step.Checkpointing {
+		t.checkpoint = row.Checkpoint
+	}
+	switch row.How {
+	case EndDone:
+		w.failures = 0
+		s.taskDone(now, wall, t)
+	case EndFailed:
+		s.taskFailed(now, wall, w, t, row.Run)
+	default:
+		if t.checkpoint != "" && row.Checkpoint != "" {
+			s.change(t.owner())
+		}
+	}
+	if t.run == nil {
+		s.settle(now, t)
+	}
+}
+
+// taskDone counts a finished run. One member's end stands for its whole gang.
+func (s *Scheduler) taskDone(now time.Time, wall int64, t *task) {
+	if t.step.LongRunning {
+		return
+	}
+	if !t.step.Gang {
+		s.markDone(now, wall, t)
+		return
+	}
+	for _, m := range t.step.tasks {
+		s.markDone(now, wall, m)
+	}
+}
+
+func (s *Scheduler) taskFailed(now time.Time, wall int64, w *worker, t *task, number int64) {
+	if slices.Contains(t.failed, number) {
+		return // counted before, by this owner or an earlier one
+	}
+	t.failed = append(t.failed, number)
+	if t.step.LongRunning && len(t.failed) > keptFailures {
+		t.failed = t.failed[1:]
+	}
+	t.avoid = w.ID
+	w.failures++
+	if w.failures >= failuresToRest {
+		w.failures = 0
+		w.restUntil = now.Add(unhealthyPause)
+		s.note("worker rests", "", "Worker", string(w.ID), "Reason", "failed runs in a row", "Runs", failuresToRest)
+	}
+	s.change(t.owner())
+	if t.step.LongRunning {
+		return
+	}
+	failures := len(t.failed)
+	if t.step.Gang {
+		failures = 0
+		for _, m := range t.step.tasks {
+			failures += len(m.failed)
+		}
+	}
+	if failures >= s.attempts(t.owner()) {
+		s.finish(now, wall, t.owner(), job.Failed, "a task used up its attempts")
+	}
+}
+
+// attempts is how many runs of a task may fail.
+func (s *Scheduler) attempts(js *jobState) int {
+	if q, ok := s.conf.Queue(js.Queue); ok {
+		return max(q.MaxAttempts, 1)
+	}
+	return 1
+}
+
+// reportAbsent finds runs that should be in a list and are in none: those whose
+// stop was answered before the hold was sent, and those known to run before it.
+func (s *Scheduler) reportAbsent(now time.Time, w *worker, sentAt time.Time, rep Report) {
+	if w.runs.len() == 0 {
+		return
+	}
+	there := make(map[job.Task]int64, len(rep.Running))
+	for _, row := range rep.Running {
+		there[row.Task] = row.Run
+	}
+	for id, r := range w.runs.all() {
+		if there[id] == r.number {
+			continue
+		}
+		switch {
+		case r.phase == stopped && r.stoppedAt.Before(sentAt):
+			s.detach(r)
+			s.settle(now, r.task)
+		case r.phase == running && r.knownAt.Before(sentAt):
+			s.lose(now, r)
+		}
+	}
+}
--- a/fleet/scheduling/restore_test.go
+++ b/fleet/scheduling/restore_test.go
@@ -16,8 +16,8 @@
 
 func testConfig() Config {
 	return Config{
-		Epoch: 7, Term: 1, HoldMax: 6 * time.Second, Lease: 4500 * time.Millisecond, Grace: 6 * time.Second,
-		StopMax: 200 * time.Millisecond, HostLease: 3 * time.Second, MoveTime: 1500 * time.Millisecond,
+		Epoch: 7, Term: 1, Lease: 4500 * time.Millisecond, Grace: 6 * time.Second,
+		HostLease: 3 * time.Second, MoveTime: 1500 * time.Millisecond,
 		MaintenanceTime: 2 * time.Second, DutiesPerSecond: 30, Retention: time.Minute,
 	}
 }
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -77,18 +77,6 @@
 	out   []Action
 }
 
-// openCommit is a commit that was not answered yet.
-type openCommit struct {
-	jobs   map[*jobState]job.State
-	ends   map[WorkerID]lifeEnds
-	roster []*worker
-}
-
-type lifeEnds struct {
-	life  Life
-	noted int64
-}
-
 // New returns the scheduler of an owner that took over at now.
 func New(now time.Time, cfg Config) *Scheduler {
 	return &Scheduler{
@@ -268,72 +256,6 @@
 	}
 }
 
-// Flush closes the open commit, if there is anything to store.
-func (s *Scheduler) Flush() {
-	if len(s.changed) == 0 && len(s.records) == 0 && len(s.ended) == 0 {
-		return
-	}
-	s.commit++
-	oc := &openCommit{jobs: make(map[*jobState]job.State), ends: make(map[WorkerID]lifeEnds)}
-	records := s.records
-	for _, js := range s.changed {
-		js.changed = false
-		b, err := js.progress().Encode()
-		if err != nil {
-			s.note("progress not encoded", js.ID, "Error", err.Error())
-			continue
-		}
-		records = append(records, Record{Key: ProgressPrefix + string(js.ID), Value: b})
-		oc.jobs[js] = js.state
-	}
-	for id, noted := range s.ended {
-		if w := s.workers.get(id); w != nil {
-			oc.ends[id] = lifeEnds{life: w.Life, noted: noted}
-		}
-	}
-	for _, w := range s.workers.all() {
-		if w.roster == rosterOpen {
-			w.roster = rosterSent
-			oc.roster = append(oc.roster, w)
-		}
-	}
-	s.changed, s.records = nil, nil
-	clear(s.ended)
-	s.commits[s.commit] = oc
-	if len(records) == 0 {
-		s.Committed(s.commit)
-		return
-	}
-	s.emit(Commit{Number: s.commit, Records: records})
-}
-
-// Committed tells that a commit is stored: what it holds may be told to callers,
-// and workers may forget the ends that it counts.
-func (s *Scheduler) Committed(number int64) {
-	oc := s.commits[number]
-	if oc == nil {
-		return
-	}
-	delete(s.commits, number)
-	for js, state := range oc.jobs {
-		js.shown = state
-	}
-	for id, e := range oc.ends {
-		if w := s.workers.get(id); w != nil && w.Life == e.life && e.noted > w.seen {
-			w.seen = e.noted
-			if w.seen == w.noted {
-				w.nextHold = time.Time{}
-			}
-		}
-	}
-	for _, w := range oc.roster {
-		if w.roster == rosterSent {
-			w.roster = rosterStored
-			s.dirty = true
-		}
-	}
-}
-
 // Forget drops jobs that ended long ago and returns the IDs whose accepted record
 // isn't needed any more: their progress says all.
 func (s *Scheduler) Forget(now time.Time) []job.ID {
@@ -384,25 +306,6 @@
 	return false
 }
 
-// HasChanges reports whether there is anything to store.
-func (s *Scheduler) HasChanges() bool {
-	return len(s.changed) > 0 || len(s.records) > 0 || len(s.ended) > 0
-}
-
-// IsUrgent reports whether somebody waits for the open commit: the caller of a job
-// that ended, or tasks for a worker that may not get any before it is stored.
-func (s *Scheduler) IsUrgent() bool {
-	if len(s.records) > 0 {
-		return true
-	}
-	for _, js := range s.changed {
-		if js.state.Final() {
-			return true
-		}
-	}
-	return false
-}
-
 // Listed returns the workers whose entries are there.
 func (s *Scheduler) Listed() []WorkerID {
 	var ids []WorkerID
--- a/fleet/scheduling/types.go
+++ b/fleet/scheduling/types.go
@@ -114,13 +114,11 @@
 	Busy
 	// Unknown orders had no answer and may be carried out, also later.
 	Unknown
-	// Absent runs are not there.
-	Absent
 )
 
 var outcomeNames = [...]string{
 	"accepted", "fenced", "old", "late", "no room", "no ticket", "unhealthy",
-	"other life", "refused", "busy", "unknown", "absent",
+	"other life", "refused", "busy", "unknown",
 }
 
 // String returns the outcome's name in logs.
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -168,6 +168,8 @@
 	simTimeout = 400 * time.Millisecond
 	simStore   = 6 * time.Millisecond
 	simTick    = 10 * time.Millisecond
+	// simHoldMax is the longest lease that a worker grants.
+	simHoldMax = 6 * time.Second
 )
 
 func newWorld(seed int64, pools map[string]int, spare int) *world {
@@ -388,7 +390,7 @@
 }
 
 func (sw *simWorker) extend(deadline int64) {
-	sw.deadline = max(sw.deadline, min(deadline, sw.clock()+sw.w.cfg.HoldMax.Milliseconds()))
+	sw.deadline = max(sw.deadline, min(deadline, sw.clock()+simHoldMax.Milliseconds()))
 }
 
 func (sw *simWorker) start(o Start) Answer {
--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -28,7 +28,6 @@
 const (
 	graceS    = 2
 	holdMaxMs = 6000
-	stopMs    = 200
 	leaseMs   = 300
 	awayS     = 0.05
 	dutyPerS  = 200
@@ -71,7 +70,7 @@
 		return s, err
 	}
 	s.Listen.Control = control
-	s.Bounds.GraceS, s.Bounds.HoldMaxMs, s.Bounds.StopMs, s.Bounds.LeaseMs = graceS, holdMaxMs, stopMs, leaseMs
+	s.Bounds.GraceS, s.Bounds.HoldMaxMs, s.Bounds.LeaseMs = graceS, holdMaxMs, leaseMs
 	s.Bounds.MoveS, s.Bounds.UpkeepS = awayS, awayS
 	s.Platform.Address, s.Cloud.Address, s.Advice = e.StoreAddress(), e.CloudAddress(), e.AdviceAddress()
 	s.Cloud.DutyPerS = dutyPerS
