--- a/entry/relay/store.go
+++ b/entry/relay/store.go
@@ -16,6 +16,9 @@
 	// directPause is how long a host leaves its own path to the store alone after it
 	// failed, while a peer passes its calls on.
 	directPause = time.Second
+	// lostAfter is how long no call may have had an answer before the store counts as
+	// lost: a few of its usual answers.
+	lostAfter = 500 * time.Millisecond
 	// peersTried bounds the peers that one call is passed to.
 	peersTried = 2
 )
@@ -32,6 +35,9 @@
 	downUntil time.Time
 	isDown    bool
 	next      int
+	// reachedAt is when a call last had an answer by any way; failing is set since.
+	reachedAt time.Time
+	failing   bool
 }
 
 // NewStore returns a store; peers tells the hosts that may pass calls on.
@@ -66,11 +72,22 @@
 	}
 }
 
-// IsDown reports whether the last direct call failed.
-func (s *Store) IsDown() bool {
+// outcome keeps whether the store is reached at all.
+func (s *Store) outcome(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.isDown
+	s.failing = passes(err)
+	if !s.failing {
+		s.reachedAt = time.Now()
+	}
+}
+
+// IsLost reports whether no way leads to the store: the last call had no answer, by
+// peers neither, and none had for a while.
+func (s *Store) IsLost(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failing && now.Sub(s.reachedAt) > lostAfter
 }
 
 // some returns the peers to try, another one first each time.
@@ -96,9 +113,9 @@
 }
 
 // through makes a call directly, else through peers.
-func through[T any](ctx context.Context, s *Store, direct func() (T, error), relayed func(p Peer) (T, error)) (T, error) {
-	var out T
-	err := error(store.ErrUnavailable)
+func through[T any](ctx context.Context, s *Store, direct func() (T, error), relayed func(p Peer) (T, error)) (out T, err error) {
+	defer func() { s.outcome(err) }()
+	err = error(store.ErrUnavailable)
 	unknown := false
 	if s.tryDirect() {
 		out, err = direct()
--- /dev/null
+++ b/entry/relay/store_test.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/entry/store"
+)
+
+// scriptedStore answers each append with the same error.
+type scriptedStore struct {
+	store.Store
+	err   error
+	calls int
+}
+
+func (s *scriptedStore) Append(context.Context, store.Append) (store.Appended, error) {
+	s.calls++
+	return store.Appended{Offset: 1}, s.err
+}
+
+func newTestStore(direct store.Store) *Store {
+	log, _ := test.NewNullLogger()
+	return NewStore(direct, nil, func() []Peer { return nil }, log)
+}
+
+// Which errors count as the store being out of reach, and for how long.
+func TestAStoreThatIsLost(t *testing.T) {
+	later := time.Now().Add(time.Minute)
+	tests := map[string]struct {
+		err  error
+		lost bool
+	}{
+		"answers":         {nil, false},
+		"has another end": {store.ErrConflict, false},
+		"fences":          {store.ErrFenced, false},
+		"turns away":      {store.ErrUnavailable, true},
+		"is silent":       {store.ErrUnknown, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newTestStore(&scriptedStore{})
+			_, err := s.Append(context.Background(), store.Append{})
+			require.NoError(t, err)
+			s.direct = &scriptedStore{err: tt.err}
+			_, err = s.Append(context.Background(), store.Append{})
+			require.ErrorIs(t, err, tt.err)
+			require.False(t, s.IsLost(time.Now()), "not at once")
+			require.Equal(t, tt.lost, s.IsLost(later))
+		})
+	}
+}
+
+// After a failure the direct path is left alone for a while, so that not every
+// request waits for it.
+func TestAFailedPathIsLeftAlone(t *testing.T) {
+	direct := &scriptedStore{err: store.ErrUnavailable}
+	s := newTestStore(direct)
+	for range 5 {
+		_, err := s.Append(context.Background(), store.Append{})
+		require.ErrorIs(t, err, store.ErrUnavailable)
+	}
+	require.Equal(t, 1, direct.calls)
+}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -301,6 +301,9 @@
 	if s.follower.Current() == nil {
 		return "no configuration yet"
 	}
+	if s.store.IsLost(time.Now()) {
+		return "no path to the store"
+	}
 	if s.steward.Load() != nil {
 		return ""
 	}
