--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -374,3 +374,12 @@
 	}
 	return ws
 }
+
+// placeGap is how long to wait between two rounds of placement.
+func (s *Scheduler) placeGap() time.Duration {
+	steps := 0
+	for _, list := range s.waiting.all() {
+		steps += len(list)
+	}
+	return min(time.Duration(steps)*gapPerStep, maxPlaceGap)
+}
--- a/fleet/scheduling/restore_test.go
+++ b/fleet/scheduling/restore_test.go
@@ -171,6 +171,7 @@
 			continue
 		}
 		s.Held(now, 0, w.Life, 0, now, ok, Report{Born: 1, ClockMs: 10})
+		now = now.Add(maxPlaceGap)
 		s.Tick(now, 0)
 		require.Len(t, starts(s.Take()), 1, "the stray run is gone")
 	}
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -57,8 +57,10 @@
 	lastDuty time.Time
 	// nextBalance is when pools are compared with their demand again.
 	nextBalance time.Time
-	// nextPlace is when waiting tasks are looked at again although nothing happened.
-	nextPlace time.Time
+	// placedAt is when waiting tasks were last looked at.
+	placedAt time.Time
+	// nextWorkers is when workers are looked at again.
+	nextWorkers time.Time
 	// nextDescription is when the log tells again how pools stand.
 	nextDescription time.Time
 	// dutySeq makes the token of each order for hosts higher than all before.
@@ -247,11 +249,14 @@
 	for _, js := range s.timed.all() {
 		s.openDue(now, wall, js)
 	}
-	s.tickWorkers(now)
+	if !now.Before(s.nextWorkers) {
+		s.nextWorkers = now.Add(workersGap)
+		s.tickWorkers(now)
+	}
 	s.tickHosts(now)
-	if s.dirty || !now.Before(s.nextPlace) {
+	if (s.dirty && !now.Before(s.placedAt.Add(s.placeGap()))) || !now.Before(s.placedAt.Add(placeEvery)) {
 		s.dirty = false
-		s.nextPlace = now.Add(placeEvery)
+		s.placedAt = now
 		s.place(now)
 	}
 }
