fix: a lost run starts again only with a proof of ownership; proofs of a configuration are short

Change: a task whose run was lost waits for a proof of ownership after that; a request waits 200 ms at most for the proof that its queue doesn't exist, and is refused then.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -37,6 +37,10 @@
 	defaultTime = 3 * time.Second
 	// answerMargin is kept of the caller's time to send the answer.
 	answerMargin = 20 * time.Millisecond
+	// proofTime is how long a request waits for the proof that no newer configuration
+	// has its queue. A request that waited longer could be answered by a version that
+	// is newer than the one by which later requests were answered meanwhile.
+	proofTime = 200 * time.Millisecond
 	// askPause is the pause between two tries to reach the owner.
 	askPause = 60 * time.Millisecond
 )
@@ -84,7 +88,9 @@
 			return q, rest, c.Version, nil
 		}
 	}
-	c, proved := in.cfg.Follower.Fresh(ctx)
+	fctx, cancel := context.WithTimeout(ctx, proofTime)
+	defer cancel()
+	c, proved := in.cfg.Follower.Fresh(fctx)
 	if c == nil {
 		return queue.Queue{}, "", 0, eris.Wrap(ErrNotAccepted, "no configuration yet")
 	}
--- a/fleet/scheduling/lease_test.go
+++ b/fleet/scheduling/lease_test.go
@@ -75,3 +75,27 @@
 		}
 	}
 }
+
+// An owner that was cut off learns that a worker's host runs another worker. A later
+// owner may have noted the run's end before: without a proof of ownership after that
+// nothing starts.
+func TestALostRunStartsAgainOnlyWithAProofOfOwnership(t *testing.T) {
+	s, now := readyScheduler(t)
+	first := startOne(t, s, now, testJob(1))
+	w2 := testWorker("w2")
+	w2.Host, w2.Born = "h-w1", 2
+	now = now.Add(time.Second)
+	s.Enlist(now, w2)
+	s.Flush()
+	s.Committed(2)
+	s.Held(now, 0, w2.Life, 0, now, Answer{Outcome: Accepted, ClockMs: 5}, Report{Born: 2, ClockMs: 5})
+	now = now.Add(placeEvery)
+	s.Tick(now, 0)
+	require.Empty(t, starts(s.Take()))
+	s.Confirm(now)
+	now = now.Add(placeEvery)
+	s.Tick(now, 0)
+	again := starts(s.Take())
+	require.Len(t, again, 1)
+	require.Equal(t, first.Task, again[0].Task)
+}
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -74,7 +74,9 @@
 	// avoid is the worker on which the last run failed.
 	avoid     WorkerID
 	notBefore time.Time
-	queued    bool
+	// lostAt is when the last run was taken as gone without a listed end.
+	lostAt time.Time
+	queued bool
 }
 
 // runPhase is what the owner knows of a run.
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -229,6 +229,7 @@
 	}
 	s.note("run lost", r.task.owner().ID, "Task", r.task.id().String(), "Run", r.number, "Worker", string(r.worker.ID),
 		"AgeMs", now.Sub(r.since).Milliseconds(), "Percent", r.percent)
+	r.task.lostAt = now
 	s.detach(r)
 	s.settle(now, r.task)
 }
