--- a/entry/relay/client.go
+++ b/entry/relay/client.go
@@ -20,6 +20,10 @@
 	// storeTime bounds a call that the other host passes on to the store, whose own
 	// bound is below it.
 	storeTime = 1500 * time.Millisecond
+	// relayedWait and relayedReadTime bound a read that another host passes on: the next
+	// try of the direct path must not wait for a host that is cut off too.
+	relayedWait     = 300 * time.Millisecond
+	relayedReadTime = 600 * time.Millisecond
 	// maxAnswer bounds an answer; a page of the store has up to 2 MiB.
 	maxAnswer = 16 << 20
 	// maxConnections bounds the connections to one entry host.
@@ -116,7 +120,8 @@
 // Read has another host read from the store.
 func (c *Client) Read(ctx context.Context, p Peer, r ReadRequest) (store.Page, error) {
 	var out store.Page
-	_, err := c.call(ctx, p, pathRead, r, &out, storeTime+r.Wait)
+	r.Wait = min(r.Wait, relayedWait)
+	_, err := c.call(ctx, p, pathRead, r, &out, r.Wait+relayedReadTime)
 	if errors.Is(err, ErrNoPeer) {
 		return out, eris.Wrap(store.ErrUnavailable, err.Error())
 	}
--- a/entry/relay/store.go
+++ b/entry/relay/store.go
@@ -19,7 +19,8 @@
 	// lostAfter is how long no call may have had an answer before the store counts as
 	// lost: a few of its usual answers.
 	lostAfter = 500 * time.Millisecond
-	// peersTried bounds the peers that one call is passed to.
+	// peersTried bounds the peers that an append is passed to; a read, which is done
+	// again soon, is passed to one.
 	peersTried = 2
 )
 
@@ -90,8 +91,8 @@
 	return s.failing && now.Sub(s.reachedAt) > lostAfter
 }
 
-// some returns the peers to try, another one first each time.
-func (s *Store) some() []Peer {
+// some returns up to n peers to try, another one first each time.
+func (s *Store) some(n int) []Peer {
 	all := s.peers()
 	if len(all) == 0 {
 		return nil
@@ -100,8 +101,8 @@
 	s.next++
 	first := s.next
 	s.mu.Unlock()
-	out := make([]Peer, 0, peersTried)
-	for i := range min(peersTried, len(all)) {
+	out := make([]Peer, 0, n)
+	for i := range min(n, len(all)) {
 		out = append(out, all[(first+i)%len(all)])
 	}
 	return out
@@ -112,8 +113,8 @@
 	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown)
 }
 
-// through makes a call directly, else through peers.
-func through[T any](ctx context.Context, s *Store, direct func() (T, error), relayed func(p Peer) (T, error)) (out T, err error) {
+// through makes a call directly, else through as many peers as may be tried.
+func through[T any](ctx context.Context, s *Store, tries int, direct func() (T, error), relayed func(p Peer) (T, error)) (out T, err error) {
 	defer func() { s.outcome(err) }()
 	err = error(store.ErrUnavailable)
 	unknown := false
@@ -125,7 +126,7 @@
 		}
 		unknown = errors.Is(err, store.ErrUnknown)
 	}
-	for _, p := range s.some() {
+	for _, p := range s.some(tries) {
 		if ctx.Err() != nil {
 			break
 		}
@@ -145,14 +146,14 @@
 
 // Append adds records.
 func (s *Store) Append(ctx context.Context, a store.Append) (store.Appended, error) {
-	return through(ctx, s,
+	return through(ctx, s, peersTried,
 		func() (store.Appended, error) { return s.direct.Append(ctx, a) },
 		func(p Peer) (store.Appended, error) { return s.client.Append(ctx, p, a) })
 }
 
 // Read waits for records.
 func (s *Store) Read(ctx context.Context, stream store.Stream, from int64, wait time.Duration) (store.Page, error) {
-	return through(ctx, s,
+	return through(ctx, s, 1,
 		func() (store.Page, error) { return s.direct.Read(ctx, stream, from, wait) },
 		func(p Peer) (store.Page, error) {
 			return s.client.Read(ctx, p, ReadRequest{Stream: stream, From: from, Wait: wait})
@@ -161,7 +162,7 @@
 
 // Newest returns the newest record of each key.
 func (s *Store) Newest(ctx context.Context, stream store.Stream) (store.Page, error) {
-	return through(ctx, s,
+	return through(ctx, s, peersTried,
 		func() (store.Page, error) { return s.direct.Newest(ctx, stream) },
 		func(p Peer) (store.Page, error) { return s.client.Newest(ctx, p, NewestRequest{Stream: stream}) })
 }
--- a/entry/relay/store_test.go
+++ b/entry/relay/store_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
+	"github.com/godwitcross/godwitcross/entry/backend"
 	"github.com/godwitcross/godwitcross/entry/store"
 )
 
@@ -66,3 +68,26 @@
 	}
 	require.Equal(t, 1, direct.calls)
 }
+
+// silentStore answers no read.
+type silentStore struct{ store.Store }
+
+func (silentStore) Read(context.Context, store.Stream, int64, time.Duration) (store.Page, error) {
+	return store.Page{}, store.ErrUnknown
+}
+
+// A read through peers that don't answer ends soon, so that a host finds its own path
+// again once that works: other hosts may be cut off with it.
+func TestAReadThroughSilentPeersEndsSoon(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // it takes connections and answers nothing
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	log, _ := test.NewNullLogger()
+	peer := Peer{Name: "b", Address: l.Addr().String()}
+	client := NewClient(backend.NewPool(backend.Dialer()))
+	s := NewStore(silentStore{}, client, func() []Peer { return []Peer{peer, peer, peer} }, log)
+	began := time.Now()
+	_, err = s.Read(context.Background(), store.Operator, 0, 30*time.Second)
+	require.Error(t, err)
+	require.Less(t, time.Since(began), 3*time.Second)
+}
