--- a/entry/ownership/candidate.go
+++ b/entry/ownership/candidate.go
@@ -70,9 +70,7 @@
 	mu sync.Mutex
 	// state is guarded by mu.
 	state State
-	// stopping candidates claim no more; guarded by mu.
-	stopping bool
-	// yieldedUntil is until when this host doesn't claim.
+	// yieldedUntil is until when this host doesn't claim; guarded by mu.
 	yieldedUntil time.Time
 }
 
@@ -88,17 +86,10 @@
 	return c.state
 }
 
-// Stop makes the candidate claim no more.
-func (c *Candidate) Stop() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stopping = true
-}
-
 func (c *Candidate) mayClaim(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.stopping && !now.Before(c.yieldedUntil)
+	return !now.Before(c.yieldedUntil)
 }
 
 // Run follows the owner until the context ends.
--- a/entry/steward/lanes.go
+++ b/entry/steward/lanes.go
@@ -149,7 +149,7 @@
 	sentAt := s.cfg.Now()
 	a, rep := s.cfg.Workers.Hold(ctx, o)
 	s.tell(func(sch *scheduling.Scheduler, now time.Time, wall int64) {
-		sch.Held(now, wall, o.Worker, o.SeenUpto, sentAt, a, rep)
+		sch.Held(now, wall, o.Worker, o.Acknowledged, sentAt, a, rep)
 	})
 }
 
--- /dev/null
+++ b/fleet/scheduling/balance.go
@@ -0,0 +1,126 @@
+package scheduling
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// balanceEvery is how often pools are compared with their demand.
+	balanceEvery = 100 * time.Millisecond
+	// idleToSpare is how long a worker is idle before its host leaves for the spare
+	// pool. A move costs about as much as 1.1 s of a host in a pool, and queues'
+	// peaks last seconds, so a shorter wait would pay for moves that are undone.
+	idleToSpare = 700 * time.Millisecond
+	// describeEvery is how often the log tells how pools stand.
+	describeEvery = time.Second
+)
+
+// balance moves hosts to the pools whose tasks wait, from the spare pool and from
+// pools whose hosts idle, and idle hosts back to the spare pool.
+func (s *Scheduler) balance(now time.Time) {
+	wants := s.poolDemands(now)
+	s.describe(now, wants)
+	for _, p := range wants {
+		for _, label := range slices.Sorted(maps.Keys(p.labeled)) {
+			if !s.fetch(now, p, label, p.lacks(label), wants) {
+				return
+			}
+		}
+		if !s.fetch(now, p, "", p.need, wants) {
+			return
+		}
+	}
+	s.releaseIdle(now, wants)
+}
+
+// fetch moves up to n hosts with a label to a pool, or any hosts if there is none. It
+// reports false once no order may be given now.
+func (s *Scheduler) fetch(now time.Time, p *poolDemand, label string, n int, wants []*poolDemand) bool {
+	for range max(n, 0) {
+		h := s.donor(now, p.name, label, wants)
+		if h == nil {
+			return true
+		}
+		from := h.Pool
+		if !s.moveHost(now, h, p.name, "tasks wait") {
+			return false
+		}
+		p.need--
+		takeSurplus(wants, from)
+	}
+	return true
+}
+
+// donor finds a host with a label, if there is one, for a pool: a spare one, else an idle one of a pool without
+// waiting tasks.
+func (s *Scheduler) donor(now time.Time, pool, label string, wants []*poolDemand) *host {
+	var best *host
+	bestRank := 0
+	for _, h := range s.hosts.all() {
+		if !h.isFree(now) || h.Pool == pool || h.refusedPools[pool] || s.isCordoned(h) {
+			continue
+		}
+		if label != "" && !slices.Contains(h.Labels, label) {
+			continue
+		}
+		rank := 0
+		switch w := s.workerOn(h); {
+		case s.isSpare(h.Pool):
+			rank = 2
+		case w != nil && w.runs.len() == 0 && w.greeted && w.failing.IsZero() && !w.Draining && hasSurplus(wants, h.Pool):
+			rank = 1
+		}
+		if rank > bestRank || (rank == bestRank && best != nil && rank > 0 && h.ID < best.ID) {
+			best, bestRank = h, rank
+		}
+	}
+	return best
+}
+
+// hasSurplus reports whether a pool can give a host away.
+func hasSurplus(wants []*poolDemand, pool string) bool {
+	return slices.ContainsFunc(wants, func(p *poolDemand) bool { return p.name == pool && p.need < 0 })
+}
+
+// takeSurplus counts a host that a pool gives away.
+func takeSurplus(wants []*poolDemand, pool string) {
+	for _, p := range wants {
+		if p.name == pool {
+			p.need++
+		}
+	}
+}
+
+// isCordoned reports whether a host is being emptied for its maintenance.
+func (s *Scheduler) isCordoned(h *host) bool {
+	w := s.workerOn(h)
+	return w != nil && w.cordoned
+}
+
+// releaseIdle sends hosts that idle to the spare pool.
+func (s *Scheduler) releaseIdle(now time.Time, wants []*poolDemand) {
+	spare := ""
+	for _, p := range s.conf.Pools {
+		if p.Spare {
+			spare = p.Name
+		}
+	}
+	if spare == "" {
+		return
+	}
+	for _, h := range s.hosts.all() {
+		w := s.workerOn(h)
+		if w == nil || !h.isFree(now) || s.isSpare(h.Pool) || w.cordoned || h.refusedPools[spare] || !hasSurplus(wants, h.Pool) {
+			continue
+		}
+		if w.runs.len() > 0 || !w.greeted || w.Draining || w.idleSince.IsZero() || now.Sub(w.idleSince) < idleToSpare {
+			continue
+		}
+		if !s.moveHost(now, h, spare, "idle") {
+			return
+		}
+		takeSurplus(wants, h.Pool)
+	}
+}
--- /dev/null
+++ b/fleet/scheduling/hostorder.go
@@ -0,0 +1,159 @@
+package scheduling
+
+import "time"
+
+const (
+	// tokenStep leaves room for the orders of one epoch below the next epoch's tokens.
+	tokenStep = 1_000_000
+	// orderRetry is the pause before an order for a host is sent again.
+	orderRetry = 500 * time.Millisecond
+)
+
+// duty counts an order against the platform's rate and returns its token.
+func (s *Scheduler) duty(now time.Time) (int64, bool) {
+	if s.cfg.DutiesPerSecond > 0 {
+		// A second's worth may go at once: that is how the platform counts them.
+		s.duties = min(s.duties+now.Sub(s.lastDuty).Seconds()*s.cfg.DutiesPerSecond, s.cfg.DutiesPerSecond)
+		s.lastDuty = now
+		if s.duties < 1 {
+			return 0, false
+		}
+		s.duties--
+	}
+	s.dutySeq++
+	return s.cfg.Epoch*tokenStep + s.dutySeq, true
+}
+
+// moveHost orders a move. It reports false if no order may be given now.
+func (s *Scheduler) moveHost(now time.Time, h *host, pool, reason string) bool {
+	if !s.confirmedForHosts(now) {
+		return false
+	}
+	token, ok := s.duty(now)
+	if !ok {
+		return false
+	}
+	s.note("host move ordered", "", "Host", string(h.ID), "From", h.Pool, "To", pool, "Reason", reason, "Token", token, "ListAgeMs", now.Sub(s.listed).Milliseconds())
+	if w := s.workerOn(h); w != nil {
+		w.cordoned, w.ordered = true, true
+	}
+	h.order = hostOrder{kind: moveOrder, pool: pool}
+	s.emit(Move{Host: h.ID, Pool: pool, Token: token})
+	return true
+}
+
+// confirmedForHosts reports whether this owner was proved to be the owner a short
+// time ago. Orders for hosts have no lease that would end on its own.
+func (s *Scheduler) confirmedForHosts(now time.Time) bool {
+	return now.Sub(s.confirmed) < hostProof
+}
+
+// Ordered takes the platform's answer to an order for a host.
+func (s *Scheduler) Ordered(now time.Time, id HostID, token int64, o Outcome) {
+	h := s.hosts.get(id)
+	if h == nil || h.order.kind == noOrder || h.order.given {
+		return
+	}
+	if o != Accepted {
+		s.note("host order not accepted", "", "Host", string(id), "Token", token, "Outcome", o.String())
+	}
+	switch o {
+	case Accepted:
+		s.orderGiven(now, h)
+	case Unknown:
+		// It may be carried out late, so it stays in force and is sent again.
+		h.order.resendAt = now.Add(orderRetry)
+	case Fenced:
+		s.fenced = true
+		s.note("fenced by the platform", "", "Host", string(id), "Token", token)
+	case Refused:
+		if h.order.kind == moveOrder {
+			h.refusedPools[h.order.pool] = true
+		}
+		s.cancelOrder(now, h)
+	default:
+		s.cancelOrder(now, h)
+	}
+}
+
+// orderGiven notes that a host has gone: all that ran there has ended.
+func (s *Scheduler) orderGiven(now time.Time, h *host) {
+	away := s.cfg.MoveTime
+	if h.order.kind == maintainOrder {
+		away = s.cfg.MaintenanceTime
+		if v := s.waves[h.order.wave]; v != nil {
+			s.begun(now, v, h.ID)
+		}
+	}
+	h.order.given = true
+	h.order.givenAt = now
+	h.order.doneBy = now.Add(away + leaseMargin)
+	h.State = HostMoving
+	w := s.workerOn(h)
+	h.Worker = ""
+	if w == nil {
+		return
+	}
+	h.order.former = w.Entry
+	if w.runs.len() > 0 {
+		// The platform also accepts an order that was carried out before: then nothing
+		// ended. The next list tells.
+		s.emit(ListHosts{})
+		return
+	}
+	s.endLife(now, w, "its host was ordered away")
+}
+
+// check compares an accepted order with a list that was asked for after it.
+func (s *Scheduler) check(now time.Time, h *host, l Host) {
+	former := h.order.former
+	if former.ID == "" {
+		return
+	}
+	h.order.former = Entry{}
+	w := s.workers.get(former.ID)
+	switch isThere := l.State == HostUp && l.Worker == former.ID; {
+	case isThere && w == nil:
+		s.Enlist(now, former)
+	case isThere:
+		s.note("host order had been carried out before", "", "Host", string(h.ID), "Worker", string(w.ID), "Runs", w.runs.len())
+		w.ordered, w.cordoned = false, false
+		s.dirty = true
+	case w != nil && w.Life == former.Life:
+		s.endLife(now, w, "its host was ordered away")
+	}
+}
+
+func (s *Scheduler) cancelOrder(now time.Time, h *host) {
+	if w := s.workerOn(h); w != nil {
+		w.ordered = false
+		w.cordoned = w.cordoned && h.order.kind != moveOrder
+		s.dirty = true
+	}
+	h.order = hostOrder{}
+	h.retryAt = now.Add(orderRetry)
+}
+
+// resend sends orders without an answer again, with a higher token.
+func (s *Scheduler) resend(now time.Time) {
+	for _, h := range s.hosts.all() {
+		if h.order.resendAt.IsZero() || now.Before(h.order.resendAt) {
+			continue
+		}
+		token, ok := s.duty(now)
+		if !ok {
+			return
+		}
+		h.order.resendAt = time.Time{}
+		s.sendAgain(h, token)
+	}
+}
+
+func (s *Scheduler) sendAgain(h *host, token int64) {
+	s.note("host order sent again", "", "Host", string(h.ID), "Token", token)
+	if h.order.kind == moveOrder {
+		s.emit(Move{Host: h.ID, Pool: h.order.pool, Token: token})
+		return
+	}
+	s.emit(Maintain{Host: h.ID, Wave: h.order.wave, Token: token})
+}
--- a/fleet/scheduling/lease_test.go
+++ b/fleet/scheduling/lease_test.go
@@ -40,7 +40,7 @@
 			switch a := a.(type) {
 			case Hold:
 				if a.Worker == w1.Worker {
-					s.Held(now, 0, a.Worker, a.SeenUpto, now, Answer{Outcome: Unknown}, Report{})
+					s.Held(now, 0, a.Worker, a.Acknowledged, now, Answer{Outcome: Unknown}, Report{})
 				}
 			case Start:
 				require.Equal(t, w2.Life, a.Worker)
@@ -68,7 +68,7 @@
 		s.Tick(now, 0)
 		for _, a := range s.Take() {
 			if h, ok := a.(Hold); ok && h.Worker == first.Worker {
-				s.Held(now, 0, h.Worker, h.SeenUpto, now, Answer{Outcome: Unknown}, Report{})
+				s.Held(now, 0, h.Worker, h.Acknowledged, now, Answer{Outcome: Unknown}, Report{})
 			}
 			_, isStart := a.(Start)
 			require.False(t, isStart)
--- a/fleet/scheduling/types.go
+++ b/fleet/scheduling/types.go
@@ -210,9 +210,10 @@
 	// DeadlineMs is 0 where the worker's clock isn't known yet.
 	DeadlineMs int64
 	Token      int64
-	SeenUpto   int64
-	Wait       time.Duration
-	Fresh      bool
+	// Acknowledged is the number of the last end that is stored.
+	Acknowledged int64
+	Wait         time.Duration
+	Fresh        bool
 }
 
 // Pace sets the share at which a task works.
--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -272,7 +272,7 @@
 	}
 	s.note("maintenance ordered", "", "Host", string(h.ID), "Wave", v.Number, "Token", token, "Runs", runs,
 		"AfterMs", now.Sub(v.since).Milliseconds())
-	h.order = hostOrder{kind: maintainOrder, wave: v.Number, sent: now}
+	h.order = hostOrder{kind: maintainOrder, wave: v.Number}
 	s.emit(Maintain{Host: h.ID, Wave: v.Number, Token: token})
 	return true
 }
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -295,7 +295,7 @@
 }
 
 func (s *Scheduler) hold(now time.Time, w *worker) {
-	h := Hold{Worker: w.Life, Address: w.Address, Token: s.cfg.Epoch, SeenUpto: w.seen, Fresh: !w.failing.IsZero()}
+	h := Hold{Worker: w.Life, Address: w.Address, Token: s.cfg.Epoch, Acknowledged: w.seen, Fresh: !w.failing.IsZero()}
 	if w.runs.len() > 0 {
 		h.DeadlineMs, _ = s.deadline(now, w)
 		if w.failing.IsZero() && w.greeted && w.isQuiet() {
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -590,7 +590,7 @@
 	sentAt := w.now
 	var rep Report
 	reply := func(a Answer) {
-		o.s.Held(w.now, w.wall(), h.Worker, h.SeenUpto, sentAt, a, rep)
+		o.s.Held(w.now, w.wall(), h.Worker, h.Acknowledged, sentAt, a, rep)
 	}
 	take := func(sw *simWorker) (Answer, bool) {
 		if sw.Life != h.Worker {
@@ -603,7 +603,7 @@
 		if h.DeadlineMs > 0 {
 			sw.extend(h.DeadlineMs)
 		}
-		sw.note(h.SeenUpto)
+		sw.note(h.Acknowledged)
 		return sw.answer(Accepted), h.Wait > 0 && len(sw.ended) == 0
 	}
 	if h.Wait == 0 {
