test: what breaks when one line of a mechanism does

40 lines were broken one at a time: 20 breaks went unnoticed (fences of a takeover, the mark, the look before a job is denied, the age of a start, the horizon of leases, the roster, run numbers of a term, early cancellations, draining workers, answered stops, rejected repeats, proofs for host orders, pacing and evacuation at their callers, jobs of a newer configuration, hops, readiness, unknown appends, Retry-After). Each has a test now.

--- a/entry/intake/batcher_test.go
+++ b/entry/intake/batcher_test.go
@@ -10,7 +10,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/godwitcross/godwitcross/entry/metric"
+	"github.com/godwitcross/godwitcross/entry/publication"
 	"github.com/godwitcross/godwitcross/entry/store"
+	"github.com/godwitcross/godwitcross/fleet/queue"
 )
 
 // scriptedStore answers appends in order, then with success.
@@ -110,3 +112,42 @@
 	require.Equal(t, records, n)
 	require.Less(t, len(s.appends), records/2)
 }
+
+// staleStore holds a configuration and then can't be read.
+type staleStore struct {
+	store.Store
+	err error
+}
+
+func (s *staleStore) Newest(context.Context, store.Stream) (store.Page, error) {
+	return store.Page{Records: []store.Record{{Key: "config"}}, Next: 1}, s.err
+}
+
+func (s *staleStore) Read(context.Context, store.Stream, int64, time.Duration) (store.Page, error) {
+	return store.Page{Next: 1}, s.err
+}
+
+// That a queue is missing is only said by the newest configuration; else the request
+// is refused and may come back.
+func TestAQueueIsMissingByTheNewestConfigurationOnly(t *testing.T) {
+	log, _ := test.NewNullLogger()
+	s := &staleStore{}
+	now := time.Now()
+	f := publication.NewFollower(publication.Config{
+		Store: s, Log: log, Now: func() time.Time { return now },
+		Decode: func(store.Record) (*queue.Configuration, error) {
+			return queue.New(1, []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/"}}, nil, queue.Limits{}), nil
+		},
+	})
+	in := New(Config{Follower: f, Log: log, Metrics: metric.NewRegistry()})
+	_, _, _, err := in.Route(context.Background(), "h", "/other/")
+	require.ErrorIs(t, err, ErrNoQueue)
+	q, rest, _, err := in.Route(context.Background(), "H", "/q/1")
+	require.NoError(t, err)
+	require.Equal(t, "q", q.Name)
+	require.Equal(t, "1", rest)
+	now = now.Add(time.Minute)
+	s.err = store.ErrUnavailable
+	_, _, _, err = in.Route(context.Background(), "h", "/other/")
+	require.ErrorIs(t, err, ErrNotAccepted)
+}
--- a/entry/ownership/record_test.go
+++ b/entry/ownership/record_test.go
@@ -153,3 +153,21 @@
 		require.False(t, errors.Is(err, store.ErrFenced))
 	}
 }
+
+// A host whose ownership has ended lets others claim first.
+func TestAHostThatOwnedLetsOthersClaim(t *testing.T) {
+	log, _ := test.NewNullLogger()
+	s := &scriptedStore{answers: []error{nil, nil}}
+	now := start
+	c := NewCandidate(Config{
+		Self: relay.Peer{Name: "a"}, Direct: s, Log: log, Now: func() time.Time { return now },
+		Reign: func(context.Context, int64, Claim, time.Duration) error { return store.ErrFenced },
+	})
+	c.reign(context.Background(), State{Epoch: 5})
+	c.state = State{Epoch: 5, SignAt: now.Add(-time.Minute)}
+	c.consider(context.Background(), true)
+	require.Empty(t, s.appends)
+	now = now.Add(yieldPause)
+	c.consider(context.Background(), true)
+	require.Len(t, s.appends, 1)
+}
--- a/entry/relay/store_test.go
+++ b/entry/relay/store_test.go
@@ -91,3 +91,12 @@
 	require.Error(t, err)
 	require.Less(t, time.Since(began), 3*time.Second)
 }
+
+// An append whose direct try had no answer may be stored, also if a peer turns it away.
+func TestAnUnknownAppendStaysUnknown(t *testing.T) {
+	log, _ := test.NewNullLogger()
+	client := NewClient(backend.NewPool(func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }))
+	s := NewStore(&scriptedStore{err: store.ErrUnknown}, client, func() []Peer { return []Peer{{Name: "b", Address: "b"}} }, log)
+	_, err := s.Append(context.Background(), store.Append{})
+	require.ErrorIs(t, err, store.ErrUnknown)
+}
--- /dev/null
+++ b/entry/site/site_test.go
@@ -0,0 +1,97 @@
+package site
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/entry/backend"
+	"github.com/godwitcross/godwitcross/entry/metric"
+	"github.com/godwitcross/godwitcross/entry/relay"
+	"github.com/godwitcross/godwitcross/entry/steward"
+	"github.com/godwitcross/godwitcross/entry/store"
+	"github.com/godwitcross/godwitcross/fleet/queue"
+)
+
+// fakeStore has an owner and answers as it is told.
+type fakeStore struct {
+	store.Store
+	err error
+}
+
+// Append answers.
+func (f *fakeStore) Append(context.Context, store.Append) (store.Appended, error) {
+	return store.Appended{}, f.err
+}
+
+// Newest holds a claim of an owner elsewhere.
+func (f *fakeStore) Newest(context.Context, store.Stream) (store.Page, error) {
+	claim := `{"Host":{"Name":"owner","Address":"127.0.0.1:1"},"Nonce":"n"}`
+	return store.Page{Records: []store.Record{{Key: "Claim", Value: []byte(claim)}}, Next: 1}, f.err
+}
+
+// Read finds nothing new.
+func (f *fakeStore) Read(ctx context.Context, _ store.Stream, from int64, _ time.Duration) (store.Page, error) {
+	<-ctx.Done()
+	return store.Page{Next: from}, store.ErrUnknown
+}
+
+type emptyDecoder struct{ steward.Decoder }
+
+// Publication says nothing.
+func (emptyDecoder) Publication(store.Record) (steward.Publication, error) {
+	return steward.Publication{}, nil
+}
+
+// newTestSite returns a site that dials through dial.
+func newTestSite(s store.Store, dial backend.DialFunc) *Site {
+	log, _ := test.NewNullLogger()
+	return New(Config{
+		Self: relay.Peer{Name: "a", Address: "127.0.0.1:2"}, Seeds: []string{"127.0.0.1:3", "127.0.0.1:4"}, Direct: s,
+		Relay: relay.NewClient(backend.NewPool(dial)), Decoder: emptyDecoder{}, Log: log, Metrics: metric.NewRegistry(),
+		Now: time.Now, Wall: func() int64 { return 0 },
+	})
+}
+
+// A question is passed on as often as it says: a host that was asked by another asks
+// the owner only, and one that was taken for the owner asks nobody.
+func TestHowOftenAQuestionIsPassedOn(t *testing.T) {
+	for hops, want := range map[int][]string{
+		0:             nil,
+		1:             {"127.0.0.1:1"},
+		relay.MaxHops: {"127.0.0.1:1", "127.0.0.1:3"},
+	} {
+		var dialled []string
+		s := newTestSite(&fakeStore{}, func(_ context.Context, address string) (net.Conn, error) {
+			dialled = append(dialled, address)
+			return nil, net.ErrClosed
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go s.candidate.Run(ctx)
+		require.Eventually(t, func() bool { return s.candidate.State().Epoch > 0 }, 5*time.Second, time.Millisecond)
+		_, err := s.State(ctx, relay.StateRequest{Job: "00000000000000a1", Hops: hops})
+		cancel()
+		require.Error(t, err)
+		require.Equal(t, want, dialled, "hops %d", hops)
+	}
+}
+
+// A host that reaches the store neither directly nor through a peer can accept nothing
+// and is not ready.
+func TestAHostWithoutAPathToTheStoreIsNotReady(t *testing.T) {
+	direct := &fakeStore{}
+	s := newTestSite(direct, func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed })
+	require.Equal(t, "no configuration yet", s.Ready())
+	s.follower.Adopt(queue.New(1, nil, nil, queue.Limits{}))
+	require.Equal(t, "no owner yet", s.Ready())
+	_, err := s.store.Append(context.Background(), store.Append{})
+	require.NoError(t, err)
+	direct.err = store.ErrUnavailable
+	_, err = s.store.Append(context.Background(), store.Append{})
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return s.Ready() == "no path to the store" }, 5*time.Second, 10*time.Millisecond)
+}
--- /dev/null
+++ b/fleet/scheduling/ownership_test.go
@@ -0,0 +1,288 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+	"github.com/godwitcross/godwitcross/fleet/queue"
+)
+
+// of returns the actions of one type.
+func of[T Action](actions []Action) []T {
+	var out []T
+	for _, a := range actions {
+		if x, ok := a.(T); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+var accepted = Answer{Outcome: Accepted, ClockMs: 10}
+
+// Without a new proof of ownership no lease reaches beyond the last proof, the grace
+// and one lease, whatever is ordered: the next owner relies on it.
+func TestNoLeaseReachesBeyondTheOwnersHorizon(t *testing.T) {
+	s, now := readyScheduler(t)
+	w := s.workers.get("w1")
+	startOne(t, s, now, testJob(1))
+	proved, horizon := s.confirmed, s.cfg.Grace+s.cfg.Lease
+	// The worker's clock runs with ours here: it showed 10 ms at now.
+	limit := 10 + proved.Add(horizon).Sub(now).Milliseconds()
+	last := int64(0)
+	for range 300 {
+		now = now.Add(50 * time.Millisecond)
+		s.Accept(now, 0, job.Job{ID: "ffffffffffffffff", Queue: "q", Pool: "p", Version: 1, Steps: testJob(1).Steps})
+		s.Tick(now, 0)
+		for _, a := range s.Take() {
+			switch a := a.(type) {
+			case Hold:
+				last = max(last, a.DeadlineMs)
+				s.Held(now, 0, w.Life, 0, now, Answer{Outcome: Accepted}, Report{Born: 1, ClockMs: now.Sub(testStart).Milliseconds() + 9, Running: []RunRow{{Task: job.Task{Job: testID}, Run: s.find(job.Task{Job: testID}).lastRun, Percent: 100}}})
+			case Start:
+				last = max(last, a.DeadlineMs)
+				require.Less(t, now.Sub(proved), horizon, "no start beyond it")
+			}
+		}
+	}
+	require.Positive(t, last)
+	require.LessOrEqual(t, last, limit)
+}
+
+// A worker gets tasks only once its record is stored: the next owner must know where
+// tasks may run.
+func TestAWorkerGetsTasksOnceItIsOnTheRoster(t *testing.T) {
+	s := New(testStart, testConfig())
+	s.Configure(testConfiguration())
+	w := testWorker("w1")
+	s.Enlist(testStart, w)
+	s.Held(testStart, 0, w.Life, 0, testStart, accepted, Report{Born: 1, ClockMs: 10})
+	s.Accept(testStart, 0, testJob(1))
+	now := testStart
+	s.Tick(now, 0)
+	s.Flush()
+	now = now.Add(placeEvery)
+	s.Tick(now, 0)
+	require.Empty(t, starts(s.Take()), "its record is on its way")
+	s.Committed(1)
+	now = now.Add(placeEvery)
+	s.Tick(now, 0)
+	require.Len(t, starts(s.Take()), 1)
+}
+
+// The runs of a term have numbers above all that earlier owners can have used, also
+// for tasks of which nothing is stored.
+func TestRunNumbersRiseWithTheTerm(t *testing.T) {
+	s, now := readyScheduler(t)
+	s.cfg.Term = 3
+	require.Greater(t, startOne(t, s, now, testJob(1)).Run, int64(3*runsPerTerm))
+}
+
+// A cancellation holds for a submission that arrives after it.
+func TestACancellationBeforeItsJob(t *testing.T) {
+	s, now := readyScheduler(t)
+	s.Cancel(now, 0, testID)
+	s.Accept(now, 0, testJob(1))
+	s.Tick(now, 0)
+	require.Empty(t, starts(s.Take()))
+	s.Flush()
+	s.Committed(2)
+	state, _, _ := s.State(testID)
+	require.Equal(t, job.Cancelled, state)
+}
+
+func TestADrainingWorkerGetsNothing(t *testing.T) {
+	s, now := readyScheduler(t)
+	w := testWorker("w1")
+	w.Draining = true
+	s.Enlist(now, w)
+	s.Accept(now, 0, testJob(1))
+	s.Tick(now, 0)
+	require.Empty(t, starts(s.Take()))
+}
+
+// A stop that was answered has not ended the run: only a list that was asked for after
+// the answer shows that it is gone.
+func TestAStoppedRunCountsUntilALaterListLacksIt(t *testing.T) {
+	s, now := readyScheduler(t)
+	o := startOne(t, s, now, testJob(1))
+	r := s.find(o.Task).run
+	s.stopRun(now, r)
+	stoppedAt := now.Add(20 * time.Millisecond)
+	s.Stopped(stoppedAt, o.Worker, o.Task, o.Run, accepted)
+	s.Held(stoppedAt.Add(time.Millisecond), 0, o.Worker, 0, stoppedAt.Add(-time.Millisecond), accepted, Report{Born: 1, ClockMs: 10})
+	require.NotNil(t, s.find(o.Task).run, "the list may be older than the stop")
+	s.Held(stoppedAt.Add(9*time.Millisecond), 0, o.Worker, 0, stoppedAt.Add(5*time.Millisecond), accepted, Report{Born: 1, ClockMs: 10})
+	require.Nil(t, s.find(o.Task).run)
+}
+
+// A start whose first sending had no answer is rejected when it is sent again. The
+// first may still be carried out, so the run is stopped before the task goes elsewhere.
+func TestARejectedRepeatIsStoppedFirst(t *testing.T) {
+	s, now := readyScheduler(t)
+	s.Accept(now, 0, testJob(1))
+	s.Tick(now, 0)
+	o := starts(s.Take())[0]
+	s.Started(now, o.Worker, o.Task, o.Run, Answer{Outcome: Unknown})
+	now = now.Add(retryGap)
+	s.Tick(now, 0)
+	require.Len(t, starts(s.Take()), 1, "the same start once more")
+	s.Started(now, o.Worker, o.Task, o.Run, Answer{Outcome: NoRoom, ClockMs: 10})
+	require.Len(t, of[Stop](s.Take()), 1)
+	now = now.Add(10 * placeEvery)
+	s.Confirm(now)
+	s.Tick(now, 0)
+	require.Empty(t, starts(s.Take()), "not before the stop is answered")
+}
+
+// Orders for hosts have no lease that ends by itself: they need a fresh proof of
+// ownership, and a new owner lets those of the one before end first.
+func TestWhenHostsMayBeOrdered(t *testing.T) {
+	tests := map[string]struct {
+		term          int64
+		silent        time.Duration
+		sinceTakeover time.Duration
+		proofAge      time.Duration
+		want          bool
+	}{
+		"the first owner":                      {0, 0, 0, 0, true},
+		"the first owner without a proof":      {0, 0, 5 * time.Second, hostProof, false},
+		"right after another owner":            {1, 1500 * time.Millisecond, time.Second, 0, false},
+		"once the former orders have ended":    {1, 1500 * time.Millisecond, 2500 * time.Millisecond, 0, true},
+		"right after one that stops":           {1, -1, 0, 0, true},
+		"after one that was silent for longer": {1, 4 * time.Second, 0, 0, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, _ := readyScheduler(t)
+			s.cfg.Term, s.cfg.FormerSilent = tt.term, tt.silent
+			now := testStart.Add(tt.sinceTakeover)
+			s.confirmed = now.Add(-tt.proofAge)
+			s.List(now, now, []Host{{ID: "m-1", Pool: "spare", State: HostUp, Capacity: job.Room{CPU: 64000, MemMB: 1000}}})
+			s.Request(now, 0, Wave{Number: 1, Hosts: []HostID{"m-1"}, Duration: 20 * time.Second, MaxCount: 1})
+			s.Tick(now, 0)
+			require.Equal(t, tt.want, len(of[Maintain](s.Take())) == 1)
+		})
+	}
+}
+
+// A filler beside a task over its target is slowed by the report that shows it.
+func TestAFillerBesideATaskOverItsTargetIsSlowed(t *testing.T) {
+	s, now := readyScheduler(t)
+	j := testJob(1)
+	j.Steps[0].LongRunning, j.Steps[0].Target = true, 100*time.Millisecond
+	filler := j.Steps[0]
+	filler.Target, filler.Fills = 0, true
+	j.Steps = append(j.Steps, filler)
+	s.Accept(now, 0, j)
+	s.Tick(now, 0)
+	all := starts(s.Take())
+	require.Len(t, all, 2)
+	var rows []RunRow
+	for _, o := range all {
+		s.Started(now, o.Worker, o.Task, o.Run, accepted)
+		rows = append(rows, RunRow{Task: o.Task, Run: o.Run, Percent: 100, Load: 150})
+	}
+	now = now.Add(paceEvery)
+	s.Held(now, 0, all[0].Worker, 0, now, accepted, Report{Born: 1, ClockMs: 10, Running: rows})
+	paces := of[Pace](s.Take())
+	require.Len(t, paces, 1)
+	require.Equal(t, 1, paces[0].Task.Step, "the filler")
+	require.Less(t, paces[0].Percent, 100)
+}
+
+// Tasks that last leave a draining worker as soon as another one fits.
+func TestTasksThatLastLeaveADrainingWorker(t *testing.T) {
+	s, now := readyScheduler(t)
+	j := testJob(1)
+	j.Steps[0].LongRunning, j.Steps[0].MayMiss = true, 1
+	o := startOne(t, s, now, j)
+	w2 := testWorker("w2")
+	s.Enlist(now, w2)
+	s.Flush()
+	s.Committed(2)
+	s.Held(now, 0, w2.Life, 0, now, accepted, Report{Born: 1, ClockMs: 10})
+	now = now.Add(10 * time.Millisecond)
+	s.Tick(now, 0)
+	require.Empty(t, of[Stop](s.Take()))
+	w1 := testWorker("w1")
+	w1.Draining, w1.Leaving = true, 9*time.Second
+	s.Enlist(now, w1)
+	now = now.Add(10 * time.Millisecond)
+	s.Tick(now, 0)
+	stops := of[Stop](s.Take())
+	require.Len(t, stops, 1)
+	require.Equal(t, o.Task, stops[0].Task)
+}
+
+// A job that was accepted under a newer configuration waits until that is known here:
+// its queue may have another pool.
+func TestAJobOfANewerConfigurationWaits(t *testing.T) {
+	s, now := readyScheduler(t)
+	j := testJob(1)
+	j.Version = 5
+	s.Accept(now, 0, j)
+	s.Tick(now, 0)
+	require.Empty(t, starts(s.Take()))
+	c := testConfiguration()
+	s.Configure(queue.New(5, c.Queues, c.Pools, queue.Limits{}))
+	now = now.Add(placeEvery)
+	s.Tick(now, 0)
+	require.Len(t, starts(s.Take()), 1)
+}
+
+// A step starts once all tasks of the steps before it are done.
+func TestAStepWaitsForTheStepsBefore(t *testing.T) {
+	s, now := readyScheduler(t)
+	j := testJob(2)
+	second := j.Steps[0]
+	second.Count, second.After = 1, []int{0}
+	j.Steps = append(j.Steps, second)
+	s.Accept(now, 0, j)
+	s.Tick(now, 0)
+	all := starts(s.Take())
+	require.Len(t, all, 2)
+	for i, o := range all {
+		now = now.Add(placeEvery)
+		s.Held(now, 0, o.Worker, 0, now, accepted, Report{Born: 1, ClockMs: 10, Ended: []EndRow{{Number: int64(i + 1), Task: o.Task, Run: o.Run, How: EndDone}}})
+		s.Tick(now, 0)
+		require.Len(t, starts(s.Take()), i, "with the last end only")
+	}
+}
+
+// A host goes down with its tasks that last only if no step of them misses too many.
+func TestWhichHostsMayGoDown(t *testing.T) {
+	tests := map[string]struct {
+		mayMiss, here, awayElsewhere int
+		want                         bool
+	}{
+		"one here, one may miss":               {1, 1, 0, true},
+		"two here, one may miss":               {1, 2, 0, false},
+		"one here, another away, one may miss": {1, 1, 1, false},
+		"one here, another away, two may miss": {2, 1, 1, true},
+		"none may miss":                        {0, 1, 0, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, now := readyScheduler(t)
+			w2 := testWorker("w2")
+			s.Enlist(now, w2)
+			j := testJob(4)
+			j.Steps[0].LongRunning, j.Steps[0].MayMiss = true, tt.mayMiss
+			o := newOccurrence(newJobState(j, now), 0, now)
+			for i, task := range o.steps[0].tasks {
+				w, percent := s.workers.get("w2"), 100
+				if i < tt.here {
+					w = s.workers.get("w1")
+				} else if i < tt.here+tt.awayElsewhere {
+					percent = 0
+				}
+				s.attach(w, &run{task: task, number: 1, phase: running, knownAt: now, percent: percent})
+			}
+			require.Equal(t, tt.want, s.workers.get("w1").mayTakeDown(now))
+		})
+	}
+}
