--- a/entry/steward/steward_test.go
+++ b/entry/steward/steward_test.go
@@ -204,16 +204,14 @@
 // where it took over.
 func TestATakeoverShutsOutTheOwnerBefore(t *testing.T) {
 	m := newMemory()
-	run(t, newSteward(m, &fakeWorkers{}, 5))
-	require.Eventually(t, func() bool {
-		page, _ := m.Newest(context.Background(), store.Work)
-		return len(page.Records) == 1 && page.Records[0].Key == keyOwner && string(page.Records[0].Value) == "5"
-	}, 5*time.Second, time.Millisecond)
+	_, err := newSteward(m, &fakeWorkers{}, 5).takeOver(context.Background())
+	require.NoError(t, err)
+	page, err := m.Newest(context.Background(), store.Work)
+	require.NoError(t, err)
+	require.Equal(t, []store.Record{{Key: keyOwner, Value: []byte("5")}}, page.Records)
 	for stream, name := range map[store.Stream]string{store.Progress: producer, store.Owner: "Owner"} {
-		require.Eventually(t, func() bool {
-			_, err := m.Append(context.Background(), store.Append{Stream: stream, Fence: &store.Fence{Producer: name, Epoch: 4}})
-			return err != nil
-		}, 5*time.Second, time.Millisecond, string(stream))
+		_, err := m.Append(context.Background(), store.Append{Stream: stream, Fence: &store.Fence{Producer: name, Epoch: 4}})
+		require.ErrorIs(t, err, store.ErrFenced, string(stream))
 	}
 }
 
--- a/fleet/scheduling/lease_test.go
+++ b/fleet/scheduling/lease_test.go
@@ -73,9 +73,66 @@
 			_, isStart := a.(Start)
 			require.False(t, isStart)
 		}
+		require.NotNil(t, s.find(first.Task).run, "it may run on under another owner's lease")
 	}
 }
 
+// A run that an earlier owner started keeps the lease that it can have ordered, also if
+// its worker falls silent before this owner has extended it.
+func TestAnAdoptedRunKeepsItsEarlierLease(t *testing.T) {
+	s := New(testStart, testConfig())
+	s.Configure(testConfiguration())
+	w1, w2 := testWorker("w1"), testWorker("w2")
+	s.Restore(testStart, 0, Restored{Jobs: []job.Job{testJob(1)}, Roster: []Entry{w1, w2}})
+	now := testStart
+	task := job.Task{Job: testID}
+	for _, w := range []Entry{w1, w2} {
+		s.Enlist(now, w)
+		rep := Report{Born: 1, ClockMs: 10}
+		if w.ID == "w1" {
+			rep.Running = []RunRow{{Task: task, Run: 1, Percent: 100}}
+		}
+		s.Held(now, 0, w.Life, 0, now, accepted, rep)
+	}
+	s.Held(now, 0, w1.Life, 0, now, Answer{Outcome: Unknown}, Report{})
+	for now.Before(s.inheritedUntil.Add(time.Second)) {
+		now = now.Add(100 * time.Millisecond)
+		s.Confirm(now)
+		s.Tick(now, 0)
+		for _, a := range s.Take() {
+			if h, ok := a.(Hold); ok && h.Worker == w1.Life {
+				s.Held(now, 0, h.Worker, 0, now, Answer{Outcome: Unknown}, Report{})
+			}
+			if o, ok := a.(Start); ok {
+				require.False(t, now.Before(s.inheritedUntil))
+				require.Equal(t, w2.Life, o.Worker)
+				return
+			}
+		}
+	}
+	t.Fatal("the task never started elsewhere")
+}
+
+// A start that had no answer may arrive at its worker's next life under the same ID,
+// after its repeat has run to its end: the new life is told to refuse it.
+func TestALateStartIsStoppedAtTheNextLife(t *testing.T) {
+	s, now := readyScheduler(t)
+	s.Accept(now, 0, testJob(2))
+	s.Tick(now, 0)
+	o := starts(s.Take())[0]
+	s.Started(now, o.Worker, o.Task, o.Run, Answer{Outcome: Unknown})
+	s.Started(now, o.Worker, o.Task, o.Run, accepted)
+	s.Held(now, 0, o.Worker, 0, now, accepted, Report{Born: 1, ClockMs: 10, Ended: []EndRow{{Number: 1, Task: o.Task, Run: o.Run, How: EndDone}}})
+	s.Take()
+	again := testWorker("w1")
+	again.Born = 2
+	s.Enlist(now.Add(time.Second), again)
+	stops := of[Stop](s.Take())
+	require.Len(t, stops, 1)
+	require.Equal(t, again.Life, stops[0].Worker)
+	require.Equal(t, o.Task, stops[0].Task)
+}
+
 // An owner that was cut off learns that a worker's host runs another worker. A later
 // owner may have noted the run's end before: without a proof of ownership after that
 // nothing starts.
