feat: a second run for tasks that may run twice while the first is in doubt

Cause: a task of a speculative step on a worker that fell silent waited for the lease to lapse (4.9 s), and one on a worker where tasks crawl or stand still waited for its end, though its caller allows a second run. Change: runs on a worker silent for 0.3 s, or 2.5 times as old as expected, get a second run in room that no waiting task could take. The first end counts and stops the other; a failed run leaves the task to the other.

--- /dev/null
+++ b/fleet/scheduling/hedge.go
@@ -0,0 +1,109 @@
+package scheduling
+
+import "time"
+
+// A task whose step is speculative may run twice at once: it gets a second run where
+// its first is in doubt, and the first that is done counts.
+const (
+	// hedgeEvery is how often runs in doubt are looked for.
+	hedgeEvery = 100 * time.Millisecond
+	// hedgeSilent is how long a worker doesn't answer before its runs are in doubt: one
+	// lost answer and its repetition.
+	hedgeSilent = 300 * time.Millisecond
+	// hedgeFactor times the expected duration puts a run in doubt. Tasks of one step
+	// differ by some tenths.
+	hedgeFactor = 2.5
+	// hedgeLeast is the least age of a slow run in doubt: for short tasks a second start
+	// takes about as long as what is left of the first.
+	hedgeLeast = time.Second
+)
+
+// hedge starts second runs of tasks that may run twice and whose run is in doubt. It
+// uses only room that no waiting task could take.
+func (s *Scheduler) hedge(now time.Time) {
+	if now.Before(s.nextHedge) {
+		return
+	}
+	s.nextHedge = now.Add(hedgeEvery)
+	views := make(map[string]*poolView)
+	for _, r := range s.inDoubt(now) {
+		js := r.task.owner()
+		pool, ok := s.poolOf(js)
+		if !ok {
+			continue
+		}
+		v := views[pool]
+		if v == nil {
+			v = s.view(now, pool)
+			views[pool] = v
+		}
+		if s.needsAdvice(now, v, r.task.step) {
+			continue
+		}
+		w := s.choose(now, v, r.task.step, r.task)
+		if w == nil {
+			s.crowded[pool] = now
+			continue
+		}
+		s.note("second run", js.ID, "Task", r.task.id().String(), "Run", r.number, "Worker", string(r.worker.ID),
+			"AgeMs", now.Sub(r.since).Milliseconds(), "SilentMs", r.worker.silence(now).Milliseconds())
+		s.startRun(now, w, r.task, s.nextRun(r.task), r.task.step.advice.ticket(w.ID))
+	}
+}
+
+// inDoubt lists the runs that a second one should run beside.
+func (s *Scheduler) inDoubt(now time.Time) []*run {
+	var list []*run
+	for _, w := range s.workers.all() {
+		for _, r := range w.runs.all() {
+			if r.mayBeDoubled() && (w.silence(now) >= hedgeSilent || s.isSlow(now, r)) {
+				list = append(list, r)
+			}
+		}
+	}
+	return list
+}
+
+// mayBeDoubled reports whether a run's task may have a second one now.
+func (r *run) mayBeDoubled() bool {
+	st := r.task.step
+	if !st.Speculative || st.Gang || st.LongRunning {
+		return false
+	}
+	return r.task.run == r && r.task.second == nil && !r.task.done && !r.task.owner().state.Final() &&
+		r.phase != stopping && r.phase != stopped
+}
+
+// silence is for how long a worker has answered nothing.
+func (w *worker) silence(now time.Time) time.Duration {
+	if w.failing.IsZero() {
+		return 0
+	}
+	return now.Sub(w.failing)
+}
+
+// isSlow reports whether a run takes far longer than its like.
+func (s *Scheduler) isSlow(now time.Time, r *run) bool {
+	age := now.Sub(r.since)
+	if age < hedgeLeast {
+		return false
+	}
+	expected := r.task.step.duration(s.learned[r.task.owner().Queue])
+	return expected > 0 && age > time.Duration(hedgeFactor*float64(expected))
+}
+
+// runs lists the runs of a task, at most two.
+func (t *task) runs() []*run {
+	var list []*run
+	for _, r := range []*run{t.run, t.second} {
+		if r != nil {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// isOn reports whether the task has a run on a worker.
+func (t *task) isOn(w *worker) bool {
+	return (t.run != nil && t.run.worker == w) || (t.second != nil && t.second.worker == w)
+}
--- /dev/null
+++ b/fleet/scheduling/hedge_test.go
@@ -0,0 +1,131 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// twoWorkers returns a scheduler with two workers, and a job's task that runs on the
+// first of them.
+func twoWorkers(t *testing.T, speculative bool) (*Scheduler, time.Time, Start) {
+	t.Helper()
+	s, now := readyScheduler(t)
+	j := testJob(1)
+	j.Steps[0].Speculative = speculative
+	first := startOne(t, s, now, j)
+	w2 := testWorker("w2")
+	s.Enlist(now, w2)
+	s.Flush()
+	s.Committed(2)
+	s.Held(now, 0, w2.Life, 0, now, Answer{Outcome: Accepted, ClockMs: 5}, Report{Born: 1, ClockMs: 5})
+	s.Take()
+	return s, now, first
+}
+
+// playSilent ticks for a time while the first worker answers nothing, and returns the
+// starts that were ordered.
+func playSilent(s *Scheduler, now time.Time, silent WorkerID, d time.Duration) []Start {
+	var all []Start
+	for end := now.Add(d); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		s.Confirm(now)
+		s.Tick(now, 0)
+		for _, a := range s.Take() {
+			switch a := a.(type) {
+			case Hold:
+				o := Accepted
+				if a.Worker.ID == silent {
+					o = Unknown
+				}
+				s.Held(now, 0, a.Worker, a.Acknowledged, now, Answer{Outcome: o, ClockMs: now.Sub(testStart).Milliseconds()}, Report{Born: 1, Partial: true, ClockMs: 5})
+			case Start:
+				all = append(all, a)
+			}
+		}
+	}
+	return all
+}
+
+// A rack goes dark: what may run twice starts elsewhere long before the leases lapse.
+func TestATaskThatMayRunTwiceLeavesASilentWorker(t *testing.T) {
+	s, now, first := twoWorkers(t, true)
+	again := playSilent(s, now, first.Worker.ID, time.Second)
+	require.Len(t, again, 1)
+	require.EqualValues(t, "w2", again[0].Worker.ID)
+	require.Greater(t, again[0].Run, first.Run)
+	require.Len(t, s.find(first.Task).runs(), 2)
+}
+
+func TestATaskThatMayNotRunTwiceWaitsForTheLease(t *testing.T) {
+	s, now, first := twoWorkers(t, false)
+	require.Empty(t, playSilent(s, now, first.Worker.ID, time.Second))
+}
+
+// A worker on which tasks crawl or stand still holds up no task that may run twice.
+func TestASlowRunGetsASecondOne(t *testing.T) {
+	s, now, first := twoWorkers(t, true)
+	s.learned["q"] = &durations{mean: time.Second}
+	require.Empty(t, playSilent(s, now, "", 1500*time.Millisecond))
+	again := playSilent(s, now.Add(1500*time.Millisecond), "", 1500*time.Millisecond)
+	require.Len(t, again, 1)
+	require.EqualValues(t, "w2", again[0].Worker.ID)
+	require.Equal(t, first.Task, again[0].Task)
+}
+
+// The first end counts, whichever run it is of, and stops the other run.
+func TestTheFirstEndOfTwoRunsCounts(t *testing.T) {
+	for name, pick := range map[string]int{"of the first run": 0, "of the second run": 1} {
+		t.Run(name, func(t *testing.T) {
+			s, now, first := twoWorkers(t, true)
+			both := append([]Start{first}, playSilent(s, now, first.Worker.ID, time.Second)...)
+			now = now.Add(time.Second)
+			done, other := both[pick], both[1-pick]
+			s.Held(now, 0, done.Worker, 0, now, Answer{Outcome: Accepted, ClockMs: 5}, Report{Born: 1, ClockMs: 5, Partial: true, Ended: []EndRow{
+				{Number: 1, Task: done.Task, Run: done.Run, How: EndDone},
+			}})
+			state, _, _ := s.State(first.Task.Job)
+			require.Equal(t, job.Running, state, "not stored yet")
+			var stops []Stop
+			for _, a := range s.Take() {
+				if st, ok := a.(Stop); ok {
+					stops = append(stops, st)
+				}
+			}
+			require.Len(t, stops, 1)
+			require.Equal(t, other.Worker, stops[0].Worker)
+			require.Equal(t, other.Run, stops[0].Run)
+			require.Equal(t, []*run{s.find(first.Task).run}, s.find(first.Task).runs(), "the other is left until it has ended")
+		})
+	}
+}
+
+// The end of one of two runs by a fault leaves the task to the other.
+func TestAFailedSecondRunLeavesTheFirst(t *testing.T) {
+	s, now, first := twoWorkers(t, true)
+	again := playSilent(s, now, first.Worker.ID, time.Second)
+	now = now.Add(time.Second)
+	s.Held(now, 0, again[0].Worker, 0, now, Answer{Outcome: Accepted, ClockMs: 5}, Report{Born: 1, ClockMs: 5, Partial: true, Ended: []EndRow{
+		{Number: 1, Task: first.Task, Run: again[0].Run, How: EndFailed},
+	}})
+	left := s.find(first.Task).runs()
+	require.Len(t, left, 1)
+	require.Equal(t, first.Run, left[0].number)
+	require.False(t, s.find(first.Task).queued)
+}
+
+// Both runs of a cancelled job are stopped.
+func TestCancellingStopsBothRuns(t *testing.T) {
+	s, now, first := twoWorkers(t, true)
+	playSilent(s, now, first.Worker.ID, time.Second)
+	s.Cancel(now.Add(time.Second), 0, first.Task.Job)
+	stopped := make(map[WorkerID]bool)
+	for _, a := range s.Take() {
+		if st, ok := a.(Stop); ok {
+			stopped[st.Worker.ID] = true
+		}
+	}
+	require.Len(t, stopped, 2)
+}
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -201,7 +201,7 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range v.workers {
-		if !s.allows(now, st, w) {
+		if !s.allows(now, st, w) || t.isOn(w) {
 			continue
 		}
 		score := s.score(st, t, w)
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -59,6 +59,8 @@
 	nextBalance time.Time
 	// placedAt is when waiting tasks were last looked at.
 	placedAt time.Time
+	// nextHedge is when runs in doubt are looked for again.
+	nextHedge time.Time
 	// nextWorkers is when workers are looked at again.
 	nextWorkers time.Time
 	// nextDescription is when the log tells again how pools stand.
@@ -258,6 +260,7 @@
 		s.dirty = false
 		s.placedAt = now
 		s.place(now)
+		s.hedge(now)
 	}
 }
 
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -71,6 +71,9 @@
 	// lastRun is the highest number used.
 	lastRun int64
 	run     *run
+	// second is an earlier run that goes on beside run, of a task that may run twice.
+	// It is nil where run is.
+	second *run
 	// avoid is the worker on which the last run failed.
 	avoid     WorkerID
 	notBefore time.Time
@@ -210,8 +213,8 @@
 	}
 	t.done = true
 	s.unqueue(t)
-	if t.run != nil {
-		s.stopRun(now, t.run) // a second run of a task that may run twice
+	for _, r := range t.runs() {
+		s.stopRun(now, r) // of a task that may run twice
 	}
 	st, o, js := t.step, t.step.occ, t.owner()
 	st.done++
@@ -243,8 +246,8 @@
 	for _, o := range js.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				if t.run != nil {
-					s.stopRun(now, t.run)
+				for _, r := range t.runs() {
+					s.stopRun(now, r)
 				}
 			}
 			st.waiting = nil
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -207,10 +207,11 @@
 	w.runs.put(r.task.id(), r)
 	w.used = w.used.Add(r.room)
 	w.steps[r.task.step]++
+	r.task.second = r.task.run
 	r.task.run = r
 }
 
-// detach takes a run off its worker; the task stays without one.
+// detach takes a run off its worker; the task stays with its second run or without one.
 func (s *Scheduler) detach(r *run) {
 	w := r.worker
 	w.runs.drop(r.task.id())
@@ -218,7 +219,12 @@
 	if w.steps[r.task.step]--; w.steps[r.task.step] <= 0 {
 		delete(w.steps, r.task.step)
 	}
-	r.task.run = nil
+	switch t := r.task; r {
+	case t.run:
+		t.run, t.second = t.second, nil
+	case t.second:
+		t.second = nil
+	}
 	s.dirty = true
 }
 
