feat: the tasks of a job run together

Change: a worker of a rack, or else of a data centre, where the job already runs is preferred, before packing. Tasks that last stay spread.

--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -230,6 +230,11 @@
 const (
 	// weightRack makes a rack that is near the data outweigh any packing.
 	weightRack = 4.0
+	// weightSameRack and weightSameCentre keep the tasks of a job together, so that a
+	// rack or a data centre that is lost holds up few jobs and not a part of each. A rack
+	// outweighs any packing, a data centre half of it.
+	weightSameRack   = 1.0
+	weightSameCentre = 0.6
 	// weightAvoid keeps a task off the worker on which it failed while others fit.
 	weightAvoid = 8.0
 	// weightSpread keeps tasks that last on different racks.
@@ -249,8 +254,13 @@
 	if st.SameRack {
 		score += weightRack * float64(st.onRack(w.Rack)) / float64(st.Count)
 	}
-	if st.LongRunning {
+	switch {
+	case st.LongRunning:
 		score -= weightSpread * float64(st.onRack(w.Rack)) / float64(st.Count)
+	case st.occ.onRacks[w.Rack] > 0:
+		score += weightSameRack + weightSameCentre
+	case st.occ.inCentres[w.DataCentre] > 0:
+		score += weightSameCentre
 	}
 	if t.avoid == w.ID {
 		score -= weightAvoid
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -39,6 +39,8 @@
 	done   int
 	// dueAt is when its objective begins to count.
 	dueAt time.Time
+	// onRacks and inCentres count its runs by rack and by data centre.
+	onRacks, inCentres map[string]int
 }
 
 // step is the state of one step of an occurrence.
@@ -138,7 +140,10 @@
 }
 
 func newOccurrence(js *jobState, number int, dueAt time.Time) *occurrence {
-	o := &occurrence{job: js, number: number, dueAt: dueAt, steps: make([]*step, len(js.Steps))}
+	o := &occurrence{
+		job: js, number: number, dueAt: dueAt, steps: make([]*step, len(js.Steps)),
+		onRacks: make(map[string]int), inCentres: make(map[string]int),
+	}
 	for i, def := range js.Steps {
 		s := &step{Step: def, occ: o, number: i, tasks: make([]*task, def.Count)}
 		for k := range s.tasks {
--- /dev/null
+++ b/fleet/scheduling/together_test.go
@@ -0,0 +1,67 @@
+package scheduling
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// racks returns a bench with four workers on each of some racks, every two racks in a
+// data centre.
+func newRacks(t *testing.T, racks int) *bench {
+	b := newBench(t, 1)
+	b.s.workers.get("w1").cordoned = true
+	for i := range 4 * racks {
+		e := testWorker(WorkerID(fmt.Sprintf("r%d-%d", i/4, i%4)))
+		e.Rack, e.DataCentre = fmt.Sprintf("r%d", i/4), fmt.Sprintf("dc%d", i/8)
+		b.enlist(e)
+	}
+	return b
+}
+
+// A rack goes dark, or a data centre is cut off, while jobs of many tasks run beside
+// work that fills workers unevenly: it holds up the jobs that run there, not a part of
+// every job.
+func TestALostRackHoldsUpFewJobs(t *testing.T) {
+	b := newRacks(t, 6)
+	i := int64(0)
+	for _, w := range b.s.workers.all() {
+		w.used.CPU = i * 7 % 5 * 8000
+		i++
+	}
+	for range 6 {
+		j := testJob(8)
+		j.ID = job.ID(fmt.Sprintf("%016x", len(b.s.jobs)+100))
+		j.Steps[0].Room = job.Room{CPU: 8000, MemMB: 100}
+		b.s.Accept(b.now, 0, j)
+	}
+	on := make(map[job.ID]map[string]bool)
+	for _, st := range b.tick() {
+		if on[st.Task.Job] == nil {
+			on[st.Task.Job] = make(map[string]bool)
+		}
+		on[st.Task.Job][b.s.workers.get(st.Worker.ID).Rack] = true
+	}
+	require.Len(t, on, 6)
+	parts := 0
+	for _, racks := range on {
+		parts += len(racks)
+	}
+	require.LessOrEqual(t, parts, 8, "6 jobs on 6 racks, each of which has room for more than one")
+}
+
+// Tasks that last go the other way: their step must outlive a rack.
+func TestTasksThatLastStaySpreadOverRacks(t *testing.T) {
+	b := newRacks(t, 4)
+	j := testJob(4)
+	j.Steps[0].LongRunning = true
+	b.s.Accept(b.now, 0, j)
+	racks := make(map[string]bool)
+	for _, st := range b.tick() {
+		racks[b.s.workers.get(st.Worker.ID).Rack] = true
+	}
+	require.Len(t, racks, 4)
+}
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -207,6 +207,7 @@
 	w.runs.put(r.task.id(), r)
 	w.used = w.used.Add(r.room)
 	w.steps[r.task.step]++
+	r.task.step.occ.count(w, 1)
 	r.task.second = r.task.run
 	r.task.run = r
 }
@@ -219,6 +220,7 @@
 	if w.steps[r.task.step]--; w.steps[r.task.step] <= 0 {
 		delete(w.steps, r.task.step)
 	}
+	r.task.step.occ.count(w, -1)
 	switch t := r.task; r {
 	case t.run:
 		t.run, t.second = t.second, nil
@@ -228,6 +230,12 @@
 	s.dirty = true
 }
 
+// count notes how many more runs of the occurrence a worker has.
+func (o *occurrence) count(w *worker, n int) {
+	o.onRacks[w.Rack] += n
+	o.inCentres[w.DataCentre] += n
+}
+
 // lose ends a run that is certainly gone without a listed end.
 func (s *Scheduler) lose(now time.Time, r *run) {
 	if r.checkpoint != "" {
