feat: a host succeeds its own former process at once

Change: a claim of the same name and address with a nonce that this process never used is an orphan and is succeeded without patience, at most three times in a row: a host whose processes keep ending leaves ownership to others.

--- a/entry/ownership/candidate.go
+++ b/entry/ownership/candidate.go
@@ -37,6 +37,9 @@
 	deferenceTime = 400 * time.Millisecond
 	// strongerBy is the factor in the share of a core that makes a host a stronger one.
 	strongerBy = 1.3
+	// maxRestarts is how often in a row a host succeeds its own former process at once. A
+	// day has one to three kills; more speak of a host that can't carry the ownership.
+	maxRestarts = 3
 	// firstPatience is the pause of the first start, when there has been no owner.
 	firstPatience = 50 * time.Millisecond
 )
@@ -64,6 +67,8 @@
 type Candidate struct {
 	cfg   Config
 	nonce string
+	// nonces are all that this process has claimed with.
+	nonces map[string]bool
 	// silent is what the next reign is told of the owner before.
 	silent time.Duration
 
@@ -76,7 +81,15 @@
 
 // NewCandidate returns a candidate that knows nothing yet.
 func NewCandidate(cfg Config) *Candidate {
-	return &Candidate{cfg: cfg, nonce: uuid.NewString()}
+	c := &Candidate{cfg: cfg, nonces: make(map[string]bool)}
+	c.renew()
+	return c
+}
+
+// renew takes another nonce for the next claim.
+func (c *Candidate) renew() {
+	c.nonce = uuid.NewString()
+	c.nonces[c.nonce] = true
 }
 
 // State returns what is known of the owner.
@@ -190,6 +203,8 @@
 	case st.Epoch == 0:
 		// The others aren't known yet: a whole core goes first.
 		return firstPatience + own/2 + time.Duration((1-min(c.cfg.Self.Share, 1))*float64(firstDeference))
+	case c.isOrphan(st):
+		return 0
 	case st.Released:
 		return own/2 + c.deference(st)
 	default:
@@ -197,6 +212,14 @@
 	}
 }
 
+// isOrphan reports whether the owner was an earlier process on this very host. It has
+// ended for certain, as this one runs in its place. A host whose processes end again and
+// again leaves ownership to others.
+func (c *Candidate) isOrphan(st State) bool {
+	h := st.Claim.Host
+	return h.Name == c.cfg.Self.Name && h.Address == c.cfg.Self.Address && !c.nonces[st.Claim.Nonce] && st.Claim.Restarts < maxRestarts
+}
+
 // deference is how much longer a host waits than one that has more of a core: the
 // owner carries the calls to all workers.
 func (c *Candidate) deference(st State) time.Duration {
@@ -236,6 +259,9 @@
 	if st.Epoch == 0 {
 		claim.Term = 0
 	}
+	if c.isOrphan(st) {
+		claim.Restarts = st.Claim.Restarts + 1
+	}
 	b, err := json.Marshal(claim)
 	if err != nil {
 		c.cfg.Log.WithField("Error", err.Error()).Error("claim not encoded")
@@ -271,8 +297,8 @@
 		fields["Error"] = err.Error()
 	}
 	log.WithFields(fields).Info("ownership ends")
+	c.renew()
 	c.mu.Lock()
-	c.nonce = uuid.NewString()
 	c.state.SignAt = c.cfg.Now()
 	c.yieldedUntil = c.cfg.Now().Add(yieldPause)
 	c.mu.Unlock()
--- a/entry/ownership/record.go
+++ b/entry/ownership/record.go
@@ -24,6 +24,9 @@
 	Term int64
 	// Nonce tells a host's own claim from one of its former life.
 	Nonce string
+	// Restarts counts the owners before on the same host whose processes ended one after
+	// the other.
+	Restarts int `json:",omitempty"`
 }
 
 // Sign is the owner's sign of life.
--- a/entry/ownership/record_test.go
+++ b/entry/ownership/record_test.go
@@ -171,3 +171,57 @@
 	c.consider(context.Background(), true)
 	require.Len(t, s.appends, 1)
 }
+
+// A host that was the owner, and whose process was killed and started again, owns again
+// at once: no other process can still act for the former ownership.
+func TestAHostSucceedsItsOwnFormerProcess(t *testing.T) {
+	self := relay.Peer{Name: "a", Address: "10.0.0.1:7000"}
+	tests := map[string]struct {
+		host  relay.Peer
+		nonce string
+		want  bool
+	}{
+		"its former process":               {self, "former", true},
+		"another host":                     {relay.Peer{Name: "b", Address: "10.0.0.2:7000"}, "other", false},
+		"a host of its name elsewhere":     {relay.Peer{Name: "a", Address: "10.0.0.9:7000"}, "other", false},
+		"an ownership of its own that ran": {self, "", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			log, _ := test.NewNullLogger()
+			s := &scriptedStore{answers: []error{nil}}
+			c := NewCandidate(Config{
+				Self: self, Direct: s, Log: log, Now: func() time.Time { return start },
+				Reign: func(context.Context, int64, Claim, time.Duration) error { return store.ErrFenced },
+			})
+			if tt.nonce == "" {
+				tt.nonce = c.nonce
+				c.reign(context.Background(), State{Epoch: 5, Claim: Claim{Host: self, Nonce: c.nonce}})
+				c.yieldedUntil = time.Time{}
+			}
+			c.state = State{Epoch: 5, Next: 6, SignAt: start, Claim: Claim{Host: tt.host, Nonce: tt.nonce}}
+			c.consider(context.Background(), true)
+			require.Len(t, s.appends, map[bool]int{true: 1, false: 0}[tt.want])
+		})
+	}
+}
+
+// A host whose process ends again and again as the owner lets others take over.
+func TestAHostThatKeepsEndingIsNoSuccessor(t *testing.T) {
+	self := relay.Peer{Name: "a", Address: "10.0.0.1:7000"}
+	st := State{Epoch: 5, Next: 6, SignAt: start, Claim: Claim{Host: self, Nonce: "former"}}
+	claims := 0
+	for range 2 * maxRestarts {
+		log, _ := test.NewNullLogger()
+		s := &scriptedStore{answers: []error{nil}}
+		c := NewCandidate(Config{Self: self, Direct: s, Log: log, Now: func() time.Time { return start }})
+		c.state = st
+		c.consider(context.Background(), true)
+		if len(s.appends) == 0 {
+			break
+		}
+		claims++
+		require.NoError(t, json.Unmarshal(s.appends[0].Records[0].Value, &st.Claim))
+	}
+	require.Equal(t, maxRestarts, claims)
+}
