feat: hosts are reserved in the store before they are ordered

Cause: a new owner gave no order for any host until those of the owner before had ended, 2.4 to 4 s after it took over. Orders must lie a lease apart for one host only. Change: an owner stores which hosts it may order before the first order, and drops that once its orders have ended for a lease (13 s after one without an answer). A new owner waits for those hosts only; waves wait as a whole, as they count hosts. A host that succeeds its own former process need not wait: it is the same holder.

--- a/entry/ownership/candidate.go
+++ b/entry/ownership/candidate.go
@@ -45,7 +45,7 @@
 )
 
 // Reign is one ownership; it returns when it ends. silent is how long the owner
-// before had given no sign, negative if it stopped as planned.
+// before had given no sign, negative if it has ended for certain.
 type Reign func(ctx context.Context, epoch int64, claim Claim, silent time.Duration) error
 
 // Config is what a candidate is built from.
@@ -268,7 +268,7 @@
 		return
 	}
 	c.silent = c.cfg.Now().Sub(st.SignAt)
-	if st.Stopping {
+	if st.Stopping || c.isOrphan(st) {
 		c.silent = -1
 	}
 	at := st.Next
--- a/entry/ownership/record_test.go
+++ b/entry/ownership/record_test.go
@@ -202,6 +202,7 @@
 			c.state = State{Epoch: 5, Next: 6, SignAt: start, Claim: Claim{Host: tt.host, Nonce: tt.nonce}}
 			c.consider(context.Background(), true)
 			require.Len(t, s.appends, map[bool]int{true: 1, false: 0}[tt.want])
+			require.Equal(t, tt.want, c.silent < 0, "its orders for hosts have ended with it")
 		})
 	}
 }
--- a/entry/steward/load.go
+++ b/entry/steward/load.go
@@ -125,6 +125,10 @@
 		out.Roster = append(out.Roster, e)
 		return nil
 	}
+	if id, ok := strings.CutPrefix(r.Key, scheduling.HostPrefix); ok {
+		out.Reserved = append(out.Reserved, scheduling.HostID(id))
+		return nil
+	}
 	if rest, ok := strings.CutPrefix(r.Key, scheduling.WavePrefix); ok {
 		n, err := strconv.ParseInt(rest, 10, 64)
 		if err != nil {
--- a/entry/steward/steward_test.go
+++ b/entry/steward/steward_test.go
@@ -262,3 +262,22 @@
 	s.start(context.Background(), scheduling.Start{}, now)
 	require.Equal(t, 1, w.count())
 }
+
+// What a new owner takes up from each kind of record; one that can't be read is
+// skipped, and the others hold.
+func TestWhatAnOwnerRestores(t *testing.T) {
+	log, _ := test.NewNullLogger()
+	s := New(Config{Log: log, Metrics: metric.NewRegistry()}, 5, 1)
+	got := s.restored(map[store.Stream]store.Page{store.Progress: {Records: []store.Record{
+		{Key: scheduling.HostPrefix + "m-1", Value: []byte("1")},
+		{Key: scheduling.HostPrefix + "m-2"},
+		{Key: scheduling.RosterPrefix + "w-1", Value: []byte(`{"ID":"w-1"}`)},
+		{Key: scheduling.RosterPrefix + "w-2", Value: []byte(`{`)},
+		{Key: scheduling.WavePrefix + "3", Value: []byte(`{"Number":3}`)},
+		{Key: scheduling.WavePrefix + "x", Value: []byte(`{}`)},
+	}}})
+	require.Equal(t, []scheduling.HostID{"m-1"}, got.Reserved)
+	require.Len(t, got.Roster, 1)
+	require.Contains(t, got.Waves, int64(3))
+	require.Len(t, got.Waves, 1)
+}
--- a/fleet/scheduling/balance.go
+++ b/fleet/scheduling/balance.go
@@ -59,7 +59,7 @@
 	var best *host
 	bestRank := 0
 	for _, h := range s.hosts.all() {
-		if !h.isFree(now) || h.Pool == pool || h.refusedPools[pool] || s.isCordoned(h) {
+		if !s.isFree(now, h) || h.reservation.state == reserving || h.Pool == pool || h.refusedPools[pool] || s.isCordoned(h) {
 			continue
 		}
 		if label != "" && !slices.Contains(h.Labels, label) {
@@ -112,7 +112,7 @@
 	}
 	for _, h := range s.hosts.all() {
 		w := s.workerOn(h)
-		if w == nil || !h.isFree(now) || s.isSpare(h.Pool) || w.cordoned || h.refusedPools[spare] || !hasSurplus(wants, h.Pool) {
+		if w == nil || !s.isFree(now, h) || s.isSpare(h.Pool) || w.cordoned || h.refusedPools[spare] || !hasSurplus(wants, h.Pool) {
 			continue
 		}
 		if w.runs.len() > 0 || !w.greeted || w.Draining || w.idleSince.IsZero() || now.Sub(w.idleSince) < idleToSpare {
--- a/fleet/scheduling/bench_test.go
+++ b/fleet/scheduling/bench_test.go
@@ -49,6 +49,14 @@
 	return fresh
 }
 
+// storeAll has everything stored that is to be.
+func storeAll(s *Scheduler) {
+	s.Flush()
+	for n := range s.commits {
+		s.Committed(n)
+	}
+}
+
 func (b *bench) end(st Start, how EndKind) {
 	b.ends[st.Worker.ID]++
 	b.s.Held(b.now, 0, st.Worker, 0, b.now, Answer{Outcome: Accepted, ClockMs: 10}, Report{Born: 1, ClockMs: 10, Partial: true, Ended: []EndRow{
--- a/fleet/scheduling/commit.go
+++ b/fleet/scheduling/commit.go
@@ -11,6 +11,8 @@
 	jobs   map[*jobState]job.State
 	ends   map[WorkerID]lifeEnds
 	roster []*worker
+	// hosts are those whose reservation it holds.
+	hosts []HostID
 }
 
 type lifeEnds struct {
@@ -66,7 +68,8 @@
 			oc.roster = append(oc.roster, w)
 		}
 	}
-	s.changed, s.records = nil, nil
+	oc.hosts = s.reserving
+	s.changed, s.records, s.reserving = nil, nil, nil
 	clear(s.ended)
 	s.commits[s.commit] = oc
 	if len(records) == 0 {
@@ -95,6 +98,7 @@
 			}
 		}
 	}
+	s.reservationsStored(oc.hosts)
 	for _, w := range oc.roster {
 		if w.roster == rosterSent {
 			w.roster = rosterStored
--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -17,7 +17,7 @@
 	// this one gives its own.
 	HostLease time.Duration
 	// FormerSilent is how long the owner before had given no sign at the takeover. It
-	// is negative where that owner stopped as planned and orders nothing any more.
+	// is negative where that owner has ended for certain and orders nothing any more.
 	FormerSilent time.Duration
 	// MoveTime and MaintenanceTime are how long a host is away.
 	MoveTime, MaintenanceTime time.Duration
--- a/fleet/scheduling/demand.go
+++ b/fleet/scheduling/demand.go
@@ -101,7 +101,7 @@
 	}
 	sizes := s.hostSizes()
 	for _, h := range s.hosts.all() {
-		if e := byName[h.order.pool]; e != nil && h.order.kind == moveOrder {
+		if e := byName[h.destination()]; e != nil {
 			e.coming++
 			e.comingRoom = e.comingRoom.Add(h.Capacity)
 			e.addFree(h.Labels, h.Capacity)
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -13,6 +13,9 @@
 	// refusedPools are pools to which the platform won't move the host.
 	refusedPools map[string]bool
 	retryAt      time.Time
+	reservation  reservation
+	// inherited hosts were reserved by an earlier owner.
+	inherited bool
 }
 
 type orderKind int
@@ -47,8 +50,9 @@
 		seen[l.ID] = true
 		h := s.hosts.get(l.ID)
 		if h == nil {
-			h = &host{refusedPools: make(map[string]bool)}
+			h = &host{Host: l, refusedPools: make(map[string]bool)}
 			s.hosts.put(l.ID, h)
+			s.inherit(h)
 		}
 		h.Host = l
 		if h.order.given && sentAt.After(h.order.givenAt) {
@@ -64,8 +68,9 @@
 			h.order = hostOrder{}
 		}
 	}
-	for id := range s.hosts.all() {
+	for id, h := range s.hosts.all() {
 		if !seen[id] {
+			s.dropReservation(h)
 			s.hosts.drop(id)
 		}
 	}
@@ -96,16 +101,20 @@
 		return
 	}
 	s.nextBalance = now.Add(balanceEvery)
-	if now.Before(s.hostsFrom()) || !s.confirmedForHosts(now) {
+	if !s.confirmedForHosts(now) {
 		return
 	}
+	s.endReservations(now)
 	s.resend(now)
-	s.tickWaves(now)
+	if !now.Before(s.hostsFrom()) {
+		s.tickWaves(now)
+	}
 	s.balance(now)
 }
 
-// hostsFrom is when this owner may order hosts: the orders of the owner before must
-// have ended for the time of a host's lease, unless it stopped as planned.
+// hostsFrom is when this owner may order the hosts that the owner before had reserved:
+// the orders for them must have ended for the time of a host's lease, unless it has
+// ended for certain. Waves wait for it as a whole, as they count hosts that are down.
 func (s *Scheduler) hostsFrom() time.Time {
 	if s.cfg.Term == 0 || s.cfg.FormerSilent < 0 {
 		return s.startedAt
@@ -122,8 +131,8 @@
 }
 
 // isFree reports whether a host can be given an order.
-func (h *host) isFree(now time.Time) bool {
-	return h.State == HostUp && h.order.kind == noOrder && !now.Before(h.retryAt)
+func (s *Scheduler) isFree(now time.Time, h *host) bool {
+	return h.State == HostUp && h.order.kind == noOrder && !now.Before(h.retryAt) && s.mayOrder(now, h)
 }
 
 // isSpare reports whether a pool's hosts are off.
--- a/fleet/scheduling/hostorder.go
+++ b/fleet/scheduling/hostorder.go
@@ -24,11 +24,15 @@
 	return s.cfg.Epoch*tokenStep + s.dutySeq, true
 }
 
-// moveHost orders a move. It reports false if no order may be given now.
+// moveHost orders a move, or reserves the host for it first. It reports false if no
+// order may be given now.
 func (s *Scheduler) moveHost(now time.Time, h *host, pool, reason string) bool {
 	if !s.confirmedForHosts(now) {
 		return false
 	}
+	if !s.reserve(now, h, pool) {
+		return true
+	}
 	token, ok := s.duty(now)
 	if !ok {
 		return false
@@ -42,6 +46,18 @@
 	return true
 }
 
+// destination is the pool to which a host is on its way, or is about to be ordered.
+func (h *host) destination() string {
+	switch {
+	case h.order.kind == moveOrder:
+		return h.order.pool
+	case h.reservation.state == reserving:
+		return h.reservation.pool
+	default:
+		return ""
+	}
+}
+
 // confirmedForHosts reports whether this owner was proved to be the owner a short
 // time ago. Orders for hosts have no lease that would end on its own.
 func (s *Scheduler) confirmedForHosts(now time.Time) bool {
@@ -61,6 +77,7 @@
 	case Accepted:
 		s.orderGiven(now, h)
 	case Unknown:
+		s.keepReserved(now, h, lateOrders)
 		// It may be carried out late, so it stays in force and is sent again.
 		h.order.resendAt = now.Add(orderRetry)
 	case Fenced:
@@ -145,6 +162,7 @@
 			return
 		}
 		h.order.resendAt = time.Time{}
+		s.keepReserved(now, h, s.cfg.HostLease)
 		s.sendAgain(h, token)
 	}
 }
--- a/fleet/scheduling/ownership_test.go
+++ b/fleet/scheduling/ownership_test.go
@@ -164,6 +164,9 @@
 			s.List(now, now, []Host{{ID: "m-1", Pool: "spare", State: HostUp, Capacity: job.Room{CPU: 64000, MemMB: 1000}}})
 			s.Request(now, 0, Wave{Number: 1, Hosts: []HostID{"m-1"}, Duration: 20 * time.Second, MaxCount: 1})
 			s.Tick(now, 0)
+			require.Empty(t, of[Maintain](s.Take()), "not before the host is reserved")
+			storeAll(s)
+			s.Tick(now, 0)
 			require.Equal(t, tt.want, len(of[Maintain](s.Take())) == 1)
 		})
 	}
--- a/fleet/scheduling/planted_test.go
+++ b/fleet/scheduling/planted_test.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -116,6 +117,22 @@
 				})
 			},
 		},
+		"hosts are ordered without a reservation": {
+			rule: "ONE",
+			tamper: func(_ *world, a Action) []Action {
+				c, ok := a.(Commit)
+				if !ok {
+					return []Action{a}
+				}
+				c.Records = slices.DeleteFunc(c.Records, func(r Record) bool { return strings.HasPrefix(r.Key, HostPrefix) })
+				return []Action{c}
+			},
+			before: func(w *world) {
+				for i := range 12 {
+					w.after(time.Duration(4+3*i)*time.Second, func() { w.owners[len(w.owners)-1].isUp = false })
+				}
+			},
+		},
 		"a job is shown as completed early": {
 			rule: "MIXED",
 			before: func(w *world) {
--- a/fleet/scheduling/policy_test.go
+++ b/fleet/scheduling/policy_test.go
@@ -232,6 +232,9 @@
 		return out
 	}
 	s.Tick(now, 0)
+	require.Empty(t, orders(), "not before the host is reserved")
+	storeAll(s)
+	s.Tick(now, 0)
 	first := orders()
 	require.Len(t, first, 1)
 	s.Ordered(now, first[0].Host, first[0].Token, Unknown)
@@ -262,6 +265,8 @@
 		s.List(now, now, []Host{h})
 		s.Request(now, 0, Wave{Number: 1, Hosts: []HostID{h.ID}, Duration: time.Second, MaxCount: 1})
 		s.Tick(now, 0)
+		storeAll(s)
+		s.Tick(now, 0)
 		var order Maintain
 		isListed := false
 		for _, a := range s.Take() {
--- /dev/null
+++ b/fleet/scheduling/reservation_test.go
@@ -0,0 +1,127 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// successor returns an owner right after a takeover from one that was silent for 1.5 s
+// and had reserved some hosts, with work that waits for hosts.
+func successor(t *testing.T, reserved ...HostID) (*Scheduler, time.Time) {
+	t.Helper()
+	s := New(testStart, testConfig())
+	s.cfg.Term, s.cfg.FormerSilent = 1, 1500*time.Millisecond
+	s.Configure(testConfiguration())
+	s.Restore(testStart, 0, Restored{Reserved: reserved})
+	now := testStart.Add(10 * time.Millisecond)
+	s.Accept(now, 0, testJob(200))
+	s.List(now, now, []Host{
+		{ID: "m-1", Pool: "spare", State: HostUp, Capacity: job.Room{CPU: 64000, MemMB: 131072}},
+		{ID: "m-2", Pool: "spare", State: HostUp, Capacity: job.Room{CPU: 64000, MemMB: 131072}},
+	})
+	return s, now
+}
+
+// moved plays for a time with a store that answers at once, and returns when each host
+// was ordered first.
+func moved(s *Scheduler, now time.Time, d time.Duration) map[HostID]time.Duration {
+	at := make(map[HostID]time.Duration)
+	hosts := []Host{}
+	for _, h := range s.hosts.all() {
+		hosts = append(hosts, h.Host)
+	}
+	for end := now.Add(d); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		s.Confirm(now)
+		s.List(now, now, hosts)
+		s.Tick(now, 0)
+		storeAll(s)
+		s.Tick(now, 0)
+		for _, m := range of[Move](s.Take()) {
+			if _, ok := at[m.Host]; !ok {
+				at[m.Host] = now.Sub(testStart)
+			}
+		}
+	}
+	return at
+}
+
+// The owner is lost while a queue is in its turn. Its successor fetches hosts at once,
+// but those for which an order of the former owner may be under way.
+func TestASuccessorFetchesHostsAtOnce(t *testing.T) {
+	s, now := successor(t, "m-1")
+	at := moved(s, now, 4*time.Second)
+	require.Less(t, at["m-2"], 200*time.Millisecond)
+	require.GreaterOrEqual(t, at["m-1"], hostProof+s.cfg.HostLease-s.cfg.FormerSilent)
+	require.Less(t, at["m-1"], 3*time.Second)
+}
+
+// No order leaves before the store holds its host's reservation.
+func TestNoOrderWithoutAStoredReservation(t *testing.T) {
+	s, now := successor(t)
+	s.Tick(now, 0)
+	require.Empty(t, of[Move](s.Take()))
+	s.Flush()
+	commits := of[Commit](s.Take())
+	require.Len(t, commits, 1)
+	keys := make(map[string]bool)
+	for _, r := range commits[0].Records {
+		keys[r.Key] = len(r.Value) > 0
+	}
+	require.True(t, keys[HostPrefix+"m-1"] && keys[HostPrefix+"m-2"])
+	now = now.Add(2 * balanceEvery)
+	s.Confirm(now)
+	s.Tick(now, 0)
+	require.Empty(t, of[Move](s.Take()), "the store has not answered")
+	s.Committed(commits[0].Number)
+	s.Tick(now, 0)
+	require.Len(t, of[Move](s.Take()), 2)
+}
+
+// A reservation is dropped once its order has ended for a host's lease, and later if an
+// order had no answer and may be carried out late.
+func TestWhenAReservationEnds(t *testing.T) {
+	tests := map[string]struct {
+		outcome Outcome
+		after   time.Duration
+		want    bool
+	}{
+		"while its lease runs":             {Busy, 2900 * time.Millisecond, true},
+		"once its lease has ended":         {Busy, 4100 * time.Millisecond, false},
+		"while an order may come late":     {Unknown, 12 * time.Second, true},
+		"while the host is on its way":     {Accepted, time.Minute, true},
+		"once no order can come any later": {Unknown, lateOrders + 2*time.Second, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, now := successor(t)
+			s.Tick(now, 0)
+			storeAll(s)
+			s.Tick(now, 0)
+			for _, m := range of[Move](s.Take()) {
+				s.Ordered(now, m.Host, m.Token, tt.outcome)
+			}
+			s.Cancel(now, 0, testID)
+			if tt.outcome == Unknown {
+				s.cancelOrder(now, s.hosts.get("m-1"))
+			}
+			now = now.Add(tt.after)
+			s.endReservations(now)
+			require.Equal(t, tt.want, s.hosts.get("m-1").reservation.state == reserved)
+		})
+	}
+}
+
+// A host that leaves the platform's list takes its reservation with it.
+func TestTheReservationOfAHostThatIsGone(t *testing.T) {
+	s, now := successor(t, "m-1")
+	s.Take()
+	s.List(now, now, nil)
+	s.Flush()
+	commits := of[Commit](s.Take())
+	require.Len(t, commits, 1)
+	require.Contains(t, commits[0].Records, Record{Key: HostPrefix + "m-1"})
+}
--- a/fleet/scheduling/restore.go
+++ b/fleet/scheduling/restore.go
@@ -14,6 +14,8 @@
 	Progress  map[job.ID]job.Progress
 	Roster    []Entry
 	Waves     map[int64]WaveProgress
+	// Reserved are the hosts that earlier owners may have ordered.
+	Reserved []HostID
 }
 
 // DecodeEntry reads a worker's record.
@@ -52,6 +54,9 @@
 	for _, id := range r.Cancelled {
 		s.Cancel(now, wall, id)
 	}
+	for _, id := range r.Reserved {
+		s.inheritedHosts[id] = true
+	}
 	for n, p := range r.Waves {
 		s.waves[n] = restoreWave(p)
 	}
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -68,8 +68,13 @@
 	// dutySeq makes the token of each order for hosts higher than all before.
 	dutySeq int64
 
+	// inheritedHosts were reserved by earlier owners and haven't been listed yet.
+	inheritedHosts map[HostID]bool
+
 	changed []*jobState
-	records []Record
+	// reserving are the hosts whose reservation is part of the next commit.
+	reserving []HostID
+	records   []Record
 	// ended workers have ends whose record is part of the next commit.
 	ended   map[WorkerID]int64
 	commit  int64
@@ -100,6 +105,7 @@
 		waves:          make(map[int64]*wave),
 		unaccounted:    make(map[WorkerID]Entry),
 		ended:          make(map[WorkerID]int64),
+		inheritedHosts: make(map[HostID]bool),
 		commits:        make(map[int64]*openCommit),
 		inheritedUntil: now.Add(lapseTime(cfg.Grace + cfg.Lease)),
 		confirmed:      now,
--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -161,7 +161,7 @@
 // prepare empties a host for its maintenance and begins it once nothing is lost by
 // it. It reports whether the host counts as down from now on.
 func (s *Scheduler) prepare(now time.Time, v *wave, h *host) bool {
-	if !h.isFree(now) {
+	if !s.isFree(now, h) {
 		return false
 	}
 	w := s.workerOn(h)
@@ -261,6 +261,9 @@
 	if !s.confirmedForHosts(now) {
 		return false
 	}
+	if !s.reserve(now, h, "") {
+		return true // it takes a place meanwhile
+	}
 	token, ok := s.duty(now)
 	if !ok {
 		return false
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -64,6 +64,9 @@
 	awayUntil time.Time
 	rack      string
 	token     int64
+	// orderedBy is the epoch of the last order, which came at orderedAt.
+	orderedBy int64
+	orderedAt time.Time
 	// maintained are the waves for which the host was down.
 	maintained map[int64]bool
 }
@@ -692,6 +695,8 @@
 			panic(err)
 		}
 		r.Roster = append(r.Roster, e)
+	case key[:2] == HostPrefix:
+		r.Reserved = append(r.Reserved, HostID(key[2:]))
 	case key[:2] == WavePrefix:
 		p, err := DecodeWave(value)
 		if err != nil {
@@ -893,6 +898,7 @@
 // order carries out a duty of a host.
 func (w *world) order(id HostID, token int64, pool string, wave int64) Outcome {
 	h := w.hosts[id]
+	w.judgeTurns(h, token/tokenStep)
 	if token < h.token {
 		return Fenced
 	}
@@ -930,6 +936,14 @@
 	return Accepted
 }
 
+// judgeTurns sees to it that two owners order a host a lease apart.
+func (w *world) judgeTurns(h *simHost, epoch int64) {
+	if h.orderedBy != 0 && h.orderedBy != epoch && w.now.Sub(h.orderedAt) < w.cfg.HostLease {
+		w.breaks("ONE", "%s is ordered by owner %d and %s later by owner %d", h.ID, h.orderedBy, w.now.Sub(h.orderedAt), epoch)
+	}
+	h.orderedBy, h.orderedAt = epoch, w.now
+}
+
 func (w *world) judgeWave(number int64) {
 	down := 0
 	for _, v := range w.waves {
