feat: jobs are at home in a data centre

Cause: an owner was lost together with its data centre. Its successor couldn't reach the workers there, and could not know which tasks ran on them, so the tasks of all earlier jobs of those pools waited for every lease to lapse, up to 11 s. Change: the host that accepts a job draws its data centre from its ID. Its tasks run elsewhere only once the store holds where else. A successor waits for unreachable workers only with jobs that can have run in their data centre. Tasks that last, and jobs near data, have no home.

--- /dev/null
+++ b/entry/intake/home_test.go
@@ -0,0 +1,33 @@
+package intake
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// Each host names the same data centre for a job, and jobs are dealt evenly.
+func TestTheHomeOfAJob(t *testing.T) {
+	centres := []string{"a", "b", "c"}
+	one, other := New(Config{Centres: centres}), New(Config{Centres: centres})
+	count := make(map[string]int)
+	for i := range 3000 {
+		j := job.Job{ID: job.ID(fmt.Sprintf("%016x", i*7919)), Steps: []job.Step{{Count: 1}}}
+		require.Equal(t, one.home(j), other.home(j))
+		count[one.home(j)]++
+	}
+	for _, c := range centres {
+		require.InDelta(t, 1000, count[c], 150, c)
+	}
+}
+
+func TestJobsWithoutAHome(t *testing.T) {
+	in := New(Config{Centres: []string{"a"}})
+	require.Equal(t, "a", in.home(job.Job{Steps: []job.Step{{Count: 1}}}))
+	require.Empty(t, in.home(job.Job{Steps: []job.Step{{Count: 1}, {Count: 1, LongRunning: true}}}))
+	require.Empty(t, in.home(job.Job{Steps: []job.Step{{Count: 1, Affinity: "r1"}}}))
+	require.Empty(t, New(Config{}).home(job.Job{Steps: []job.Step{{Count: 1}}}), "no data centres are known")
+}
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -59,6 +60,8 @@
 	Log      logrus.FieldLogger
 	Metrics  *metric.Registry
 	Wall     func() int64
+	// Centres are the data centres that run jobs, in the same order on all hosts.
+	Centres []string
 }
 
 // Intake handles callers' requests.
@@ -109,6 +112,7 @@
 func (in *Intake) Submit(ctx context.Context, q queue.Queue, version int64, j job.Job) error {
 	began := time.Now()
 	j.Queue, j.Pool, j.Version, j.AcceptedAt = q.Name, q.Pool, version, in.cfg.Wall()
+	j.Home = in.home(j)
 	err := j.Validate()
 	if err == nil {
 		err = in.put(ctx, steward.AcceptedKey(j.ID), j.Encode)
@@ -117,6 +121,18 @@
 	return err
 }
 
+// home draws a job's data centre by its ID, so that a repeat at another host names the
+// same. Tasks that last are spread, and those with data are put where that is, so their
+// jobs have none.
+func (in *Intake) home(j job.Job) string {
+	if len(in.cfg.Centres) == 0 || j.LongRunning() || j.IsNearData() {
+		return ""
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(j.ID))
+	return in.cfg.Centres[int(h.Sum32()%uint32(len(in.cfg.Centres)))]
+}
+
 // Cancel ends a job for good, also one that isn't known yet: a late repeat of its
 // submission must not run.
 func (in *Intake) Cancel(ctx context.Context, q queue.Queue, version int64, id job.ID) error {
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -52,6 +52,8 @@
 	Now        func() time.Time
 	Wall       func() int64
 	Scheduling scheduling.Config
+	// Centres are the data centres that run jobs, in the same order on all hosts.
+	Centres []string
 }
 
 // Site is one entry host.
@@ -91,6 +93,7 @@
 	s.batcher = intake.NewBatcher(s.store, cfg.Log, cfg.Metrics)
 	s.intake = intake.New(intake.Config{
 		Follower: s.follower, Batcher: s.batcher, Knower: s, Log: cfg.Log, Metrics: cfg.Metrics, Wall: cfg.Wall,
+		Centres: cfg.Centres,
 	})
 	s.server = relay.NewServer(relay.ServerConfig{Log: cfg.Log, Store: cfg.Direct, Knower: s, Hello: s.hello})
 	return s
--- a/fleet/job/job.go
+++ b/fleet/job/job.go
@@ -120,6 +120,9 @@
 	Queue string
 	// Pool is the pool that ran the queue's tasks when the job was accepted.
 	Pool string
+	// Home is the data centre whose workers run the tasks unless the job's progress names
+	// more; empty is no bound.
+	Home string `json:",omitempty"`
 	// Version is the configuration under which the job was accepted.
 	Version int64
 	// Text is handed to the workers as it came.
@@ -153,6 +156,11 @@
 	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning })
 }
 
+// IsNearData reports whether a step of the job is fast on one rack only.
+func (j Job) IsNearData() bool {
+	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.Affinity != "" })
+}
+
 // Validate checks what a caller wrote.
 func (j Job) Validate() error {
 	if err := j.ID.Validate(); err != nil {
--- a/fleet/job/progress.go
+++ b/fleet/job/progress.go
@@ -42,6 +42,8 @@
 	State State
 	// EndedAt is the time of day of a final state, in Unix milliseconds.
 	EndedAt int64 `json:",omitempty"`
+	// Centres are the data centres beside its home where its tasks may run.
+	Centres []string `json:",omitempty"`
 	// Tasks lists each task of which anything is to be kept.
 	Tasks []TaskProgress `json:",omitempty"`
 }
--- a/fleet/scheduling/commit.go
+++ b/fleet/scheduling/commit.go
@@ -8,13 +8,19 @@
 
 // openCommit is a commit that was not answered yet.
 type openCommit struct {
-	jobs   map[*jobState]job.State
+	jobs   map[*jobState]storedJob
 	ends   map[WorkerID]lifeEnds
 	roster []*worker
 	// hosts are those whose reservation it holds.
 	hosts []HostID
 }
 
+// storedJob is what a commit holds of a job.
+type storedJob struct {
+	state   job.State
+	centres []string
+}
+
 type lifeEnds struct {
 	life  Life
 	noted int64
@@ -26,13 +32,13 @@
 }
 
 // IsUrgent reports whether somebody waits for the open commit: the caller of a job
-// that ended, or tasks for a worker that may not get any before it is stored.
+// that ended, or tasks that may not start somewhere before it is stored.
 func (s *Scheduler) IsUrgent() bool {
 	if len(s.records) > 0 {
 		return true
 	}
 	for _, js := range s.changed {
-		if js.state.Final() {
+		if js.state.Final() || js.widening {
 			return true
 		}
 	}
@@ -45,7 +51,7 @@
 		return
 	}
 	s.commit++
-	oc := &openCommit{jobs: make(map[*jobState]job.State), ends: make(map[WorkerID]lifeEnds)}
+	oc := &openCommit{jobs: make(map[*jobState]storedJob), ends: make(map[WorkerID]lifeEnds)}
 	records := s.records
 	for _, js := range s.changed {
 		js.changed = false
@@ -55,7 +61,7 @@
 			continue
 		}
 		records = append(records, Record{Key: ProgressPrefix + string(js.ID), Value: b})
-		oc.jobs[js] = js.state
+		oc.jobs[js] = storedJob{state: js.state, centres: js.wider}
 	}
 	for id, noted := range s.ended {
 		if w := s.workers.get(id); w != nil {
@@ -87,8 +93,9 @@
 		return
 	}
 	delete(s.commits, number)
-	for js, state := range oc.jobs {
-		js.shown = state
+	for js, stored := range oc.jobs {
+		js.shown = stored.state
+		s.widened(js, stored.centres)
 	}
 	for id, e := range oc.ends {
 		if w := s.workers.get(id); w != nil && w.Life == e.life && e.noted > w.seen {
--- /dev/null
+++ b/fleet/scheduling/confine.go
@@ -0,0 +1,59 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+)
+
+// A job's tasks run in its home data centre, and elsewhere only once the store holds
+// where else. A new owner that can't reach workers of one data centre then knows which
+// jobs can't have tasks there, and goes on with them at once.
+
+// mayRunIn reports whether tasks of the job may run in a data centre now, or may have
+// been started there by an earlier owner.
+func (js *jobState) mayRunIn(centre string) bool {
+	return js.Home == "" || centre == js.Home || slices.Contains(js.centres, centre)
+}
+
+// widen has it stored that a job's tasks may run in one more data centre: that of the
+// worker with the most room that suits the step. The job waits for it.
+func (s *Scheduler) widen(now time.Time, v *poolView, st *step) {
+	js := st.occ.job
+	if js.Home == "" || js.widening {
+		return
+	}
+	var best *worker
+	for _, w := range v.workers {
+		if !s.suits(now, st, w) || js.mayRunIn(w.DataCentre) {
+			continue
+		}
+		if best == nil || share(w.used, w.Capacity) < share(best.used, best.Capacity) {
+			best = w
+		}
+	}
+	if best == nil {
+		return
+	}
+	js.widening = true
+	js.wider = append(slices.Clone(js.centres), best.DataCentre)
+	s.change(js)
+	s.note("job may run in another data centre", js.ID, "DataCentre", best.DataCentre, "Home", js.Home, "Step", st.number)
+}
+
+// widened tells that the store holds where else a job may run.
+func (s *Scheduler) widened(js *jobState, centres []string) {
+	if len(centres) > len(js.centres) {
+		js.centres = centres
+		s.dirty = true
+	}
+	if len(js.centres) == len(js.wider) {
+		js.widening = false
+	}
+}
+
+// widenFor lets a job run elsewhere whose task has to leave its worker.
+func (s *Scheduler) widenFor(now time.Time, r *run) {
+	if pool, ok := s.poolOf(r.task.owner()); ok {
+		s.widen(now, s.view(now, pool), r.task.step)
+	}
+}
--- a/fleet/scheduling/hedge.go
+++ b/fleet/scheduling/hedge.go
@@ -42,6 +42,7 @@
 		}
 		w := s.choose(now, v, r.task.step, r.task)
 		if w == nil {
+			s.widen(now, v, r.task.step)
 			s.crowded[pool] = now
 			continue
 		}
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -158,7 +158,7 @@
 		return true
 	}
 	for _, e := range s.unaccounted {
-		if e.Pool == pool {
+		if e.Pool == pool && t.owner().mayRunIn(e.DataCentre) {
 			return false
 		}
 	}
@@ -182,6 +182,7 @@
 		}
 		w := s.choose(now, v, st, t)
 		if w == nil {
+			s.widen(now, v, st)
 			kept = append(kept, st.waiting[i:]...)
 			break
 		}
@@ -212,8 +213,14 @@
 	return best
 }
 
-// allows reports whether a worker may run a task of the step.
+// allows reports whether a worker may run a task of the step now.
 func (s *Scheduler) allows(now time.Time, st *step, w *worker) bool {
+	return st.occ.job.mayRunIn(w.DataCentre) && s.suits(now, st, w)
+}
+
+// suits reports whether a worker could run a task of the step, in whichever data centre
+// it is.
+func (s *Scheduler) suits(now time.Time, st *step, w *worker) bool {
 	if !w.free().Fits(st.Takes()) {
 		return false
 	}
@@ -308,6 +315,7 @@
 	}
 	chosen := s.chooseGang(now, v, st)
 	if chosen == nil {
+		s.widen(now, v, st)
 		return
 	}
 	for i, t := range st.tasks {
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -27,6 +27,10 @@
 	endedAt time.Time
 	// endedWall is endedAt in Unix milliseconds.
 	endedWall int64
+	// centres beside its home are stored as those where its tasks may run; wider are those
+	// of the next record. The job waits while it is widening.
+	centres, wider []string
+	widening       bool
 	// forgotten jobs have no record of their own any more but for their progress.
 	forgotten bool
 }
@@ -277,6 +281,7 @@
 	if js.began {
 		p.State = job.Running
 	}
+	p.Centres = js.wider
 	for _, o := range js.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -233,6 +233,7 @@
 			continue
 		}
 		if !s.fitsElsewhere(now, r) {
+			s.widenFor(now, r)
 			s.crowded[w.Pool] = now
 			continue
 		}
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -171,6 +171,8 @@
 	simTimeout = 400 * time.Millisecond
 	simStore   = 6 * time.Millisecond
 	simTick    = 10 * time.Millisecond
+	// simCentres is the number of data centres.
+	simCentres = 3
 	// simHoldMax is the longest lease that a worker grants.
 	simHoldMax = 6 * time.Second
 )
@@ -199,7 +201,7 @@
 		for range count {
 			h := &simHost{maintained: make(map[int64]bool), Host: Host{
 				ID: HostID(fmt.Sprintf("m-%03d", n)), Pool: pool, State: HostUp, Labels: []string{"a"},
-				Rack: fmt.Sprintf("r%d", n/4), Capacity: job.Room{CPU: 64000, MemMB: 131072},
+				Rack: fmt.Sprintf("r%d", n/4), DataCentre: fmt.Sprintf("dc%d", n/4%simCentres), Capacity: job.Room{CPU: 64000, MemMB: 131072},
 			}}
 			w.hosts[h.ID] = h
 			if pool != "spare" {
@@ -255,7 +257,7 @@
 	w.seq++
 	e := Entry{
 		Life: Life{ID: WorkerID(fmt.Sprintf("w-%s-%d", h.ID, w.seq)), Born: w.wall()}, Pool: h.Pool,
-		Address: string(h.ID), Host: h.ID, Kind: "a", Rack: h.Rack, Labels: []string{"a", h.Rack}, Capacity: h.Capacity,
+		Address: string(h.ID), Host: h.ID, Kind: "a", Rack: h.Rack, DataCentre: h.DataCentre, Labels: []string{"a", h.Rack}, Capacity: h.Capacity,
 	}
 	return w.revive(h, e)
 }
@@ -992,6 +994,9 @@
 			Count: 1 + w.rng.Intn(2*width), Room: job.Room{CPU: cpu/2 + w.rng.Int63n(cpu), MemMB: 4000}, Estimate: time.Second,
 		}},
 	}
+	if w.rng.Intn(8) > 0 {
+		j.Home = fmt.Sprintf("dc%d", w.seq%simCentres)
+	}
 	if w.rng.Intn(2) == 0 {
 		st := j.Steps[0]
 		st.After, st.Speculative = []int{0}, w.rng.Intn(3) == 0
@@ -1003,6 +1008,7 @@
 // newLasting draws a job whose tasks last.
 func (w *world) newLasting(pool string, count int) job.Job {
 	j := w.newJob(pool, 5000, 1)
+	j.Home = ""
 	j.Steps = []job.Step{{
 		Count: count, Room: job.Room{CPU: 5000, MemMB: 9000}, LongRunning: true, AntiAffinity: 1, MayMiss: 1,
 	}}
