fix: an adopted run counts as at work once no stop of a former owner can end it

Change: an adopted run proves to be at work by a report that is StopMs and a margin younger than its adoption.

--- a/fleet/scheduling/budget.go
+++ b/fleet/scheduling/budget.go
@@ -11,7 +11,10 @@
 // host was not ordered away.
 func (t *task) isAtWork(now time.Time) bool {
 	r := t.run
-	return r != nil && r.phase == running && r.percent >= 100 && !r.worker.ordered && r.worker.failing.IsZero() && now.Sub(r.knownAt) <= atWorkAge
+	if r == nil || r.phase != running || r.percent < 100 || r.knownAt.Before(r.provenFrom) {
+		return false
+	}
+	return !r.worker.ordered && r.worker.failing.IsZero() && now.Sub(r.knownAt) <= atWorkAge
 }
 
 // away counts the tasks of a step that are not at work, leaving out one of them.
--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -19,6 +19,8 @@
 	// FormerSilent is how long the owner before had given no sign at the takeover. It
 	// is negative where that owner has ended for certain and orders nothing any more.
 	FormerSilent time.Duration
+	// StopTime is how long a run that was told to stop goes on at most.
+	StopTime time.Duration
 	// MoveTime and MaintenanceTime are how long a host is away.
 	MoveTime, MaintenanceTime time.Duration
 	// DutiesPerSecond bounds orders for hosts.
--- a/fleet/scheduling/ownership_test.go
+++ b/fleet/scheduling/ownership_test.go
@@ -289,3 +289,35 @@
 		})
 	}
 }
+
+// A former owner told a task that lasts to stop, which takes its time: the worker still
+// lists the run as at work when the next owner asks. That owner must not count on it.
+func TestAnAdoptedRunMayBeEnding(t *testing.T) {
+	j := testJob(2)
+	j.Steps[0].LongRunning, j.Steps[0].MayMiss = true, 1
+	s := New(testStart, testConfig())
+	s.cfg.StopTime = 900 * time.Millisecond
+	s.Configure(testConfiguration())
+	w1, w2 := testWorker("w1"), testWorker("w2")
+	s.Restore(testStart, 0, Restored{Jobs: []job.Job{j}, Roster: []Entry{w1, w2}})
+	report := func(now time.Time) {
+		for i, w := range []Entry{w1, w2} {
+			s.Enlist(now, w)
+			s.Held(now, 0, w.Life, 0, now, accepted, Report{Born: 1, ClockMs: 10, Running: []RunRow{
+				{Task: job.Task{Job: testID, Index: i}, Run: 1, Percent: 100},
+			}})
+		}
+	}
+	now := testStart
+	report(now)
+	second := s.find(job.Task{Job: testID, Index: 1}).run
+	require.False(t, mayInterrupt(now, second), "the first may be stopping")
+	require.False(t, s.workers.get("w2").mayTakeDown(now))
+	now = now.Add(s.cfg.StopTime / 2)
+	report(now)
+	require.False(t, mayInterrupt(now, second), "it may still be")
+	now = now.Add(s.cfg.StopTime)
+	report(now)
+	require.True(t, mayInterrupt(now, second), "no stop takes that long")
+	require.True(t, s.workers.get("w2").mayTakeDown(now))
+}
--- a/fleet/scheduling/report.go
+++ b/fleet/scheduling/report.go
@@ -142,6 +142,7 @@
 		w.granted = s.inheritedUntil // its lease was ordered by an earlier owner
 	}
 	r := &run{task: t, number: row.Run, phase: running, since: now, knownAt: now, percent: row.Percent, load: row.Load, checkpoint: row.Checkpoint, pace: 100}
+	r.provenFrom = now.Add(s.cfg.StopTime + leaseMargin)
 	s.unqueue(t)
 	s.attach(w, r)
 	w.idleSince = time.Time{}
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -113,6 +113,9 @@
 	room   job.Room
 	// since is when it was first ordered; knownAt when it was last known to be there.
 	since, knownAt time.Time
+	// provenFrom is from when a report shows that the run goes on: until then it may be
+	// ending by an order of an earlier owner.
+	provenFrom time.Time
 	// retryAt is when an order without an answer is sent again; zero while one is out.
 	retryAt time.Time
 	// stoppedAt is when the stop was answered.
