feat: tasks of earlier queues preempt checkpointed tasks of later ones

Cause: Priority ordered waiting tasks only. A task that lasts, of a queue with priority 0, that lost its worker waited for a host (1.5 s and more) beside a pool full of checkpointed tasks of priority 1. Change: a step that found no room for 0.15 s has the fewest runs stopped, on one worker, that make room for it: of later queues, checkpointed, no gang, nothing that lasts, at work for a second. Room that is being freed counts, so nothing is stopped twice for one task.

--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,6 +14,8 @@
 	workers []*worker
 	// largest is at least the largest free room of each kind among the workers.
 	largest job.Room
+	// starved steps have found no room in this round.
+	starved []*step
 }
 
 // place gives waiting tasks to workers: by priority, then those whose objective can
@@ -42,6 +45,9 @@
 		}
 		s.placeStep(now, v, st)
 	}
+	for _, pool := range slices.Sorted(maps.Keys(views)) {
+		s.preempt(now, views[pool])
+	}
 }
 
 // collect returns the steps with waiting tasks in the order in which they are placed.
@@ -168,6 +174,7 @@
 // placeStep gives as many tasks of a step to workers as fit.
 func (s *Scheduler) placeStep(now time.Time, v *poolView, st *step) {
 	if !v.largest.Fits(st.Takes()) {
+		s.starve(now, v, st)
 		return
 	}
 	if s.needsAdvice(now, v, st) {
@@ -183,10 +190,12 @@
 		w := s.choose(now, v, st, t)
 		if w == nil {
 			s.widen(now, v, st)
+			s.starve(now, v, st)
 			kept = append(kept, st.waiting[i:]...)
 			break
 		}
 		t.queued = false
+		st.starvedAt = time.Time{}
 		if !s.startRun(now, w, t, s.nextRun(t), st.advice.ticket(w.ID)) {
 			t.queued = true
 			kept = append(kept, st.waiting[i:]...)
@@ -221,9 +230,11 @@
 // suits reports whether a worker could run a task of the step, in whichever data centre
 // it is.
 func (s *Scheduler) suits(now time.Time, st *step, w *worker) bool {
-	if !w.free().Fits(st.Takes()) {
-		return false
-	}
+	return w.free().Fits(st.Takes()) && s.admits(now, st, w)
+}
+
+// admits reports whether a worker could run a task of the step if it had room.
+func (s *Scheduler) admits(now time.Time, st *step, w *worker) bool {
 	if st.AntiAffinity > 0 && w.steps[st] >= st.AntiAffinity {
 		return false
 	}
--- /dev/null
+++ b/fleet/scheduling/preempt_test.go
@@ -0,0 +1,102 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+	"github.com/godwitcross/godwitcross/fleet/queue"
+)
+
+// twoQueues has a queue that comes first and one that comes later in one pool.
+func twoQueues() *queue.Configuration {
+	q := queue.Queue{Name: "first", Host: "h", Prefix: "/first/", Pool: "p", MaxAttempts: 3, Stretch: 1.6, TargetLatency: 600 * time.Millisecond}
+	later := q
+	later.Name, later.Prefix, later.Priority = "later", "/later/", 1
+	return queue.New(2, []queue.Queue{q, later}, []queue.Pool{{Name: "p", Guarded: true}, {Name: "spare", Guarded: true, Spare: true}}, queue.Limits{})
+}
+
+// full returns a bench with one worker that is full with 16 runs of a queue, which have
+// run for some time.
+func full(t *testing.T, queueName string, checkpointing, lasting bool, age time.Duration) *bench {
+	b := newBench(t, 1)
+	b.s.Configure(twoQueues())
+	j := testJob(16)
+	j.ID, j.Queue = "00000000000000aa", queueName
+	j.Steps[0].Room.CPU = 4000
+	j.Steps[0].Checkpointing, j.Steps[0].LongRunning = checkpointing, lasting
+	b.s.Accept(b.now, 0, j)
+	if len(b.tick()) != 16 {
+		t.Fatal("the worker isn't full")
+	}
+	b.now = b.now.Add(age)
+	return b
+}
+
+// stopsFor hands in a job of the first queue and returns which runs are stopped for it.
+func stopsFor(b *bench, cpu int64, count int) []Stop {
+	j := testJob(count)
+	j.ID, j.Queue = "00000000000000bb", "first"
+	j.Steps[0].Room.CPU = cpu
+	b.s.Accept(b.now, 0, j)
+	var stops []Stop
+	for range 4 {
+		b.now = b.now.Add(100 * time.Millisecond)
+		b.s.Confirm(b.now)
+		b.s.Tick(b.now, 0)
+		stops = append(stops, of[Stop](b.s.Take())...)
+	}
+	return stops
+}
+
+func TestWhatMayBePreempted(t *testing.T) {
+	tests := map[string]struct {
+		queue                  string
+		checkpointing, lasting bool
+		age                    time.Duration
+		want                   int
+	}{
+		"what keeps its work":           {"later", true, false, 2 * time.Second, 2},
+		"what would lose its work":      {"later", false, false, 2 * time.Second, 0},
+		"what has only just begun":      {"later", true, false, 200 * time.Millisecond, 0},
+		"what lasts":                    {"later", true, true, 2 * time.Second, 0},
+		"what is of the same urgency":   {"first", true, false, 2 * time.Second, 0},
+		"nothing, right after it began": {"later", true, false, 0, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := full(t, tt.queue, tt.checkpointing, tt.lasting, tt.age)
+			require.Len(t, stopsFor(b, 8000, 1), tt.want)
+		})
+	}
+}
+
+// Room that is being freed for a task isn't freed once more for it.
+func TestPreemptionStopsNoMoreThanNeeded(t *testing.T) {
+	b := full(t, "later", true, false, 2*time.Second)
+	require.Len(t, stopsFor(b, 4000, 3), 3)
+}
+
+// What was preempted goes on from its checkpoint once there is room.
+func TestPreemptedTasksGoOn(t *testing.T) {
+	b := full(t, "later", true, false, 2*time.Second)
+	stops := stopsFor(b, 4000, 1)
+	require.Len(t, stops, 1)
+	b.s.Held(b.now, 0, stops[0].Worker, 0, b.now, accepted, Report{Born: 1, ClockMs: 10, Partial: true, Ended: []EndRow{
+		{Number: 1, Task: stops[0].Task, Run: stops[0].Run, How: EndStopped, Checkpoint: "half"},
+	}})
+	next := b.tick()
+	require.Len(t, next, 1)
+	require.Equal(t, job.ID("00000000000000bb"), next[0].Task.Job, "the room goes to the first queue")
+	b.end(next[0], EndDone)
+	b.ends[next[0].Worker.ID] = 2
+	b.s.Held(b.now, 0, next[0].Worker, 0, b.now, accepted, Report{Born: 1, ClockMs: 10, Partial: true, Ended: []EndRow{
+		{Number: 2, Task: next[0].Task, Run: next[0].Run, How: EndDone},
+	}})
+	again := b.tick()
+	require.Len(t, again, 1)
+	require.Equal(t, stops[0].Task, again[0].Task)
+	require.Equal(t, "half", again[0].Checkpoint)
+}
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -61,6 +61,8 @@
 	// listed steps are in the queue's list of steps with waiting tasks.
 	listed bool
 	advice advice
+	// starvedAt is since when no worker has had room for a task, or zero.
+	starvedAt time.Time
 	// took sums the durations of ended runs that were done.
 	took  time.Duration
 	ended int
