feat: a step that fits no host is named, and asks for none

Cause: a task larger than every host, or with a label that none has, counted as demand: hosts were fetched for it again and again and idled. Change: the classes of the fleet's hosts are known; a step that fits none is told in the log once, with what it asks for, and again when a host comes that fits. It counts neither as waiting nor as arriving work.

--- a/fleet/scheduling/demand.go
+++ b/fleet/scheduling/demand.go
@@ -229,6 +229,9 @@
 			if !ok {
 				continue
 			}
+			if s.isUnfit(st) {
+				continue
+			}
 			e := d[pool]
 			takes := st.Takes()
 			for _, t := range st.waiting {
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -75,6 +75,7 @@
 		}
 	}
 	s.endReplaced()
+	s.classify()
 }
 
 // endReplaced ends workers whose host runs another worker by now.
--- a/fleet/scheduling/rate.go
+++ b/fleet/scheduling/rate.go
@@ -55,7 +55,7 @@
 		s.arrivals[pool] = r
 	}
 	for _, st := range js.Steps {
-		if !st.LongRunning && !st.Fills {
+		if !st.LongRunning && !st.Fills && s.fitsSomeHost(st) {
 			r.add(now, int64(st.Count)*st.Room.CPU, s.learned[js.Queue].estimate(st.Estimate))
 		}
 	}
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -38,10 +38,13 @@
 	// waiting lists, for each queue, the steps with waiting tasks.
 	waiting *table[string, []*step]
 	// queued counts, for each queue, the jobs of which no task has started.
-	queued  map[string]int
-	workers *table[WorkerID, *worker]
-	hosts   *table[HostID, *host]
-	waves   map[int64]*wave
+	queued map[string]int
+	// classes are what the fleet's hosts offer; classVersion rises with each change.
+	classes      []hostClass
+	classVersion int
+	workers      *table[WorkerID, *worker]
+	hosts        *table[HostID, *host]
+	waves        map[int64]*wave
 	// unaccounted workers may run tasks of an earlier owner and have not answered.
 	unaccounted map[WorkerID]Entry
 	// inheritedUntil is when everything that an earlier owner started has lapsed.
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -63,6 +63,9 @@
 	advice advice
 	// starvedAt is since when no worker has had room for a task, or zero.
 	starvedAt time.Time
+	// unfit steps fit no host of the classes of classVersion.
+	unfit        bool
+	classVersion int
 	// took sums the durations of ended runs that were done.
 	took  time.Duration
 	ended int
