feat: an append whose answer is late is repeated

Cause: answers of the store that are lost (30 percent, done or done seconds later) held up what waits for them for 900 ms each: ends of runs, which are told once they are stored, and accepted jobs behind them. Change: appends without an answer for six times the usual time are sent again while the first is awaited: the owner's after 50 ms at least, up to 4 times, those of all hosts once after 250 ms. Nothing is repeated to a store whose answers take 30 ms and more, and late ones count as such.

--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -83,6 +83,7 @@
 // New returns a site with its parts connected.
 func New(cfg Config) *Site {
 	s := &Site{cfg: cfg, peers: make(map[string]seenPeer), addresses: cfg.Seeds}
+	cfg.Direct = store.NewRepeater(cfg.Direct)
 	s.store = relay.NewStore(cfg.Direct, cfg.Relay, s.others, cfg.Log)
 	s.candidate = ownership.NewCandidate(ownership.Config{
 		Self: cfg.Self, Direct: cfg.Direct, Store: s.store, Log: cfg.Log, Now: cfg.Now, Reign: s.reign,
--- /dev/null
+++ b/entry/store/repeater.go
@@ -0,0 +1,123 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+const (
+	// repeatFactor times the usual time of an answer is how long a lost one is awaited.
+	repeatFactor = 6
+	// fencedPatience bounds that from below for the appends of the owner, of which there
+	// is one at a time: answers of a busy store come in some tens of milliseconds.
+	fencedPatience = 50 * time.Millisecond
+	// sharedPatience is the bound for appends of all hosts: their repeats add up.
+	sharedPatience = 250 * time.Millisecond
+	// fencedTries and sharedTries are how often an append is sent at most; each try goes
+	// out while the ones before are awaited.
+	fencedTries = 4
+	sharedTries = 2
+	// slowStore is from which usual time on nothing is repeated: a store that is slow,
+	// about ten times its normal time, gets slower by it.
+	slowStore = 30 * time.Millisecond
+	// usualAtFirst is what answers are said to take.
+	usualAtFirst = 5 * time.Millisecond
+	// usualWeight is the weight of one more answer in its usual time.
+	usualWeight = 0.2
+)
+
+// Repeater sends an append again while its answer is late, and takes the first answer. A
+// repeat changes nothing: records have keys, and fenced appends have sequence numbers.
+// Appends at an offset are sent once, and nothing is repeated to a slow store.
+type Repeater struct {
+	Store
+
+	mu sync.Mutex
+	// usual is the time that answers take; guarded by mu.
+	usual time.Duration
+}
+
+// NewRepeater returns a store that repeats the appends of another one.
+func NewRepeater(s Store) *Repeater {
+	return &Repeater{Store: s, usual: usualAtFirst}
+}
+
+// attempt is the outcome of one try.
+type attempt struct {
+	out Appended
+	err error
+}
+
+// Append adds records.
+func (r *Repeater) Append(ctx context.Context, a Append) (Appended, error) {
+	if a.At != nil {
+		return r.Store.Append(ctx, a)
+	}
+	tries, least := sharedTries, sharedPatience
+	if a.Fence != nil {
+		tries, least = fencedTries, fencedPatience
+	}
+	answers := make(chan attempt, tries)
+	try := func() {
+		began := time.Now()
+		out, err := r.Store.Append(ctx, a)
+		if isAnswer(err) {
+			r.learn(time.Since(began))
+		}
+		answers <- attempt{out, err}
+	}
+	go try()
+	sent, open := 1, 1
+	late := time.NewTimer(r.patience(least))
+	defer late.Stop()
+	var failed attempt
+	for {
+		select {
+		case at := <-answers:
+			if isAnswer(at.err) {
+				return at.out, at.err
+			}
+			if open--; failed.err == nil || errors.Is(at.err, ErrUnknown) {
+				failed = at
+			}
+			if open == 0 {
+				return failed.out, failed.err
+			}
+		case <-late.C:
+			// Slow answers are late as well: a few late ones in a row end the repeats.
+			r.learn(fencedPatience)
+			if sent < tries && !r.isSlow() {
+				sent, open = sent+1, open+1
+				go try()
+				late.Reset(r.patience(least))
+			}
+		}
+	}
+}
+
+// isAnswer reports whether the store itself has answered.
+func isAnswer(err error) bool {
+	return !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrUnknown)
+}
+
+func (r *Repeater) learn(took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.usual += time.Duration(usualWeight * float64(took-r.usual))
+}
+
+// patience is how long an answer is awaited before the append is sent again.
+func (r *Repeater) patience(least time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(repeatFactor*r.usual, least)
+}
+
+// isSlow reports whether answers take long, so that a late one isn't lost.
+func (r *Repeater) isSlow() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.usual > slowStore
+}
--- /dev/null
+++ b/entry/store/repeater_test.go
@@ -0,0 +1,132 @@
+package store
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// scripted is a store whose appends take and answer what a script says; the last line
+// holds for all that follow.
+type scripted struct {
+	Store
+	mu    sync.Mutex
+	lines []line
+	sent  int
+}
+
+type line struct {
+	takes time.Duration
+	err   error
+}
+
+// Append follows the script.
+func (s *scripted) Append(ctx context.Context, _ Append) (Appended, error) {
+	s.mu.Lock()
+	l := s.lines[min(s.sent, len(s.lines)-1)]
+	s.sent++
+	n := s.sent
+	s.mu.Unlock()
+	select {
+	case <-time.After(l.takes):
+		return Appended{Offset: int64(n)}, l.err
+	case <-ctx.Done():
+		return Appended{}, ErrUnknown
+	}
+}
+
+func (s *scripted) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
+const lost = 5 * time.Second
+
+// Answers of the store are lost: the owner's append is repeated long before its time is
+// over.
+func TestALostAnswerIsNotAwaited(t *testing.T) {
+	tests := map[string]struct {
+		fence *Fence
+		lines []line
+		sent  int
+	}{
+		"of the owner":  {&Fence{}, []line{{lost, ErrUnknown}, {lost, ErrUnknown}, {time.Millisecond, nil}}, 3},
+		"of any host":   {nil, []line{{lost, ErrUnknown}, {time.Millisecond, nil}}, 2},
+		"of none":       {nil, []line{{time.Millisecond, nil}}, 1},
+		"a slow answer": {nil, []line{{sharedPatience + 50*time.Millisecond, nil}}, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := &scripted{lines: tt.lines}
+			began := time.Now()
+			_, err := NewRepeater(s).Append(context.Background(), Append{Stream: Work, Fence: tt.fence})
+			require.NoError(t, err)
+			require.Less(t, time.Since(began), lost/2)
+			require.LessOrEqual(t, s.count(), tt.sent)
+		})
+	}
+}
+
+func TestWhatARepeaterAnswers(t *testing.T) {
+	at := int64(4)
+	fenced := Append{Fence: &Fence{}}
+	tests := map[string]struct {
+		lines []line
+		a     Append
+		sent  int
+		want  error
+	}{
+		"an answer in time":                     {[]line{{0, nil}}, fenced, 1, nil},
+		"a refusal in time":                     {[]line{{0, ErrFenced}}, fenced, 1, ErrFenced},
+		"a refusal of the second try":           {[]line{{lost, ErrUnknown}, {0, ErrSequence}}, fenced, 2, ErrSequence},
+		"not sent at all":                       {[]line{{0, ErrUnavailable}}, fenced, 1, ErrUnavailable},
+		"one try may have been done":            {[]line{{2 * fencedPatience, ErrUnknown}, {2 * fencedPatience, ErrUnavailable}}, fenced, fencedTries, ErrUnknown},
+		"at an offset it is sent once":          {[]line{{3 * fencedPatience, nil}}, Append{At: &at, Fence: &Fence{}}, 1, nil},
+		"at an offset a lost answer is unknown": {[]line{{3 * fencedPatience, ErrUnknown}}, Append{At: &at}, 1, ErrUnknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := &scripted{lines: tt.lines}
+			_, err := NewRepeater(s).Append(context.Background(), tt.a)
+			if tt.want == nil {
+				require.NoError(t, err)
+			} else {
+				require.ErrorIs(t, err, tt.want)
+			}
+			require.LessOrEqual(t, s.count(), tt.sent)
+		})
+	}
+}
+
+// A store that turns slow is asked a few more times at first and then once for each
+// append: repeats would only add to its work.
+func TestASlowStoreIsNotAskedAgain(t *testing.T) {
+	s := &scripted{lines: []line{{2 * fencedPatience, nil}}}
+	r := NewRepeater(s)
+	for range 10 {
+		_, err := r.Append(context.Background(), Append{Fence: &Fence{}})
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, s.count(), 13)
+	before := s.count()
+	_, err := r.Append(context.Background(), Append{Fence: &Fence{}})
+	require.NoError(t, err)
+	require.Equal(t, before+1, s.count())
+}
+
+// The caller's deadline ends all tries.
+func TestARepeaterKeepsTheDeadline(t *testing.T) {
+	s := &scripted{lines: []line{{lost, nil}}}
+	ctx, cancel := context.WithTimeout(context.Background(), 4*fencedPatience)
+	defer cancel()
+	began := time.Now()
+	_, err := NewRepeater(s).Append(ctx, Append{Fence: &Fence{}})
+	require.ErrorIs(t, err, ErrUnknown)
+	require.Less(t, time.Since(began), lost/2)
+}
