feat: failures of workers, images and jobs are told apart

Cause: three failed runs in a row rested a worker, whatever failed: one hopeless job rested sound workers, and a worker that failed different jobs between a few successes of one went on. All tasks of a hopeless job used up all their attempts. Change: a step or an image that fails on two workers without a success is at fault, and its failures are taken off the workers; one task at a time then shows whether the step is hopeless, and only that one asks for room. A worker on which three jobs fail for no other cause rests, and is tried again with one task.

--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -56,8 +56,6 @@
 	retryGap = 200 * time.Millisecond
 	// unhealthyPause is how long a worker that refused or failed everything rests.
 	unhealthyPause = 2 * time.Second
-	// failuresToRest is how many failed runs of different jobs in a row rest a worker.
-	failuresToRest = 3
 	// speculativePause is how long a new owner waits for workers to report a task that
 	// may run twice before it starts it once more.
 	speculativePause = 600 * time.Millisecond
--- a/fleet/scheduling/demand.go
+++ b/fleet/scheduling/demand.go
@@ -234,7 +234,11 @@
 			}
 			e := d[pool]
 			takes := st.Takes()
-			for _, t := range st.waiting {
+			tasks := st.waiting
+			if st.isSuspect() {
+				tasks = tasks[:1] // the others wait for it
+			}
+			for _, t := range tasks {
 				if now.Before(t.notBefore) {
 					continue
 				}
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -142,7 +142,7 @@
 // mayServe reports whether the worker may get new tasks.
 func (w *worker) mayServe(now time.Time) bool {
 	return w.listed && w.greeted && w.roster == rosterStored && !w.Draining && !w.cordoned &&
-		w.failing.IsZero() && !now.Before(w.restUntil)
+		w.failing.IsZero() && !now.Before(w.restUntil) && (!w.onTrial || w.runs.len() == 0)
 }
 
 func (w *worker) free() job.Room {
@@ -181,6 +181,10 @@
 		return
 	}
 	pool, _ := s.poolOf(st.occ.job)
+	if st.isSuspect() {
+		s.placeSuspect(now, v, st, pool)
+		return
+	}
 	kept := st.waiting[:0]
 	for i, t := range st.waiting {
 		if !s.mayStart(now, pool, t) {
@@ -206,12 +210,24 @@
 	st.waiting = kept
 }
 
+// placeSuspect gives one task of a step that may be hopeless to a worker.
+func (s *Scheduler) placeSuspect(now time.Time, v *poolView, st *step, pool string) {
+	t, ok := st.mostFailed()
+	if !ok || !s.mayStart(now, pool, t) {
+		return
+	}
+	w := s.choose(now, v, st, t)
+	if w != nil && s.startRun(now, w, t, s.nextRun(t), st.advice.ticket(w.ID)) {
+		s.unqueue(t)
+	}
+}
+
 // choose returns the worker that suits a task best, or nil.
 func (s *Scheduler) choose(now time.Time, v *poolView, st *step, t *task) *worker {
 	var best *worker
 	var bestScore float64
 	for _, w := range v.workers {
-		if !s.allows(now, st, w) || t.isOn(w) {
+		if !s.allows(now, st, w) || t.isOn(w) || (w.onTrial && w.runs.len() > 0) {
 			continue
 		}
 		score := s.score(st, t, w)
--- a/fleet/scheduling/report.go
+++ b/fleet/scheduling/report.go
@@ -209,7 +209,7 @@
 	}
 	switch row.How {
 	case EndDone:
-		w.failures = 0
+		s.succeeded(w, t)
 		s.taskDone(now, wall, t)
 	case EndFailed:
 		s.taskFailed(now, wall, w, t, row.Run)
@@ -246,12 +246,7 @@
 		t.failed = t.failed[1:]
 	}
 	t.avoid = w.ID
-	w.failures++
-	if w.failures >= failuresToRest {
-		w.failures = 0
-		w.restUntil = now.Add(unhealthyPause)
-		s.note("worker rests", "", "Worker", string(w.ID), "Reason", "failed runs in a row", "Runs", failuresToRest)
-	}
+	s.blame(now, w, t)
 	s.change(t.owner())
 	if t.step.LongRunning {
 		return
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -45,8 +45,10 @@
 	failing time.Time
 	// restUntil is when an unhealthy or full worker gets tasks again.
 	restUntil time.Time
-	// failures counts failed runs in a row.
-	failures int
+	// blamed are the jobs that failed here since the last success, by no other fault.
+	blamed map[job.ID]bool
+	// onTrial workers have rested and get one task at a time until one succeeds.
+	onTrial bool
 	// listed is false once the worker's entry is gone.
 	listed bool
 	// idleSince is when the last run ended.
