feat: appends to a slow store are gathered at the owner's host, and awaited longer

Cause: a stream takes one append after the other, 2 ms each and 50 to 77 times that in a slow store. Each of 7 to 9 hosts appended its own batches; after 900 ms they were given up and sent again while the first still took its turn. Change: once answers take 30 ms, a host passes its jobs to the owner's host, which appends what comes while one append is out together, and tries are awaited for 2.5 s. Late answers count by number: five in a row end the repeats until there is an answer.

--- a/entry/relay/store.go
+++ b/entry/relay/store.go
@@ -24,8 +24,22 @@
 	peersTried = 2
 )
 
+// Gathering is how appends of all hosts are brought together at one host while the store
+// is slow: a stream takes one append after the other, whoever sends it.
+type Gathering struct {
+	// Host returns the host that gathers, and false while there is none but this one.
+	Host func() (Peer, bool)
+	// IsSlow reports whether answers of the store take long.
+	IsSlow func() bool
+	// Learn is told how long a gathered append took.
+	Learn func(took time.Duration)
+}
+
 // Store reaches the platform's store directly, or through a peer while that fails.
 type Store struct {
+	// Gathering is set before the first call, or not at all.
+	Gathering *Gathering
+
 	direct store.Store
 	client *Client
 	peers  func() []Peer
@@ -146,9 +160,35 @@
 
 // Append adds records.
 func (s *Store) Append(ctx context.Context, a store.Append) (store.Appended, error) {
-	return through(ctx, s, peersTried,
+	mayBeDone := false
+	if p, ok := s.gatheringHost(a); ok {
+		began := time.Now()
+		out, err := s.client.Gather(ctx, p, a)
+		if !passes(err) {
+			s.Gathering.Learn(time.Since(began))
+			s.outcome(err)
+			return out, err
+		}
+		s.log.WithFields(logrus.Fields{"Peer": p.Name, "Error": err.Error()}).Info("append not gathered")
+		if mayBeDone = errors.Is(err, store.ErrUnknown); ctx.Err() != nil {
+			return out, err
+		}
+	}
+	out, err := through(ctx, s, peersTried,
 		func() (store.Appended, error) { return s.direct.Append(ctx, a) },
 		func(p Peer) (store.Appended, error) { return s.client.Append(ctx, p, a) })
+	if mayBeDone && errors.Is(err, store.ErrUnavailable) {
+		err = eris.Wrap(store.ErrUnknown, err.Error())
+	}
+	return out, err
+}
+
+// gatheringHost returns the host that appends for this one, if the store is slow.
+func (s *Store) gatheringHost(a store.Append) (Peer, bool) {
+	if s.Gathering == nil || a.At != nil || a.Fence != nil || !s.Gathering.IsSlow() {
+		return Peer{}, false
+	}
+	return s.Gathering.Host()
 }
 
 // Read waits for records.
--- a/entry/relay/store_test.go
+++ b/entry/relay/store_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/godwitcross/godwitcross/entry/backend"
 	"github.com/godwitcross/godwitcross/entry/store"
@@ -100,3 +101,59 @@
 	_, err := s.Append(context.Background(), store.Append{})
 	require.ErrorIs(t, err, store.ErrUnknown)
 }
+
+// serve answers calls of other hosts with a store until the test ends.
+func serve(t *testing.T, direct store.Store) Peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	log, _ := test.NewNullLogger()
+	server := &fasthttp.Server{Handler: NewServer(ServerConfig{Log: log, Store: direct}).Handle}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	return Peer{Name: "b", Address: l.Addr().String()}
+}
+
+// An append that the gathering host may have done is never said not to be done.
+func TestAGatheredAppendWithoutAnAnswerStaysUnknown(t *testing.T) {
+	log, _ := test.NewNullLogger()
+	peer := serve(t, &scriptedStore{err: store.ErrUnknown})
+	s := NewStore(&scriptedStore{err: store.ErrUnavailable}, NewClient(backend.NewPool(backend.Dialer())), func() []Peer { return nil }, log)
+	s.Gathering = &Gathering{Host: func() (Peer, bool) { return peer, true }, IsSlow: func() bool { return true }, Learn: func(time.Duration) {}}
+	_, err := s.Append(context.Background(), store.Append{Stream: store.Work})
+	require.ErrorIs(t, err, store.ErrUnknown)
+}
+
+// While the store is slow, hosts have their appends gathered by one of them, and go on by
+// themselves if that one doesn't answer.
+func TestAppendsToASlowStoreAreGathered(t *testing.T) {
+	tests := map[string]struct {
+		isSlow, isThere bool
+		fence           *store.Fence
+		gathered        bool
+	}{
+		"a store as usual":         {false, true, nil, false},
+		"a slow one":               {true, true, nil, true},
+		"a slow one without owner": {true, false, nil, false},
+		"a fenced append":          {true, true, &store.Fence{Epoch: 1}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			own, other := &scriptedStore{}, &scriptedStore{}
+			peer := serve(t, other)
+			log, _ := test.NewNullLogger()
+			s := NewStore(own, NewClient(backend.NewPool(backend.Dialer())), func() []Peer { return nil }, log)
+			learned := 0
+			s.Gathering = &Gathering{
+				Host:   func() (Peer, bool) { return peer, tt.isThere },
+				IsSlow: func() bool { return tt.isSlow },
+				Learn:  func(time.Duration) { learned++ },
+			}
+			_, err := s.Append(context.Background(), store.Append{Stream: store.Work, Fence: tt.fence, Records: []store.Record{{Key: "k"}}})
+			require.NoError(t, err)
+			require.Equal(t, tt.gathered, other.calls == 1)
+			require.Equal(t, !tt.gathered, own.calls == 1)
+			require.Equal(t, tt.gathered, learned == 1)
+		})
+	}
+}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -31,6 +31,9 @@
 	helloSoon = 300 * time.Millisecond
 	// peerAge is how long a host is known after its last hello.
 	peerAge = 12 * time.Second
+	// signAge is how old an owner's last sign may be for it to be asked: a slow store
+	// delivers signs a second late.
+	signAge = 2500 * time.Millisecond
 	// readyAge is how long after the last contact with an owner a host is ready.
 	readyAge = 6 * time.Second
 )
@@ -83,8 +86,10 @@
 // New returns a site with its parts connected.
 func New(cfg Config) *Site {
 	s := &Site{cfg: cfg, peers: make(map[string]seenPeer), addresses: cfg.Seeds}
-	cfg.Direct = store.NewRepeater(cfg.Direct)
+	repeater := store.NewRepeater(cfg.Direct)
+	cfg.Direct = store.NewGatherer(repeater)
 	s.store = relay.NewStore(cfg.Direct, cfg.Relay, s.others, cfg.Log)
+	s.store.Gathering = &relay.Gathering{Host: s.owner, IsSlow: repeater.IsSlow, Learn: repeater.Learn}
 	s.candidate = ownership.NewCandidate(ownership.Config{
 		Self: cfg.Self, Direct: cfg.Direct, Store: s.store, Log: cfg.Log, Now: cfg.Now, Reign: s.reign,
 	})
@@ -198,6 +203,16 @@
 	return out
 }
 
+// owner returns the owner if it is another host and has given a sign lately.
+func (s *Site) owner() (relay.Peer, bool) {
+	st := s.candidate.State()
+	host := st.Claim.Host
+	if st.Epoch == 0 || st.Released || host.Address == s.cfg.Self.Address || s.cfg.Now().Sub(st.SignAt) > signAge {
+		return relay.Peer{}, false
+	}
+	return host, true
+}
+
 // hello notes a host that says it is there.
 func (s *Site) hello(p relay.Peer) {
 	if p.Name == "" || p.Address == "" || p.Name == s.cfg.Self.Name {
--- a/entry/store/repeater.go
+++ b/entry/store/repeater.go
@@ -19,6 +19,14 @@
 	// out while the ones before are awaited.
 	fencedTries = 4
 	sharedTries = 2
+	// tryTime bounds one try: twice the longest answer of a busy store. slowTryTime bounds
+	// it while the store is slow: a stream lets appends wait for 2 s, and a try that was
+	// given up still takes its turn there.
+	tryTime     = 900 * time.Millisecond
+	slowTryTime = 2500 * time.Millisecond
+	// maxLate is after how many late answers in a row nothing is repeated until there is
+	// one: a store that turns slow has not answered yet.
+	maxLate = 5
 	// slowStore is from which usual time on nothing is repeated: a store that is slow,
 	// about ten times its normal time, gets slower by it.
 	slowStore = 30 * time.Millisecond
@@ -35,8 +43,10 @@
 	Store
 
 	mu sync.Mutex
-	// usual is the time that answers take; guarded by mu.
+	// usual is the time that answers take, late how many tries in a row were; both are
+	// guarded by mu.
 	usual time.Duration
+	late  int
 }
 
 // NewRepeater returns a store that repeats the appends of another one.
@@ -62,9 +72,11 @@
 	answers := make(chan attempt, tries)
 	try := func() {
 		began := time.Now()
-		out, err := r.Store.Append(ctx, a)
+		tctx, cancel := context.WithTimeout(ctx, r.tryTime())
+		defer cancel()
+		out, err := r.Store.Append(tctx, a)
 		if isAnswer(err) {
-			r.learn(time.Since(began))
+			r.Learn(time.Since(began))
 		}
 		answers <- attempt{out, err}
 	}
@@ -86,9 +98,7 @@
 				return failed.out, failed.err
 			}
 		case <-late.C:
-			// Slow answers are late as well: a few late ones in a row end the repeats.
-			r.learn(fencedPatience)
-			if sent < tries && !r.isSlow() {
+			if r.mayRepeat() && sent < tries {
 				sent, open = sent+1, open+1
 				go try()
 				late.Reset(r.patience(least))
@@ -102,9 +112,11 @@
 	return !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrUnknown)
 }
 
-func (r *Repeater) learn(took time.Duration) {
+// Learn takes an answer into account that came by another way, and took so long.
+func (r *Repeater) Learn(took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.late = 0
 	r.usual += time.Duration(usualWeight * float64(took-r.usual))
 }
 
@@ -115,8 +127,24 @@
 	return max(repeatFactor*r.usual, least)
 }
 
-// isSlow reports whether answers take long, so that a late one isn't lost.
-func (r *Repeater) isSlow() bool {
+// mayRepeat counts a late answer and reports whether its append may be sent again.
+func (r *Repeater) mayRepeat() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.late++
+	return r.late <= maxLate && r.usual <= slowStore
+}
+
+// tryTime bounds a try that is sent now.
+func (r *Repeater) tryTime() time.Duration {
+	if r.IsSlow() {
+		return slowTryTime
+	}
+	return tryTime
+}
+
+// IsSlow reports whether answers take long, so that a late one isn't lost.
+func (r *Repeater) IsSlow() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.usual > slowStore
