perf: placement and preemption look at fewer workers

While the home of many jobs was full, each round looked at every worker for each of their steps; starved steps were looked at with all runs of all workers, also where no queue comes later. Change: a round knows the largest room of each data centre; preemption is considered for steps of a queue before the pool's last one, and every 50 ms.

--- a/fleet/job/job.go
+++ b/fleet/job/job.go
@@ -60,6 +60,11 @@
 	return Room{CPU: r.CPU - o.CPU, MemMB: r.MemMB - o.MemMB, GPU: r.GPU - o.GPU}
 }
 
+// Max returns the larger amount of each kind.
+func (r Room) Max(o Room) Room {
+	return Room{CPU: max(r.CPU, o.CPU), MemMB: max(r.MemMB, o.MemMB), GPU: max(r.GPU, o.GPU)}
+}
+
 // Fits reports whether r has room for o.
 func (r Room) Fits(o Room) bool {
 	return o.CPU <= r.CPU && o.MemMB <= r.MemMB && o.GPU <= r.GPU
--- a/fleet/queue/configuration.go
+++ b/fleet/queue/configuration.go
@@ -66,6 +66,8 @@
 	byName map[string]int
 	byHost map[string][]int
 	pools  map[string]int
+	// last is, for each pool, the priority of the queue that comes last.
+	last map[string]int
 }
 
 // New returns a configuration with its indexes built.
@@ -76,8 +78,10 @@
 	})
 	c.byName = make(map[string]int, len(c.Queues))
 	c.byHost = make(map[string][]int)
+	c.last = make(map[string]int)
 	for i, q := range c.Queues {
 		c.byName[q.Name] = i
+		c.last[q.Pool] = max(c.last[q.Pool], q.Priority)
 		c.byHost[q.Host] = append(c.byHost[q.Host], i)
 	}
 	c.pools = make(map[string]int, len(c.Pools))
@@ -106,6 +110,11 @@
 	return c.Queues[i], true
 }
 
+// LastPriority returns the priority of the pool's queue that comes last.
+func (c *Configuration) LastPriority(pool string) int {
+	return c.last[pool]
+}
+
 // Pool returns the pool of the name.
 func (c *Configuration) Pool(name string) (Pool, bool) {
 	i, ok := c.pools[name]
--- a/fleet/scheduling/confine_test.go
+++ b/fleet/scheduling/confine_test.go
@@ -133,3 +133,32 @@
 	}
 	require.Equal(t, map[WorkerID]int{"w-b": 1}, placedOn(again))
 }
+
+// The owner's host is a small one: a peak in which the home of many jobs is full must not
+// cost a look at every worker for each of them, round after round.
+func TestAFullDataCentreCostsFewLooks(t *testing.T) {
+	b := newBench(t, 1)
+	b.s.workers.get("w1").cordoned = true
+	const workers, jobs, rounds = 60, 100, 20
+	for i := range workers {
+		b.enlist(centreWorker(WorkerID(fmt.Sprintf("w%03d", i)), []string{"a", "b"}[i%2]))
+	}
+	for id, w := range b.s.workers.all() {
+		if w.DataCentre == "a" {
+			w.used = w.Capacity
+		} else if id != "w001" {
+			w.used.CPU = w.Capacity.CPU - 500 // too little for a task
+		}
+	}
+	b.s.workers.get("w001").used.CPU -= 500 // one in b has room for a small task
+	for i := range jobs {
+		j := homeJob(1+i, "a", 4)
+		j.Steps[0].Room.CPU = 900
+		b.s.Accept(b.now, 0, j)
+	}
+	b.s.looks = 0
+	for range rounds {
+		b.tick()
+	}
+	require.LessOrEqual(t, b.s.looks, 3*workers*jobs, "each job is looked at a few times in all, not in each of %d rounds", rounds)
+}
--- a/fleet/scheduling/demand.go
+++ b/fleet/scheduling/demand.go
@@ -167,6 +167,8 @@
 		return
 	}
 	s.nextDescription = now.Add(describeEvery)
+	s.note("placement", "", "Looks", s.looks)
+	s.looks = 0
 	for _, p := range wants {
 		hosts, idle, room := 0, 0, job.Room{}
 		for _, w := range s.workers.all() {
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -12,9 +12,13 @@
 // poolView is a pool during one round of placement.
 type poolView struct {
 	workers []*worker
-	// largest is at least the largest free room of each kind among the workers.
-	largest job.Room
-	// starved steps have found no room in this round.
+	// largest is at least the largest free room of each kind among the workers, largestIn
+	// among those of a data centre.
+	largest   job.Room
+	largestIn map[string]job.Room
+	// lastPriority is that of the pool's queue that comes last.
+	lastPriority int
+	// starved steps of earlier queues have found no room in this round.
 	starved []*step
 }
 
@@ -123,17 +127,18 @@
 
 // view lists the workers of a pool that may get tasks.
 func (s *Scheduler) view(now time.Time, pool string) *poolView {
-	v := &poolView{}
+	v := &poolView{largestIn: make(map[string]job.Room)}
 	// Workers that don't reject what doesn't fit must have no run of unknown size.
 	p, _ := s.conf.Pool(pool)
 	isGuarded := p.Guarded
+	v.lastPriority = s.conf.LastPriority(pool)
 	for _, w := range s.workers.all() {
 		if w.Pool != pool || !w.mayServe(now) || (!isGuarded && len(w.strays) > 0) {
 			continue
 		}
 		v.workers = append(v.workers, w)
-		free := w.free()
-		v.largest = job.Room{CPU: max(v.largest.CPU, free.CPU), MemMB: max(v.largest.MemMB, free.MemMB), GPU: max(v.largest.GPU, free.GPU)}
+		v.largest = v.largest.Max(w.free())
+		v.largestIn[w.DataCentre] = v.largestIn[w.DataCentre].Max(w.free())
 	}
 	slices.SortFunc(v.workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	return v
@@ -177,6 +182,11 @@
 		s.starve(now, v, st)
 		return
 	}
+	if !v.mayFit(st) {
+		s.widen(now, v, st)
+		s.starve(now, v, st)
+		return
+	}
 	if s.needsAdvice(now, v, st) {
 		return
 	}
@@ -222,6 +232,20 @@
 	}
 }
 
+// mayFit reports whether a worker where the step's job may run has room for a task.
+func (v *poolView) mayFit(st *step) bool {
+	js := st.occ.job
+	if js.Home == "" {
+		return true
+	}
+	for centre, room := range v.largestIn {
+		if js.mayRunIn(centre) && room.Fits(st.Takes()) {
+			return true
+		}
+	}
+	return false
+}
+
 // choose returns the worker that suits a task best, or nil.
 func (s *Scheduler) choose(now time.Time, v *poolView, st *step, t *task) *worker {
 	var best *worker
@@ -246,11 +270,16 @@
 // suits reports whether a worker could run a task of the step, in whichever data centre
 // it is.
 func (s *Scheduler) suits(now time.Time, st *step, w *worker) bool {
-	return w.free().Fits(st.Takes()) && s.admits(now, st, w)
+	if !w.free().Fits(st.Takes()) {
+		s.looks++
+		return false
+	}
+	return s.admits(now, st, w)
 }
 
 // admits reports whether a worker could run a task of the step if it had room.
 func (s *Scheduler) admits(now time.Time, st *step, w *worker) bool {
+	s.looks++
 	if st.AntiAffinity > 0 && w.steps[st] >= st.AntiAffinity {
 		return false
 	}
--- a/fleet/scheduling/preempt.go
+++ b/fleet/scheduling/preempt.go
@@ -19,6 +19,9 @@
 	preemptAge = time.Second
 	// preemptAtOnce bounds the runs that one round stops for a step.
 	preemptAtOnce = 4
+	// preemptEvery is how often a pool is looked at for runs that could be stopped, which
+	// costs time for each of them.
+	preemptEvery = 50 * time.Millisecond
 )
 
 // starve notes that a step found no room in this round of placement.
@@ -26,13 +29,18 @@
 	if st.starvedAt.IsZero() {
 		st.starvedAt = now
 	}
-	if now.Sub(st.starvedAt) >= preemptAfter && !st.Gang {
+	q, ok := s.conf.Queue(st.occ.job.Queue)
+	if ok && q.Priority < v.lastPriority && !st.Gang && now.Sub(st.starvedAt) >= preemptAfter {
 		v.starved = append(v.starved, st)
 	}
 }
 
 // preempt stops runs of later queues for the steps that found no room.
 func (s *Scheduler) preempt(now time.Time, v *poolView) {
+	if len(v.starved) == 0 || now.Before(s.nextPreempt) {
+		return
+	}
+	s.nextPreempt = now.Add(preemptEvery)
 	claimed := make(map[*worker]job.Room)
 	for _, st := range v.starved {
 		q, ok := s.conf.Queue(st.occ.job.Queue)
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -62,10 +62,14 @@
 	lastDuty time.Time
 	// nextBalance is when pools are compared with their demand again.
 	nextBalance time.Time
+	// looks counts how often a worker was looked at for a task since the last description.
+	looks int
 	// placedAt is when waiting tasks were last looked at.
 	placedAt time.Time
 	// nextHedge is when runs in doubt are looked for again.
 	nextHedge time.Time
+	// nextPreempt is when runs may be stopped for earlier queues again.
+	nextPreempt time.Time
 	// nextWorkers is when workers are looked at again.
 	nextWorkers time.Time
 	// nextDescription is when the log tells again how pools stand.
