feat: a store that turns slow is known by its reads

Change: a store whose appends have all been late for 0.6 s while it answers reads counts as slow: its appends are awaited for 2.5 s, gathered, and not repeated. One that is silent answers no reads and is given up after 0.9 s as before.

--- a/entry/store/repeater.go
+++ b/entry/store/repeater.go
@@ -19,14 +19,13 @@
 	// out while the ones before are awaited.
 	fencedTries = 4
 	sharedTries = 2
-	// tryTime bounds one try: twice the longest answer of a busy store. slowTryTime bounds
-	// it while the store is slow: a stream lets appends wait for 2 s, and a try that was
-	// given up still takes its turn there.
+	// tryTime is how long an append is awaited. slowTryTime is that while the store is slow:
+	// a stream lets appends wait for 2 s, and one that was given up still takes its turn.
 	tryTime     = 900 * time.Millisecond
 	slowTryTime = 2500 * time.Millisecond
-	// maxLate is after how many late answers in a row nothing is repeated until there is
-	// one: a store that turns slow has not answered yet.
-	maxLate = 5
+	// suspectAfter is for how long all appends are late, while reads are answered, before
+	// the store counts as slow.
+	suspectAfter = 600 * time.Millisecond
 	// slowStore is from which usual time on nothing is repeated: a store that is slow,
 	// about ten times its normal time, gets slower by it.
 	slowStore = 30 * time.Millisecond
@@ -43,10 +42,10 @@
 	Store
 
 	mu sync.Mutex
-	// usual is the time that answers take, late how many tries in a row were; both are
-	// guarded by mu.
-	usual time.Duration
-	late  int
+	// usual is the time that appends take. lateSince is since when all are late, zero
+	// while one was in time; readAt is when a read was last answered. All are guarded by mu.
+	usual             time.Duration
+	lateSince, readAt time.Time
 }
 
 // NewRepeater returns a store that repeats the appends of another one.
@@ -69,12 +68,13 @@
 	if a.Fence != nil {
 		tries, least = fencedTries, fencedPatience
 	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, slowTryTime)
+	defer cancel()
 	answers := make(chan attempt, tries)
 	try := func() {
 		began := time.Now()
-		tctx, cancel := context.WithTimeout(ctx, r.tryTime())
-		defer cancel()
-		out, err := r.Store.Append(tctx, a)
+		out, err := r.Store.Append(ctx, a)
 		if isAnswer(err) {
 			r.Learn(time.Since(began))
 		}
@@ -82,7 +82,7 @@
 	}
 	go try()
 	sent, open := 1, 1
-	late := time.NewTimer(r.patience(least))
+	late := time.NewTicker(r.patience(least))
 	defer late.Stop()
 	var failed attempt
 	for {
@@ -97,16 +97,30 @@
 			if open == 0 {
 				return failed.out, failed.err
 			}
-		case <-late.C:
-			if r.mayRepeat() && sent < tries {
+		case now := <-late.C:
+			isSlow := r.isLate(now)
+			if now.Sub(began) >= tryTime && !isSlow {
+				return Appended{}, ErrUnknown
+			}
+			if sent < tries && !isSlow {
 				sent, open = sent+1, open+1
 				go try()
-				late.Reset(r.patience(least))
 			}
 		}
 	}
 }
 
+// Read waits for records.
+func (r *Repeater) Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error) {
+	page, err := r.Store.Read(ctx, s, from, wait)
+	if isAnswer(err) {
+		r.mu.Lock()
+		r.readAt = time.Now()
+		r.mu.Unlock()
+	}
+	return page, err
+}
+
 // isAnswer reports whether the store itself has answered.
 func isAnswer(err error) bool {
 	return !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrUnknown)
@@ -116,7 +130,7 @@
 func (r *Repeater) Learn(took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.late = 0
+	r.lateSince = time.Time{}
 	r.usual += time.Duration(usualWeight * float64(took-r.usual))
 }
 
@@ -127,25 +141,26 @@
 	return max(repeatFactor*r.usual, least)
 }
 
-// mayRepeat counts a late answer and reports whether its append may be sent again.
-func (r *Repeater) mayRepeat() bool {
+// isLate notes that an append is late and reports whether the store is slow.
+func (r *Repeater) isLate(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.late++
-	return r.late <= maxLate && r.usual <= slowStore
+	if r.lateSince.IsZero() {
+		r.lateSince = now
+	}
+	return r.isSlow(now)
 }
 
-// tryTime bounds a try that is sent now.
-func (r *Repeater) tryTime() time.Duration {
-	if r.IsSlow() {
-		return slowTryTime
-	}
-	return tryTime
+// isSlow reports whether appends take long, by those that were answered, or since all are
+// late although the store answers reads. It is called with mu held.
+func (r *Repeater) isSlow(now time.Time) bool {
+	return r.usual > slowStore ||
+		!r.lateSince.IsZero() && now.Sub(r.lateSince) >= suspectAfter && r.readAt.After(r.lateSince)
 }
 
 // IsSlow reports whether answers take long, so that a late one isn't lost.
 func (r *Repeater) IsSlow() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.usual > slowStore
+	return r.isSlow(time.Now())
 }
--- a/entry/store/repeater_test.go
+++ b/entry/store/repeater_test.go
@@ -130,3 +130,37 @@
 	require.ErrorIs(t, err, ErrUnknown)
 	require.Less(t, time.Since(began), lost/2)
 }
+
+// Read answers at once.
+func (s *scripted) Read(context.Context, Stream, int64, time.Duration) (Page, error) {
+	return Page{}, nil
+}
+
+// A store that turns slow answers reads while its appends are late: those are awaited
+// longer, as what was given up would still take its turn there. One that is silent is not
+// awaited.
+func TestALateAppendIsAwaitedWhileReadsAreAnswered(t *testing.T) {
+	for name, reads := range map[string]bool{"slow": true, "silent": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := &scripted{lines: []line{{tryTime + 500*time.Millisecond, nil}}}
+			r := NewRepeater(s)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() {
+				for reads && ctx.Err() == nil {
+					_, _ = r.Read(ctx, Owner, 0, 0)
+					time.Sleep(20 * time.Millisecond)
+				}
+			}()
+			_, err := r.Append(ctx, Append{})
+			if reads {
+				require.NoError(t, err)
+				require.True(t, r.IsSlow())
+				return
+			}
+			require.ErrorIs(t, err, ErrUnknown)
+			require.False(t, r.IsSlow())
+		})
+	}
+}
