--- /dev/null
+++ b/fleet/scheduling/gang.go
@@ -0,0 +1,107 @@
+package scheduling
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// placeGang starts all tasks of a gang with one run number, or none.
+func (s *Scheduler) placeGang(now time.Time, v *poolView, st *step) {
+	if len(st.waiting) < st.Count || s.needsAdvice(now, v, st) {
+		return
+	}
+	pool, _ := s.poolOf(st.occ.job)
+	number := int64(0)
+	checkpoint := ""
+	for _, t := range st.tasks {
+		if !s.mayStart(now, pool, t) {
+			return
+		}
+		number = max(number, s.nextRun(t))
+		checkpoint = cmp.Or(checkpoint, t.checkpoint)
+	}
+	chosen := s.chooseGang(now, v, st)
+	if chosen == nil {
+		s.widen(now, v, st)
+		return
+	}
+	for i, t := range st.tasks {
+		t.checkpoint = checkpoint
+		if !s.startRun(now, chosen[i], t, number, st.advice.ticket(chosen[i].ID)) {
+			return // no lease may be ordered: the tasks that wait stay in the list
+		}
+		t.queued = false
+	}
+	st.waiting = nil
+}
+
+// chooseGang finds a worker for each task of a gang, on one rack where the step
+// asks for it and a rack has room.
+func (s *Scheduler) chooseGang(now time.Time, v *poolView, st *step) []*worker {
+	if st.SameRack {
+		for _, rack := range v.racks(st.Affinity) {
+			if c := s.fill(now, st, v.onRack(rack)); c != nil {
+				return c
+			}
+		}
+	}
+	return s.fill(now, st, v.workers)
+}
+
+// fill assigns the gang's tasks to workers one after the other.
+func (s *Scheduler) fill(now time.Time, st *step, workers []*worker) []*worker {
+	var chosen []*worker
+	taken := make(map[*worker]int)
+	for len(chosen) < st.Count {
+		var best *worker
+		for _, w := range workers {
+			need := st.Takes()
+			need = job.Room{CPU: need.CPU * int64(taken[w]+1), MemMB: need.MemMB * int64(taken[w]+1), GPU: need.GPU * int64(taken[w]+1)}
+			if !s.allows(now, st, w) || !w.free().Fits(need) || (st.AntiAffinity > 0 && taken[w] >= st.AntiAffinity) {
+				continue
+			}
+			if best == nil || s.score(st, st.tasks[0], w) > s.score(st, st.tasks[0], best) {
+				best = w
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		taken[best]++
+		chosen = append(chosen, best)
+	}
+	return chosen
+}
+
+// racks lists the pool's racks, the preferred one first.
+func (v *poolView) racks(first string) []string {
+	var racks []string
+	for _, w := range v.workers {
+		if !slices.Contains(racks, w.Rack) {
+			racks = append(racks, w.Rack)
+		}
+	}
+	slices.SortFunc(racks, func(a, b string) int {
+		if (a == first) != (b == first) {
+			if a == first {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a, b)
+	})
+	return racks
+}
+
+func (v *poolView) onRack(rack string) []*worker {
+	var ws []*worker
+	for _, w := range v.workers {
+		if w.Rack == rack {
+			ws = append(ws, w)
+		}
+	}
+	return ws
+}
--- /dev/null
+++ b/fleet/scheduling/view.go
@@ -0,0 +1,65 @@
+package scheduling
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// poolView is a pool during one round of placement.
+type poolView struct {
+	workers []*worker
+	// largest is at least the largest free room of each kind among the workers, largestIn
+	// among those of a data centre.
+	largest   job.Room
+	largestIn map[string]job.Room
+	// lastPriority is that of the pool's queue that comes last.
+	lastPriority int
+	// starved steps of earlier queues have found no room in this round.
+	starved []*step
+}
+
+// view lists the workers of a pool that may get tasks.
+func (s *Scheduler) view(now time.Time, pool string) *poolView {
+	v := &poolView{largestIn: make(map[string]job.Room)}
+	// Workers that don't reject what doesn't fit must have no run of unknown size.
+	p, _ := s.conf.Pool(pool)
+	isGuarded := p.Guarded
+	v.lastPriority = s.conf.LastPriority(pool)
+	for _, w := range s.workers.all() {
+		if w.Pool != pool || !w.mayServe(now) || (!isGuarded && len(w.strays) > 0) {
+			continue
+		}
+		v.workers = append(v.workers, w)
+		v.largest = v.largest.Max(w.free())
+		v.largestIn[w.DataCentre] = v.largestIn[w.DataCentre].Max(w.free())
+	}
+	slices.SortFunc(v.workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	return v
+}
+
+// mayServe reports whether the worker may get new tasks.
+func (w *worker) mayServe(now time.Time) bool {
+	return w.listed && w.greeted && w.roster == rosterStored && !w.Draining && !w.cordoned &&
+		w.failing.IsZero() && !now.Before(w.restUntil) && (!w.onTrial || w.runs.len() == 0)
+}
+
+func (w *worker) free() job.Room {
+	return w.Capacity.Sub(w.used)
+}
+
+// mayFit reports whether a worker where the step's job may run has room for a task.
+func (v *poolView) mayFit(st *step) bool {
+	js := st.occ.job
+	if js.Home == "" {
+		return true
+	}
+	for centre, room := range v.largestIn {
+		if js.mayRunIn(centre) && room.Fits(st.Takes()) {
+			return true
+		}
+	}
+	return false
+}
