--- a/entry/relay/store.go
+++ b/entry/relay/store.go
@@ -35,15 +35,21 @@
 	Learn func(took time.Duration)
 }
 
-// Store reaches the platform's store directly, or through a peer while that fails.
-type Store struct {
-	// Gathering is set before the first call, or not at all.
+// StoreConfig is what a store is built from.
+type StoreConfig struct {
+	// Direct is this host's own path to the store.
+	Direct store.Store
+	Client *Client
+	// Peers tells the hosts that may pass calls on.
+	Peers func() []Peer
+	Log   logrus.FieldLogger
+	// Gathering is nil where no host gathers appends.
 	Gathering *Gathering
+}
 
-	direct store.Store
-	client *Client
-	peers  func() []Peer
-	log    logrus.FieldLogger
+// Store reaches the platform's store directly, or through a peer while that fails.
+type Store struct {
+	cfg StoreConfig
 
 	mu sync.Mutex
 	// downUntil is until when the direct path is left alone; guarded by mu.
@@ -55,9 +61,9 @@
 	failing   bool
 }
 
-// NewStore returns a store; peers tells the hosts that may pass calls on.
-func NewStore(direct store.Store, client *Client, peers func() []Peer, log logrus.FieldLogger) *Store {
-	return &Store{direct: direct, client: client, peers: peers, log: log}
+// NewStore returns a store that counts as reached until a call fails.
+func NewStore(cfg StoreConfig) *Store {
+	return &Store{cfg: cfg}
 }
 
 // tryDirect reports whether the direct path is to be tried.
@@ -81,9 +87,9 @@
 	s.mu.Unlock()
 	switch {
 	case changed && isDown:
-		s.log.WithField("Error", err.Error()).Warn("store lost")
+		s.cfg.Log.WithField("Error", err.Error()).Warn("store lost")
 	case changed:
-		s.log.Info("store regained")
+		s.cfg.Log.Info("store regained")
 	}
 }
 
@@ -107,7 +113,7 @@
 
 // some returns up to n peers to try, another one first each time.
 func (s *Store) some(n int) []Peer {
-	all := s.peers()
+	all := s.cfg.Peers()
 	if len(all) == 0 {
 		return nil
 	}
@@ -163,20 +169,20 @@
 	mayBeDone := false
 	if p, ok := s.gatheringHost(a); ok {
 		began := time.Now()
-		out, err := s.client.Gather(ctx, p, a)
+		out, err := s.cfg.Client.Gather(ctx, p, a)
 		if !passes(err) {
-			s.Gathering.Learn(time.Since(began))
+			s.cfg.Gathering.Learn(time.Since(began))
 			s.outcome(err)
 			return out, err
 		}
-		s.log.WithFields(logrus.Fields{"Peer": p.Name, "Error": err.Error()}).Info("append not gathered")
+		s.cfg.Log.WithFields(logrus.Fields{"Peer": p.Name, "Error": err.Error()}).Info("append not gathered")
 		if mayBeDone = errors.Is(err, store.ErrUnknown); ctx.Err() != nil {
 			return out, err
 		}
 	}
 	out, err := through(ctx, s, peersTried,
-		func() (store.Appended, error) { return s.direct.Append(ctx, a) },
-		func(p Peer) (store.Appended, error) { return s.client.Append(ctx, p, a) })
+		func() (store.Appended, error) { return s.cfg.Direct.Append(ctx, a) },
+		func(p Peer) (store.Appended, error) { return s.cfg.Client.Append(ctx, p, a) })
 	if mayBeDone && errors.Is(err, store.ErrUnavailable) {
 		err = eris.Wrap(store.ErrUnknown, err.Error())
 	}
@@ -185,24 +191,24 @@
 
 // gatheringHost returns the host that appends for this one, if the store is slow.
 func (s *Store) gatheringHost(a store.Append) (Peer, bool) {
-	if s.Gathering == nil || a.At != nil || a.Fence != nil || !s.Gathering.IsSlow() {
+	if s.cfg.Gathering == nil || a.At != nil || a.Fence != nil || !s.cfg.Gathering.IsSlow() {
 		return Peer{}, false
 	}
-	return s.Gathering.Host()
+	return s.cfg.Gathering.Host()
 }
 
 // Read waits for records.
 func (s *Store) Read(ctx context.Context, stream store.Stream, from int64, wait time.Duration) (store.Page, error) {
 	return through(ctx, s, 1,
-		func() (store.Page, error) { return s.direct.Read(ctx, stream, from, wait) },
+		func() (store.Page, error) { return s.cfg.Direct.Read(ctx, stream, from, wait) },
 		func(p Peer) (store.Page, error) {
-			return s.client.Read(ctx, p, ReadRequest{Stream: stream, From: from, Wait: wait})
+			return s.cfg.Client.Read(ctx, p, ReadRequest{Stream: stream, From: from, Wait: wait})
 		})
 }
 
 // Newest returns the newest record of each key.
 func (s *Store) Newest(ctx context.Context, stream store.Stream) (store.Page, error) {
 	return through(ctx, s, peersTried,
-		func() (store.Page, error) { return s.direct.Newest(ctx, stream) },
-		func(p Peer) (store.Page, error) { return s.client.Newest(ctx, p, NewestRequest{Stream: stream}) })
+		func() (store.Page, error) { return s.cfg.Direct.Newest(ctx, stream) },
+		func(p Peer) (store.Page, error) { return s.cfg.Client.Newest(ctx, p, NewestRequest{Stream: stream}) })
 }
--- a/entry/relay/store_test.go
+++ b/entry/relay/store_test.go
@@ -28,7 +28,7 @@
 
 func newTestStore(direct store.Store) *Store {
 	log, _ := test.NewNullLogger()
-	return NewStore(direct, nil, func() []Peer { return nil }, log)
+	return NewStore(StoreConfig{Direct: direct, Peers: func() []Peer { return nil }, Log: log})
 }
 
 // Which errors count as the store being out of reach, and for how long.
@@ -49,7 +49,7 @@
 			s := newTestStore(&scriptedStore{})
 			_, err := s.Append(context.Background(), store.Append{})
 			require.NoError(t, err)
-			s.direct = &scriptedStore{err: tt.err}
+			s.cfg.Direct = &scriptedStore{err: tt.err}
 			_, err = s.Append(context.Background(), store.Append{})
 			require.ErrorIs(t, err, tt.err)
 			require.False(t, s.IsLost(time.Now()), "not at once")
@@ -86,7 +86,7 @@
 	log, _ := test.NewNullLogger()
 	peer := Peer{Name: "b", Address: l.Addr().String()}
 	client := NewClient(backend.NewPool(backend.Dialer()))
-	s := NewStore(silentStore{}, client, func() []Peer { return []Peer{peer, peer, peer} }, log)
+	s := NewStore(StoreConfig{Direct: silentStore{}, Client: client, Peers: func() []Peer { return []Peer{peer, peer, peer} }, Log: log})
 	began := time.Now()
 	_, err = s.Read(context.Background(), store.Operator, 0, 30*time.Second)
 	require.Error(t, err)
@@ -97,7 +97,7 @@
 func TestAnUnknownAppendStaysUnknown(t *testing.T) {
 	log, _ := test.NewNullLogger()
 	client := NewClient(backend.NewPool(func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }))
-	s := NewStore(&scriptedStore{err: store.ErrUnknown}, client, func() []Peer { return []Peer{{Name: "b", Address: "b"}} }, log)
+	s := NewStore(StoreConfig{Direct: &scriptedStore{err: store.ErrUnknown}, Client: client, Peers: func() []Peer { return []Peer{{Name: "b", Address: "b"}} }, Log: log})
 	_, err := s.Append(context.Background(), store.Append{})
 	require.ErrorIs(t, err, store.ErrUnknown)
 }
@@ -116,10 +116,10 @@
 
 // An append that the gathering host may have done is never said not to be done.
 func TestAGatheredAppendWithoutAnAnswerStaysUnknown(t *testing.T) {
-	log, _ := test.NewNullLogger()
 	peer := serve(t, &scriptedStore{err: store.ErrUnknown})
-	s := NewStore(&scriptedStore{err: store.ErrUnavailable}, NewClient(backend.NewPool(backend.Dialer())), func() []Peer { return nil }, log)
-	s.Gathering = &Gathering{Host: func() (Peer, bool) { return peer, true }, IsSlow: func() bool { return true }, Learn: func(time.Duration) {}}
+	s := newTestStore(&scriptedStore{err: store.ErrUnavailable})
+	s.cfg.Client = NewClient(backend.NewPool(backend.Dialer()))
+	s.cfg.Gathering = &Gathering{Host: func() (Peer, bool) { return peer, true }, IsSlow: func() bool { return true }, Learn: func(time.Duration) {}}
 	_, err := s.Append(context.Background(), store.Append{Stream: store.Work})
 	require.ErrorIs(t, err, store.ErrUnknown)
 }
@@ -141,10 +141,10 @@
 		t.Run(name, func(t *testing.T) {
 			own, other := &scriptedStore{}, &scriptedStore{}
 			peer := serve(t, other)
-			log, _ := test.NewNullLogger()
-			s := NewStore(own, NewClient(backend.NewPool(backend.Dialer())), func() []Peer { return nil }, log)
+			s := newTestStore(own)
+			s.cfg.Client = NewClient(backend.NewPool(backend.Dialer()))
 			learned := 0
-			s.Gathering = &Gathering{
+			s.cfg.Gathering = &Gathering{
 				Host:   func() (Peer, bool) { return peer, tt.isThere },
 				IsSlow: func() bool { return tt.isSlow },
 				Learn:  func(time.Duration) { learned++ },
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -88,8 +88,10 @@
 	s := &Site{cfg: cfg, peers: make(map[string]seenPeer), addresses: cfg.Seeds}
 	repeater := store.NewRepeater(cfg.Direct)
 	cfg.Direct = store.NewGatherer(repeater)
-	s.store = relay.NewStore(cfg.Direct, cfg.Relay, s.others, cfg.Log)
-	s.store.Gathering = &relay.Gathering{Host: s.owner, IsSlow: repeater.IsSlow, Learn: repeater.Learn}
+	s.store = relay.NewStore(relay.StoreConfig{
+		Direct: cfg.Direct, Client: cfg.Relay, Peers: s.others, Log: cfg.Log,
+		Gathering: &relay.Gathering{Host: s.owner, IsSlow: repeater.IsSlow, Learn: repeater.Learn},
+	})
 	s.candidate = ownership.NewCandidate(ownership.Config{
 		Self: cfg.Self, Direct: cfg.Direct, Store: s.store, Log: cfg.Log, Now: cfg.Now, Reign: s.reign,
 	})
