test: wiring of homes and gathering, bounds of second runs, groups and repeats

Each of these lines could be broken without a failing test: a job stored without its home, hosts that never gather, a third run of a task, second runs of gangs and of tasks that last, groups beyond their bound, repeats to a slow store, a try that ends the others, a suspicion that no answer ends.

--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -205,11 +205,15 @@
 	return out
 }
 
-// owner returns the owner if it is another host and has given a sign lately.
+// owner returns the owner if it is another host that can gather appends.
 func (s *Site) owner() (relay.Peer, bool) {
-	st := s.candidate.State()
+	return s.gathersAt(s.cfg.Now(), s.candidate.State())
+}
+
+// gathersAt reports whether an owner is another host and has given a sign lately.
+func (s *Site) gathersAt(now time.Time, st ownership.State) (relay.Peer, bool) {
 	host := st.Claim.Host
-	if st.Epoch == 0 || st.Released || host.Address == s.cfg.Self.Address || s.cfg.Now().Sub(st.SignAt) > signAge {
+	if st.Epoch == 0 || st.Released || host.Address == s.cfg.Self.Address || now.Sub(st.SignAt) > signAge {
 		return relay.Peer{}, false
 	}
 	return host, true
--- a/entry/site/site_test.go
+++ b/entry/site/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,9 +12,11 @@
 
 	"github.com/godwitcross/godwitcross/entry/backend"
 	"github.com/godwitcross/godwitcross/entry/metric"
+	"github.com/godwitcross/godwitcross/entry/ownership"
 	"github.com/godwitcross/godwitcross/entry/relay"
 	"github.com/godwitcross/godwitcross/entry/steward"
 	"github.com/godwitcross/godwitcross/entry/store"
+	"github.com/godwitcross/godwitcross/fleet/job"
 	"github.com/godwitcross/godwitcross/fleet/queue"
 )
 
@@ -21,10 +24,19 @@
 type fakeStore struct {
 	store.Store
 	err error
+	// takes is how long an append takes.
+	takes time.Duration
+
+	mu      sync.Mutex
+	records []store.Record
 }
 
-// Append answers.
-func (f *fakeStore) Append(context.Context, store.Append) (store.Appended, error) {
+// Append notes the records and answers.
+func (f *fakeStore) Append(_ context.Context, a store.Append) (store.Appended, error) {
+	time.Sleep(f.takes)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records = append(f.records, a.Records...)
 	return store.Appended{}, f.err
 }
 
@@ -53,7 +65,7 @@
 	return New(Config{
 		Self: relay.Peer{Name: "a", Address: "127.0.0.1:2"}, Seeds: []string{"127.0.0.1:3", "127.0.0.1:4"}, Direct: s,
 		Relay: relay.NewClient(backend.NewPool(dial)), Decoder: emptyDecoder{}, Log: log, Metrics: metric.NewRegistry(),
-		Now: time.Now, Wall: func() int64 { return 0 },
+		Now: time.Now, Wall: func() int64 { return 0 }, Centres: []string{"dc"},
 	})
 }
 
@@ -95,3 +107,66 @@
 	require.Error(t, err)
 	require.Eventually(t, func() bool { return s.Ready() == "no path to the store" }, 5*time.Second, 10*time.Millisecond)
 }
+
+// A job is stored with its home: the next owner goes by the record.
+func TestAJobIsStoredWithItsHome(t *testing.T) {
+	direct := &fakeStore{}
+	s := newTestSite(direct, func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed })
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	go s.batcher.Run(ctx)
+	err := s.Intake().Submit(ctx, queue.Queue{Name: "q", Pool: "p"}, 1, job.Job{ID: "00000000000000a1", Steps: []job.Step{{Count: 1}}})
+	require.NoError(t, err)
+	direct.mu.Lock()
+	defer direct.mu.Unlock()
+	require.Len(t, direct.records, 1)
+	j, err := job.Decode(direct.records[0].Value)
+	require.NoError(t, err)
+	require.Equal(t, "dc", j.Home)
+}
+
+// Appends are passed to the owner's host while the store is slow.
+func TestAppendsGoToTheOwnerWhileTheStoreIsSlow(t *testing.T) {
+	var mu sync.Mutex
+	dialled := make(map[string]bool)
+	s := newTestSite(&fakeStore{takes: 60 * time.Millisecond}, func(_ context.Context, address string) (net.Conn, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		dialled[address] = true
+		return nil, net.ErrClosed
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.candidate.Run(ctx)
+	require.Eventually(t, func() bool { return s.candidate.State().Epoch > 0 }, 5*time.Second, time.Millisecond)
+	for range 8 {
+		_, err := s.store.Append(ctx, store.Append{Stream: store.Work})
+		require.NoError(t, err, "directly, as the owner doesn't answer here")
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	require.True(t, dialled["127.0.0.1:1"])
+}
+
+// Only an owner that is there, and is another host, gathers appends.
+func TestWhichOwnerGathers(t *testing.T) {
+	now := time.Now()
+	owner := relay.Peer{Name: "owner", Address: "127.0.0.1:1"}
+	tests := map[string]struct {
+		state ownership.State
+		want  bool
+	}{
+		"one that gave a sign":      {ownership.State{Epoch: 1, Claim: ownership.Claim{Host: owner}, SignAt: now}, true},
+		"one that is silent":        {ownership.State{Epoch: 1, Claim: ownership.Claim{Host: owner}, SignAt: now.Add(-2 * signAge)}, false},
+		"one that has stopped":      {ownership.State{Epoch: 1, Claim: ownership.Claim{Host: owner}, SignAt: now, Released: true}, false},
+		"none":                      {ownership.State{SignAt: now}, false},
+		"the host that asks itself": {ownership.State{Epoch: 1, Claim: ownership.Claim{Host: relay.Peer{Address: "127.0.0.1:2"}}, SignAt: now}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSite(&fakeStore{}, nil)
+			_, ok := s.gathersAt(now, tt.state)
+			require.Equal(t, tt.want, ok)
+		})
+	}
+}
--- a/entry/store/gatherer_test.go
+++ b/entry/store/gatherer_test.go
@@ -125,3 +125,19 @@
 	_, err := NewGatherer(&gate{let: make(chan error)}).Append(ctx, one("a"))
 	require.ErrorIs(t, err, ErrUnknown)
 }
+
+// A group holds no more than a call of the store may.
+func TestAGroupIsBounded(t *testing.T) {
+	g := NewGatherer(&gate{let: make(chan error)})
+	large := Append{Stream: Work, Records: make([]Record, gatherAtMost*2/3)}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.out[Work] = make(chan struct{}) // an append is out, so that groups stay open
+	first, _ := g.join(ctx, large)
+	second, place := g.join(ctx, large)
+	require.NotSame(t, first, second)
+	require.Zero(t, place)
+	third, place := g.join(ctx, one("small"))
+	require.Same(t, second, third, "it still fits")
+	require.Equal(t, len(large.Records), place)
+}
--- a/entry/store/repeater_test.go
+++ b/entry/store/repeater_test.go
@@ -81,13 +81,15 @@
 		sent  int
 		want  error
 	}{
-		"an answer in time":                     {[]line{{0, nil}}, fenced, 1, nil},
-		"a refusal in time":                     {[]line{{0, ErrFenced}}, fenced, 1, ErrFenced},
-		"a refusal of the second try":           {[]line{{lost, ErrUnknown}, {0, ErrSequence}}, fenced, 2, ErrSequence},
-		"not sent at all":                       {[]line{{0, ErrUnavailable}}, fenced, 1, ErrUnavailable},
-		"one try may have been done":            {[]line{{2 * fencedPatience, ErrUnknown}, {2 * fencedPatience, ErrUnavailable}}, fenced, fencedTries, ErrUnknown},
-		"at an offset it is sent once":          {[]line{{3 * fencedPatience, nil}}, Append{At: &at, Fence: &Fence{}}, 1, nil},
-		"at an offset a lost answer is unknown": {[]line{{3 * fencedPatience, ErrUnknown}}, Append{At: &at}, 1, ErrUnknown},
+		"an answer in time":                      {[]line{{0, nil}}, fenced, 1, nil},
+		"a refusal in time":                      {[]line{{0, ErrFenced}}, fenced, 1, ErrFenced},
+		"a refusal of the second try":            {[]line{{lost, ErrUnknown}, {0, ErrSequence}}, fenced, 2, ErrSequence},
+		"not sent at all":                        {[]line{{0, ErrUnavailable}}, fenced, 1, ErrUnavailable},
+		"one try may have been done":             {[]line{{2 * fencedPatience, ErrUnknown}, {2 * fencedPatience, ErrUnavailable}}, fenced, fencedTries, ErrUnknown},
+		"the later try may have been done":       {[]line{{2 * fencedPatience, ErrUnavailable}, {2 * fencedPatience, ErrUnknown}}, fenced, fencedTries, ErrUnknown},
+		"a try that fails doesn't end the other": {[]line{{fencedPatience * 3 / 2, ErrUnavailable}, {3 * fencedPatience, nil}}, fenced, fencedTries, nil},
+		"at an offset it is sent once":           {[]line{{3 * fencedPatience, nil}}, Append{At: &at, Fence: &Fence{}}, 1, nil},
+		"at an offset a lost answer is unknown":  {[]line{{3 * fencedPatience, ErrUnknown}}, Append{At: &at}, 1, ErrUnknown},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -164,3 +166,28 @@
 		})
 	}
 }
+
+// Answers that take long are awaited: the same append isn't sent to a slow store twice.
+func TestNothingIsRepeatedToASlowStore(t *testing.T) {
+	s := &scripted{lines: []line{{500 * time.Millisecond, nil}}}
+	r := NewRepeater(s)
+	for range 20 {
+		r.Learn(slowStore + 10*time.Millisecond)
+	}
+	require.True(t, r.IsSlow())
+	_, err := r.Append(context.Background(), Append{Fence: &Fence{}})
+	require.NoError(t, err)
+	require.Equal(t, 1, s.count(), "one late answer is not a lost one")
+}
+
+// An append that is answered in time ends the suspicion that the store is slow.
+func TestAnAnswerInTimeEndsTheSuspicion(t *testing.T) {
+	r := NewRepeater(&scripted{})
+	began := time.Now()
+	later := began.Add(suspectAfter)
+	r.isLate(began)
+	r.readAt = later
+	require.True(t, r.isSlow(later))
+	r.Learn(usualAtFirst)
+	require.False(t, r.isSlow(later))
+}
--- a/fleet/scheduling/hedge_test.go
+++ b/fleet/scheduling/hedge_test.go
@@ -59,6 +59,29 @@
 	require.Len(t, s.find(first.Task).runs(), 2)
 }
 
+// Tasks that last serve from one place, and a gang's runs share a number: neither gets
+// a second run.
+func TestWhatNeverGetsASecondRun(t *testing.T) {
+	for name, change := range map[string]func(st *job.Step){
+		"a task that lasts": func(st *job.Step) { st.LongRunning = true },
+		"a gang":            func(st *job.Step) { st.Gang = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 2)
+			j := testJob(1)
+			j.Steps[0].Speculative = true
+			change(&j.Steps[0])
+			b.s.Accept(b.now, 0, j)
+			first := b.tick()
+			require.Len(t, first, 1)
+			b.s.workers.get(first[0].Worker.ID).failing = b.now
+			for range 6 {
+				require.Empty(t, b.tick())
+			}
+		})
+	}
+}
+
 func TestATaskThatMayNotRunTwiceWaitsForTheLease(t *testing.T) {
 	s, now, first := twoWorkers(t, false)
 	require.Empty(t, playSilent(s, now, first.Worker.ID, time.Second))
@@ -129,3 +152,27 @@
 	}
 	require.Len(t, stopped, 2)
 }
+
+// Two runs of a task are the most, also when both of their workers are silent.
+func TestATaskNeverRunsThreeTimesAtOnce(t *testing.T) {
+	b := newBench(t, 4)
+	j := testJob(1)
+	j.Steps[0].Speculative = true
+	b.s.Accept(b.now, 0, j)
+	require.Len(t, b.tick(), 1)
+	for _, w := range b.s.workers.all() {
+		if w.runs.len() > 0 {
+			w.failing = b.now
+		}
+	}
+	var again []Start
+	for range 4 {
+		again = append(again, b.tick()...)
+	}
+	require.Len(t, again, 1)
+	b.s.workers.get(again[0].Worker.ID).failing = b.now
+	for range 6 {
+		require.Empty(t, b.tick())
+	}
+	require.Len(t, b.s.find(again[0].Task).runs(), 2)
+}
