--- a/fleet/scheduling/reservation_test.go
+++ b/fleet/scheduling/reservation_test.go
@@ -125,3 +125,17 @@
 	require.Len(t, commits, 1)
 	require.Contains(t, commits[0].Records, Record{Key: HostPrefix + "m-1"})
 }
+
+// An order of the former owner may be carried out late: its reservation is handed on to a
+// second successor as long as that can happen.
+func TestAnInheritedReservationOutlivesLateOrders(t *testing.T) {
+	s, now := successor(t, "m-1")
+	s.Cancel(now, 0, testID)
+	for _, tt := range []struct {
+		after time.Duration
+		want  reservationState
+	}{{lateOrders - 100*time.Millisecond, reserved}, {lateOrders, unreserved}} {
+		s.endReservations(testStart.Add(tt.after))
+		require.Equal(t, tt.want, s.hosts.get("m-1").reservation.state, "after %s", tt.after)
+	}
+}
