test: suspects, trials, preemption's moment and reservations that wait, each by one line

Each of these lines could be broken without a failing test. The check of workers on trial stands in one place now and holds for gangs as well; a reservation needn't be kept longer by an order that is sent again, as the answer that is missing keeps it.

--- a/fleet/scheduling/blame_test.go
+++ b/fleet/scheduling/blame_test.go
@@ -123,3 +123,81 @@
 	b.end(b.starts[0], EndDone)
 	require.Nil(t, b.s.images["mixed"])
 }
+
+// failing returns a task of a new job of one step, for runs that are said to fail.
+func (b *bench) failing(count int, image string) *task {
+	id := b.job(count, image)
+	return b.s.jobs[id].occurrences[0].steps[0].tasks[0]
+}
+
+// Once an image has failed on several workers, its other jobs are no fault of a worker
+// where each of them failed once.
+func TestJobsOfAFailingImageBlameNoWorker(t *testing.T) {
+	for name, tt := range map[string]struct {
+		image string
+		rests bool
+	}{"of a failing image": {"bad", false}, "of images that fail nowhere else": {"", true}} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 3)
+			for _, id := range []WorkerID{"w1", "w2"} {
+				b.s.blame(b.now, b.s.workers.get(id), b.failing(1, "bad"))
+			}
+			for range failuresToRest {
+				b.s.blame(b.now, b.s.workers.get("w3"), b.failing(1, tt.image))
+			}
+			require.Equal(t, tt.rests, len(b.resting()) == 1)
+		})
+	}
+}
+
+// Failures before and after a success don't add up against a step.
+func TestASuccessEndsTheSuspicionAgainstAStep(t *testing.T) {
+	b := newBench(t, 2)
+	tk := b.failing(2, "")
+	w1, w2 := b.s.workers.get("w1"), b.s.workers.get("w2")
+	b.s.blame(b.now, w1, tk)
+	b.s.succeeded(w1, tk)
+	b.s.blame(b.now, w2, tk)
+	require.True(t, w2.blamed[tk.owner().ID], "the step is no more at fault than the worker")
+	require.False(t, tk.step.isSuspect())
+}
+
+// A step of which a task is done is not hopeless, whatever else fails of it.
+func TestWhichStepIsSuspect(t *testing.T) {
+	b := newBench(t, 2)
+	tk := b.failing(4, "")
+	for _, id := range []WorkerID{"w1", "w2"} {
+		b.s.blame(b.now, b.s.workers.get(id), tk)
+	}
+	require.True(t, tk.step.isSuspect())
+	tk.step.done = 1
+	require.False(t, tk.step.isSuspect())
+}
+
+// Of a suspect step the task that is closest to the end of its attempts goes first, and
+// only that one asks for room.
+func TestOneTaskOfASuspectStepGoesFirst(t *testing.T) {
+	b := newBench(t, 2)
+	tk := b.failing(4, "")
+	for _, id := range []WorkerID{"w1", "w2"} {
+		b.s.blame(b.now, b.s.workers.get(id), tk)
+	}
+	tk.step.tasks[1].failed = []int64{1}
+	tk.step.tasks[2].failed = []int64{1, 2}
+	require.Equal(t, 1, b.s.demands(b.now)["p"].tasks)
+	started := b.tick()
+	require.Len(t, started, 1)
+	require.Equal(t, 2, started[0].Task.Index)
+}
+
+// A worker on trial gets one task, also of a gang.
+func TestAWorkerOnTrialGetsOneTask(t *testing.T) {
+	b := newBench(t, 1)
+	w := b.s.workers.get("w1")
+	w.onTrial = true
+	b.job(3, "")
+	require.Len(t, b.tick(), 1)
+	require.Empty(t, b.tick(), "while that one runs")
+	b.end(b.starts[0], EndDone)
+	require.Len(t, b.tick(), 2, "it has succeeded")
+}
--- a/fleet/scheduling/choice.go
+++ b/fleet/scheduling/choice.go
@@ -12,7 +12,7 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range v.workers {
-		if !s.allows(now, st, w) || t.isOn(w) || (w.onTrial && w.runs.len() > 0) {
+		if !s.allows(now, st, w) || t.isOn(w) {
 			continue
 		}
 		score := s.score(st, t, w)
@@ -41,6 +41,9 @@
 // admits reports whether a worker could run a task of the step if it had room.
 func (s *Scheduler) admits(now time.Time, st *step, w *worker) bool {
 	s.looks++
+	if w.onTrial && w.runs.len() > 0 {
+		return false
+	}
 	if st.AntiAffinity > 0 && w.steps[st] >= st.AntiAffinity {
 		return false
 	}
--- a/fleet/scheduling/hostorder.go
+++ b/fleet/scheduling/hostorder.go
@@ -162,7 +162,6 @@
 			return
 		}
 		h.order.resendAt = time.Time{}
-		s.keepReserved(now, h, s.cfg.HostLease)
 		s.sendAgain(h, token)
 	}
 }
--- a/fleet/scheduling/preempt_test.go
+++ b/fleet/scheduling/preempt_test.go
@@ -100,3 +100,23 @@
 	require.Equal(t, stops[0].Task, again[0].Task)
 	require.Equal(t, "half", again[0].Checkpoint)
 }
+
+// Many tasks end by themselves within a moment: nothing is stopped before that.
+func TestPreemptionWaitsForAMoment(t *testing.T) {
+	b := full(t, "later", true, false, 2*time.Second)
+	j := testJob(1)
+	j.ID, j.Queue = "00000000000000bb", "first"
+	j.Steps[0].Room.CPU = 4000
+	b.s.Accept(b.now, 0, j)
+	began := b.now
+	for {
+		b.now = b.now.Add(20 * time.Millisecond)
+		b.s.Confirm(b.now)
+		b.s.Tick(b.now, 0)
+		if len(of[Stop](b.s.Take())) > 0 {
+			require.GreaterOrEqual(t, b.now.Sub(began), preemptAfter)
+			return
+		}
+		require.Less(t, b.now.Sub(began), time.Second)
+	}
+}
--- a/fleet/scheduling/reservation_test.go
+++ b/fleet/scheduling/reservation_test.go
@@ -139,3 +139,30 @@
 		require.Equal(t, tt.want, s.hosts.get("m-1").reservation.state, "after %s", tt.after)
 	}
 }
+
+// While the store doesn't answer, no round reserves more hosts for the same need.
+func TestReservationsThatWaitCountAsHostsOnTheirWay(t *testing.T) {
+	s, now := successor(t)
+	s.Cancel(now, 0, testID)
+	var hosts []Host
+	for _, h := range s.hosts.all() {
+		hosts = append(hosts, h.Host)
+	}
+	now = now.Add(2 * rateWindow) // the cancelled job counts as arriving work no more
+	s.List(now, now, hosts)
+	j := testJob(30) // half a host
+	j.ID = "00000000000000c1"
+	s.Accept(now, 0, j)
+	for range 5 {
+		now = now.Add(balanceEvery)
+		s.Confirm(now)
+		s.Tick(now, 0)
+	}
+	n := 0
+	for _, h := range s.hosts.all() {
+		if h.reservation.state == reserving {
+			n++
+		}
+	}
+	require.Equal(t, 1, n)
+}
--- a/fleet/scheduling/together_test.go
+++ b/fleet/scheduling/together_test.go
@@ -65,3 +65,23 @@
 	}
 	require.Len(t, racks, 4)
 }
+
+// Where a job's rack is full, another rack of its data centre goes before a fuller worker
+// of another data centre.
+func TestTheNextRackIsOneOfTheSameDataCentre(t *testing.T) {
+	b := newRacks(t, 4) // two in each data centre
+	for _, w := range b.s.workers.all() {
+		switch {
+		case w.Rack == "r0":
+			w.used = w.Capacity
+		case w.DataCentre == "dc1":
+			w.used.CPU = w.Capacity.CPU / 2
+		}
+	}
+	j := testJob(1)
+	o := newOccurrence(newJobState(j, b.now), 0, b.now)
+	o.inCentres["dc0"], o.onRacks["r0"] = 3, 3
+	v := b.s.view(b.now, "p")
+	w := b.s.choose(b.now, v, o.steps[0], o.steps[0].tasks[0])
+	require.Equal(t, "r1", w.Rack)
+}
--- a/fleet/scheduling/unfit_test.go
+++ b/fleet/scheduling/unfit_test.go
@@ -65,6 +65,12 @@
 			}
 			require.Equal(t, 1, named, "once")
 			require.Zero(t, asked)
+			hosts = append(hosts, Host{ID: "m-0", Pool: "spare", State: HostUp, Capacity: job.Room{CPU: 500, MemMB: 100}})
+			s.List(now, now, hosts)
+			now = now.Add(balanceEvery)
+			s.Confirm(now)
+			s.Tick(now, 0)
+			require.Zero(t, notes(s.Take(), "step fits no host"), "not again for each host that doesn't fit either")
 			hosts = append(hosts, Host{ID: "m-3", Pool: "spare", State: HostUp, Labels: []string{"gpu", "ssd"}, Capacity: job.Room{CPU: 128000, MemMB: 131072}})
 			s.List(now, now, hosts)
 			for range 3 {
--- a/fleet/scheduling/view.go
+++ b/fleet/scheduling/view.go
@@ -43,7 +43,7 @@
 // mayServe reports whether the worker may get new tasks.
 func (w *worker) mayServe(now time.Time) bool {
 	return w.listed && w.greeted && w.roster == rosterStored && !w.Draining && !w.cordoned &&
-		w.failing.IsZero() && !now.Before(w.restUntil) && (!w.onTrial || w.runs.len() == 0)
+		w.failing.IsZero() && !now.Before(w.restUntil)
 }
 
 func (w *worker) free() job.Room {
