--- a/bench/known/known_test.go
+++ b/bench/known/known_test.go
@@ -19,6 +19,8 @@
 		"an unknown kind":      {strings.Replace(good, "figure", "todo", 1), `kind "todo"`},
 		"no name":              {strings.Replace(good, " requests.goodput", "", 1), "is not a kind and a name"},
 		"two names":            {strings.Replace(good, "goodput", "goodput retries", 1), "is not a kind and a name"},
+		"a day by go":          {strings.Replace(good, "figure", "day", 1), "is not a fleetbench command"},
+		"a figure by a day":    {strings.Replace(good, "go run", "fleetbench run", 1), "is not a go command"},
 		"no command":           {strings.Replace(good, "go run ./bench policy", "", 1), "is not a go command"},
 		"a seed that is none":  {strings.Replace(good, "seed 1", "seed one", 1), "is not seed and a number"},
 		"a bare seed":          {strings.Replace(good, "seed 1", "1", 1), "is not seed and a number"},
@@ -40,6 +42,10 @@
 	require.NoError(t, err)
 	require.Len(t, entries, 1)
 	require.Equal(t, good, entries[0].String())
+	const day = "day site/trouble-1 | fleetbench run site trouble-1 --seed 5 | seed 5 | seen CONFIG 1 | issue 4"
+	entries, err = Parse(strings.NewReader(day))
+	require.NoError(t, err)
+	require.Equal(t, day, entries[0].String())
 }
 
 func TestOnlyListedFailuresPass(t *testing.T) {
@@ -47,6 +53,7 @@
 		{Kind: Figure, Name: "a.x", Seed: 1},
 		{Kind: Test, Name: "p.TestRed"},
 		{Kind: Flaky, Name: "p.TestFlaky"},
+		{Kind: Day, Name: "p.TestDay", Seed: 5},
 	}
 	figure := func(seed uint64, ok bool) Verdict { return Verdict{Kind: Figure, Name: "a.x", Seed: seed, OK: ok} }
 	test := func(name string, ok bool) Verdict { return Verdict{Kind: Test, Name: "p." + name, OK: ok} }
@@ -67,6 +74,7 @@
 		"a listed test that was not run":       {verdicts: []Verdict{test("TestGreen", true)}, complete: true, want: ErrNotRun},
 		"a flaky test that fails":              {verdicts: []Verdict{red, test("TestFlaky", false)}, complete: true, known: 2},
 		"a flaky test that passes":             {verdicts: []Verdict{red, test("TestFlaky", true)}, complete: true, known: 1},
+		"a test that shares a day's name":      {verdicts: []Verdict{test("TestDay", false)}, want: ErrFailed},
 		"a figure that shares a test's name":   {verdicts: []Verdict{{Kind: Figure, Name: "p.TestRed"}}, want: ErrFailed},
 		"a figure is not missed by a test run": {verdicts: []Verdict{red, test("TestFlaky", true)}, complete: true, known: 1},
 	}
