feat(leader): show how current the leader's view of the work stream is

An answer to a lookup of the waiting jobs left no log line, and nothing showed how far a leader was behind the accepted jobs, so that a lagging leader, a superseded one and a wrong count could not be told apart. Each answer is logged with the epoch of the leader that counted and the age of its view; failed reads of a stream are logged when they begin and end; gauges show the age of the view, the records behind it and the queued events. What is answered is unchanged.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -184,10 +184,21 @@
 
 // Waiting returns the number of jobs of a queue of which no task has started.
 func (in *Intake) Waiting(ctx context.Context, q queue.Queue) (int, error) {
+	began := time.Now()
 	a, err := askLeader(ctx, func() (relay.WaitingAnswer, error) {
 		return in.cfg.Resolver.Waiting(ctx, relay.WaitingRequest{Queue: q.Name, Hops: relay.MaxHops})
 	})
-	return a.Waiting, err
+	took := time.Since(began)
+	in.cfg.Metrics.Observe("request_time", took, metric.Label{Name: "Kind", Value: "waiting"}, metric.Label{Name: "Queue", Value: q.Name})
+	fields := logrus.Fields{"Queue": q.Name, "TookMs": took.Milliseconds()}
+	if err != nil {
+		fields["Outcome"] = err.Error()
+		in.cfg.Log.WithFields(fields).Info("waiting lookup failed")
+		return 0, err
+	}
+	fields["Waiting"], fields["Epoch"], fields["ViewAgeMs"] = a.Waiting, a.Epoch, a.ViewAge.Milliseconds()
+	in.cfg.Log.WithFields(fields).Info("waiting lookup")
+	return a.Waiting, nil
 }
 
 // askLeader retries a lookup until it succeeds or ctx ends.
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -47,6 +47,8 @@
 	listInterval = time.Second
 	// maxQueuedEvents bounds the events queued for the scheduler.
 	maxQueuedEvents = 4096
+	// gaugeInterval is how often the gauges are updated.
+	gaugeInterval = time.Second
 	// forgetInterval is how often the records of ended jobs are dropped.
 	forgetInterval = 2 * time.Second
 	// maxForgetBatch bounds the jobs whose records are dropped in one append.
@@ -95,8 +97,8 @@
 	commits        chan scheduling.Commit
 	// relist requests a listing of hosts before the next interval.
 	relist chan struct{}
-	// nextWorkOffset is the offset of the first work record not yet passed to the scheduler.
-	nextWorkOffset atomic.Int64
+	// view is the part of the work stream that the scheduler has been given.
+	view workView
 	// isSuperseded is set once a later leader's marker was read.
 	isSuperseded atomic.Bool
 }
@@ -159,11 +161,12 @@
 	if err != nil {
 		return err
 	}
+	loadedAt := l.cfg.Now()
 	sch, from, err := l.load(ctx)
 	if err != nil {
 		return err
 	}
-	l.nextWorkOffset.Store(barrier + 1)
+	l.view.observe(store.Page{Next: barrier + 1, End: barrier + 1}, loadedAt)
 	l.log.WithFields(logrus.Fields{"TookMs": l.cfg.Now().Sub(startedAt).Milliseconds(), "Barrier": barrier}).Info("takeover complete")
 	g.Go(func() error { return l.tailWork(ctx, barrier+1) })
 	g.Go(func() error { return l.tailWorkers(ctx, from.workers) })
@@ -230,6 +233,8 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	forgetAt := l.cfg.Now().Add(forgetInterval)
+	gaugesAt := l.cfg.Now()
+	defer l.clearGauges()
 	for {
 		select {
 		case <-ctx.Done():
@@ -245,6 +250,10 @@
 			forgetAt = now.Add(forgetInterval)
 			l.forget(ctx, sch.Forget(now))
 		}
+		if now.After(gaugesAt) {
+			gaugesAt = now.Add(gaugeInterval)
+			l.updateGauges(now)
+		}
 		l.flush(now, sch)
 		l.dispatch(ctx, sch.TakeActions())
 		if sch.Fenced() {
@@ -253,6 +262,22 @@
 	}
 }
 
+// updateGauges shows how far the leader is behind its inputs.
+func (l *Leader) updateGauges(now time.Time) {
+	l.setGauges(l.view.age(now).Milliseconds(), l.view.behind(), int64(len(l.events)))
+}
+
+// clearGauges resets the gauges of a leader that has ended.
+func (l *Leader) clearGauges() {
+	l.setGauges(0, 0, 0)
+}
+
+func (l *Leader) setGauges(viewAgeMs, behind, queued int64) {
+	l.cfg.Metrics.Gauge("work_view_age_ms", viewAgeMs)
+	l.cfg.Metrics.Gauge("work_records_behind", behind)
+	l.cfg.Metrics.Gauge("scheduler_events_queued", queued)
+}
+
 // drain processes all queued events, so that the scheduler decides on them together.
 func (l *Leader) drain(sch *scheduling.Scheduler) {
 	for range maxQueuedEvents {
@@ -363,8 +388,9 @@
 
 // Waiting returns the number of waiting jobs in a queue.
 func (l *Leader) Waiting(ctx context.Context, queue string) (relay.WaitingAnswer, error) {
+	viewAge := l.view.age(l.cfg.Now())
 	return query(ctx, l, func(sch *scheduling.Scheduler) relay.WaitingAnswer {
-		return relay.WaitingAnswer{Waiting: sch.QueuedJobs(queue)}
+		return relay.WaitingAnswer{Waiting: sch.QueuedJobs(queue), Epoch: l.epoch, ViewAge: viewAge}
 	})
 }
 
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -59,15 +59,15 @@
 		all, changed, stalled := m.streams[s], m.changed, m.stalled && wait > 0
 		m.mu.Unlock()
 		if !stalled && int64(len(all)) > from {
-			return store.Page{Records: all[from:], Next: int64(len(all))}, nil
+			return store.Page{Records: all[from:], Next: int64(len(all)), End: int64(len(all))}, nil
 		}
 		if wait == 0 {
-			return store.Page{Next: from}, nil
+			return store.Page{Next: from, End: int64(len(all))}, nil
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return store.Page{Next: from}, nil
+			return store.Page{Next: from, End: int64(len(all))}, nil
 		case <-ctx.Done():
 			return store.Page{}, ctx.Err()
 		}
@@ -82,7 +82,7 @@
 	for _, r := range m.streams[s] {
 		newest[r.Key] = r
 	}
-	page := store.Page{Next: int64(len(m.streams[s]))}
+	page := store.Page{Next: int64(len(m.streams[s])), End: int64(len(m.streams[s]))}
 	for _, r := range newest {
 		if len(r.Value) > 0 {
 			page.Records = append(page.Records, r)
--- a/entry/leader/load.go
+++ b/entry/leader/load.go
@@ -182,26 +182,41 @@
 	}
 }
 
-// tail reads a stream continuously and passes records to apply. If records were trimmed
+// pageFunc handles a page of a stream. The read was sent at sentAt.
+type pageFunc func(p store.Page, sentAt time.Time)
+
+// tail reads a stream continuously and passes its pages to apply. If records were trimmed
 // before they were read, it passes the newest record of each key to reload and goes on
 // from there.
-func (l *Leader) tail(ctx context.Context, stream store.Stream, from int64, apply, reload func(records []store.Record)) error {
+func (l *Leader) tail(ctx context.Context, stream store.Stream, from int64, apply, reload pageFunc) error {
+	log := l.log.WithField("Stream", string(stream))
+	var failedSince time.Time
 	for ctx.Err() == nil {
+		sentAt := l.cfg.Now()
 		page, err := l.cfg.Store.Read(ctx, stream, from, readWait)
 		switch {
 		case errors.Is(err, store.ErrTrimmed):
-			l.log.WithFields(logrus.Fields{"Stream": string(stream), "From": from}).Warn("stream reloaded after a gap")
+			log.WithField("From", from).Warn("stream reloaded after a gap")
+			sentAt = l.cfg.Now()
 			if page, err = l.readNewest(ctx, stream); err != nil {
 				return err
 			}
-			reload(page.Records)
+			reload(page, sentAt)
 		case err != nil:
+			if failedSince.IsZero() && ctx.Err() == nil {
+				failedSince = sentAt
+				log.WithFields(logrus.Fields{"From": from, "Error": err.Error()}).Warn("reading a stream failed; the leader's view ages")
+			}
 			if !clock.Sleep(ctx, retryDelay) {
 				return ctx.Err()
 			}
 			continue
 		default:
-			apply(page.Records)
+			apply(page, sentAt)
+		}
+		if !failedSince.IsZero() {
+			log.WithFields(logrus.Fields{"From": from, "Records": len(page.Records), "End": page.End, "AfterMs": l.cfg.Now().Sub(failedSince).Milliseconds()}).Info("reading a stream resumed")
+			failedSince = time.Time{}
 		}
 		from = page.Next
 	}
@@ -211,8 +226,8 @@
 func (l *Leader) tailWork(ctx context.Context, from int64) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	apply := func(records []store.Record) {
-		if l.applyWorkPage(records); l.isSuperseded.Load() {
+	apply := func(p store.Page, sentAt time.Time) {
+		if l.applyWorkPage(p, sentAt); l.isSuperseded.Load() {
 			cancel()
 		}
 	}
@@ -225,8 +240,8 @@
 
 // applyWorkPage passes records of the work stream to the scheduler up to the marker of a
 // later leader. What follows the marker in the stream belongs to that leader.
-func (l *Leader) applyWorkPage(records []store.Record) {
-	for _, r := range records {
+func (l *Leader) applyWorkPage(p store.Page, sentAt time.Time) {
+	for _, r := range p.Records {
 		if l.isLaterLeader(r) {
 			l.isSuperseded.Store(true)
 			l.enqueue(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.StepDown() })
@@ -235,18 +250,22 @@
 			return
 		}
 		l.applyWork(r)
-		l.nextWorkOffset.Store(max(l.nextWorkOffset.Load(), r.Offset+1))
+		l.view.advance(r.Offset + 1)
 	}
+	l.view.observe(p, sentAt)
+	l.cfg.Metrics.Observe("work_read_time", l.cfg.Now().Sub(sentAt))
 }
 
 // catchUp reads the work stream to its end, so that a job still unknown afterwards wasn't
 // accepted before the call.
 func (l *Leader) catchUp(ctx context.Context) error {
-	page, err := l.cfg.Store.Read(ctx, store.Work, l.nextWorkOffset.Load(), 0)
+	l.cfg.Metrics.Count("work_catch_up_reads", 1)
+	sentAt := l.cfg.Now()
+	page, err := l.cfg.Store.Read(ctx, store.Work, l.view.nextOffset(), 0)
 	if err != nil {
 		return err
 	}
-	l.applyWorkPage(page.Records)
+	l.applyWorkPage(page, sentAt)
 	if l.isSuperseded.Load() {
 		return ErrFenced
 	}
@@ -294,13 +313,13 @@
 }
 
 func (l *Leader) tailWorkers(ctx context.Context, from int64) error {
-	apply := func(records []store.Record) {
-		l.enqueue(func(sch *scheduling.Scheduler, now time.Time, _ int64) { l.applyWorkers(sch, now, records) })
+	apply := func(p store.Page, _ time.Time) {
+		l.enqueue(func(sch *scheduling.Scheduler, now time.Time, _ int64) { l.applyWorkers(sch, now, p.Records) })
 	}
-	reload := func(records []store.Record) {
+	reload := func(p store.Page, _ time.Time) {
 		l.enqueue(func(sch *scheduling.Scheduler, now time.Time, _ int64) {
-			listed := make(map[scheduling.WorkerID]bool, len(records))
-			for _, r := range records {
+			listed := make(map[scheduling.WorkerID]bool, len(p.Records))
+			for _, r := range p.Records {
 				if len(r.Value) > 0 {
 					listed[l.cfg.Decoder.WorkerID(r)] = true
 				}
@@ -310,17 +329,17 @@
 					sch.Deregister(now, id)
 				}
 			}
-			l.applyWorkers(sch, now, records)
+			l.applyWorkers(sch, now, p.Records)
 		})
 	}
 	return l.tail(ctx, store.Workers, from, apply, reload)
 }
 
 func (l *Leader) tailOperator(ctx context.Context, from int64) error {
-	apply := func(records []store.Record) {
+	apply := func(p store.Page, _ time.Time) {
 		l.enqueue(func(sch *scheduling.Scheduler, now time.Time, wall int64) {
-			l.applyOperator(sch, now, wall, records)
-			l.applyWaves(sch, now, wall, records)
+			l.applyOperator(sch, now, wall, p.Records)
+			l.applyWaves(sch, now, wall, p.Records)
 		})
 	}
 	return l.tail(ctx, store.Operator, from, apply, apply)
--- /dev/null
+++ b/entry/leader/view.go
@@ -0,0 +1,61 @@
+package leader
+
+import (
+	"sync"
+	"time"
+
+	"github.com/godwitcross/godwitcross/entry/store"
+)
+
+// workView is the part of the work stream that the scheduler has been given, and how current
+// it is.
+type workView struct {
+	mu sync.Mutex
+	// next is the offset of the first record not yet passed to the scheduler; it never falls.
+	next int64
+	// end is the highest end of the stream that was read.
+	end int64
+	// completeAt is a time before which every stored record has been passed to the scheduler;
+	// it never falls.
+	completeAt time.Time
+}
+
+// nextOffset returns the offset from which to read on.
+func (v *workView) nextOffset() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.next
+}
+
+// advance records that the scheduler was given all records before next.
+func (v *workView) advance(next int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.next = max(v.next, next)
+}
+
+// observe records a page whose records were all passed to the scheduler. The read was sent
+// at sentAt and began at or before the view's next offset.
+func (v *workView) observe(p store.Page, sentAt time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.next = max(v.next, p.Next)
+	v.end = max(v.end, p.End)
+	if p.ReachesEnd() && sentAt.After(v.completeAt) {
+		v.completeAt = sentAt
+	}
+}
+
+// age returns how long ago the view was last known to be complete.
+func (v *workView) age(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.completeAt)
+}
+
+// behind returns how many records the stream held beyond the view when it was last read.
+func (v *workView) behind() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return max(v.end-v.next, 0)
+}
--- /dev/null
+++ b/entry/leader/view_test.go
@@ -0,0 +1,53 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/entry/store"
+)
+
+// The view counts as complete only as of a read that reached the stream's end, so that a
+// leader that is more than a page behind knows that it is.
+func TestWorkViewAge(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	records := func(from, n int64) []store.Record {
+		out := make([]store.Record, n)
+		for i := range out {
+			out[i].Offset = from + int64(i)
+		}
+		return out
+	}
+	type read struct {
+		page   store.Page
+		sentAt time.Time
+	}
+	tests := map[string]struct {
+		reads  []read
+		age    time.Duration
+		behind int64
+		next   int64
+	}{
+		"nothing read since":           {nil, 10 * time.Second, 0, 5},
+		"empty page":                   {[]read{{store.Page{Next: 5, End: 5}, at(8)}}, 2 * time.Second, 0, 5},
+		"page to the end":              {[]read{{store.Page{Records: records(5, 2), Next: 7, End: 7}, at(8)}}, 2 * time.Second, 0, 7},
+		"page short of the end":        {[]read{{store.Page{Records: records(5, 2), Next: 7, End: 9}, at(8)}}, 10 * time.Second, 2, 7},
+		"end not known":                {[]read{{store.Page{Records: records(5, 2), Next: 7}, at(8)}}, 10 * time.Second, 0, 7},
+		"earlier read is handled last": {[]read{{store.Page{Next: 7, End: 7}, at(8)}, {store.Page{Next: 5, End: 5}, at(6)}}, 2 * time.Second, 0, 7},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var v workView
+			v.observe(store.Page{Next: 5, End: 5}, start)
+			for _, r := range tt.reads {
+				v.observe(r.page, r.sentAt)
+			}
+			require.Equal(t, tt.age, v.age(at(10)))
+			require.Equal(t, tt.behind, v.behind())
+			require.Equal(t, tt.next, v.nextOffset())
+		})
+	}
+}
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -67,6 +67,10 @@
 // WaitingAnswer holds the number of jobs of which no task has started.
 type WaitingAnswer struct {
 	Waiting int
+	// Epoch is the epoch of the leader that answered.
+	Epoch int64 `json:",omitempty"`
+	// ViewAge is the age of the leader's view of the work stream.
+	ViewAge time.Duration `json:",omitempty"`
 }
 
 // ReadRequest is a read of a stream.
--- a/entry/store/store.go
+++ b/entry/store/store.go
@@ -92,6 +92,13 @@
 	Records []Record
 	// Next is the offset from which to read on.
 	Next int64
+	// End is the stream's end when the page was read, or 0 if the store didn't say.
+	End int64 `json:",omitempty"`
+}
+
+// ReachesEnd reports whether the stream had no records after the page when it was read.
+func (p Page) ReachesEnd() bool {
+	return len(p.Records) == 0 || p.End > 0 && p.Next >= p.End
 }
 
 // Store is the platform's log.
