--- a/entry/eventlog/eventlog.go
+++ b/entry/eventlog/eventlog.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -25,8 +26,16 @@
 	// maxLinesPerSecond is the rate limit of one process; lines above it are dropped and
 	// counted.
 	maxLinesPerSecond = 2000
+	// reservedLines is the part of the queue, and reservedLinesPerSecond the part of the
+	// rate, that lines about single jobs may not use. A leader under load has thousands of
+	// them a second; what it says about itself must not be lost among them.
+	reservedLines          = 256
+	reservedLinesPerSecond = 400
 )
 
+// jobField is in each line about a single job.
+var jobField = []byte(`"Job":`)
+
 // Writer queues log lines, which Run writes to the output.
 type Writer struct {
 	lines   chan []byte
@@ -42,6 +51,10 @@
 // Write queues a copy of one line, or drops the line if the queue is full. It never
 // blocks and never fails.
 func (w *Writer) Write(p []byte) (int, error) {
+	if len(w.lines) >= maxQueuedLines-reservedLines && bytes.Contains(p, jobField) {
+		w.dropped.Add(1)
+		return len(p), nil
+	}
 	line := append([]byte(nil), p...)
 	select {
 	case w.lines <- line:
@@ -66,7 +79,7 @@
 		if now := time.Now(); now.Sub(windowStart) >= time.Second {
 			budget, windowStart = maxLinesPerSecond, now
 		}
-		if budget <= 0 {
+		if budget <= 0 || budget <= reservedLinesPerSecond && bytes.Contains(line, jobField) {
 			w.dropped.Add(1)
 			return
 		}
