test(leader): failing test of a waiting count from an old view

Callers got 0 from a leader while 154 jobs had waited for more than 5 s. The test ages the leader's view of the work stream in three ways: its tail gets no answer, the store is unreachable, or a later leader's marker is in the stream and not read.

--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,14 +24,21 @@
 	streams map[store.Stream][]store.Record
 	epochs  map[store.Stream]int64
 	changed chan struct{}
-	// stalled makes reads that wait return nothing.
-	stalled bool
+	// stalled makes reads that wait get no answer, and unreachable makes all reads fail.
+	stalled, unreachable bool
 }
 
 func newMemoryStore() *memoryStore {
 	return &memoryStore{streams: make(map[store.Stream][]store.Record), epochs: make(map[store.Stream]int64), changed: make(chan struct{})}
 }
 
+// set changes the store's state.
+func (m *memoryStore) set(change func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change()
+}
+
 // Append stores the records unless a higher epoch has fenced the stream.
 func (m *memoryStore) Append(_ context.Context, a store.Append) (store.Appended, error) {
 	m.mu.Lock()
@@ -56,8 +64,11 @@
 	timeout := time.After(wait)
 	for {
 		m.mu.Lock()
-		all, changed, stalled := m.streams[s], m.changed, m.stalled && wait > 0
+		all, changed, stalled, unreachable := m.streams[s], m.changed, m.stalled && wait > 0, m.unreachable
 		m.mu.Unlock()
+		if unreachable {
+			return store.Page{}, store.ErrUnavailable
+		}
 		if !stalled && int64(len(all)) > from {
 			return store.Page{Records: all[from:], Next: int64(len(all)), End: int64(len(all))}, nil
 		}
@@ -67,6 +78,9 @@
 		select {
 		case <-changed:
 		case <-timeout:
+			if stalled {
+				return store.Page{}, store.ErrUnknown
+			}
 			return store.Page{Next: from, End: int64(len(all))}, nil
 		case <-ctx.Done():
 			return store.Page{}, ctx.Err()
@@ -162,10 +176,14 @@
 }
 
 func newLeader(m *memoryStore, w *fakeWorkers, epoch int64) *Leader {
+	return newLeaderWithClock(m, w, epoch, time.Now)
+}
+
+func newLeaderWithClock(m *memoryStore, w *fakeWorkers, epoch int64, now func() time.Time) *Leader {
 	log, _ := test.NewNullLogger()
 	return New(Config{
 		Self: relay.Peer{Name: "a"}, Store: m, Workers: w, Hosts: noHosts{}, Decoder: fixedDecoder{}, Log: log,
-		Metrics: metric.NewRegistry(), Now: time.Now, Wall: func() int64 { return time.Now().UnixMilli() },
+		Metrics: metric.NewRegistry(), Now: now, Wall: func() int64 { return time.Now().UnixMilli() },
 		Scheduling: scheduling.Config{Lease: 4 * time.Second, Grace: 6 * time.Second, HostLease: time.Second, Retention: time.Minute},
 		Peers:      func() []relay.Peer { return nil }, OnConfiguration: func(*queue.Configuration) {},
 	}, epoch, 0)
@@ -243,15 +261,76 @@
 	a, err := l.State(ctx, firstJob)
 	require.NoError(t, err)
 	require.False(t, a.Known)
-	m.mu.Lock()
-	m.stalled = true
-	m.mu.Unlock()
+	m.set(func() { m.stalled = true })
 	acceptJob(t, m, firstJob)
 	a, err = l.State(ctx, firstJob)
 	require.NoError(t, err)
 	require.True(t, a.Known)
 }
 
+// skippingClock is the real clock plus a skip, to age what was read before.
+type skippingClock struct {
+	skipped atomic.Int64
+}
+
+func (c *skippingClock) now() time.Time {
+	return time.Now().Add(time.Duration(c.skipped.Load()))
+}
+
+func (c *skippingClock) skip(d time.Duration) {
+	c.skipped.Add(int64(d))
+}
+
+// The number of waiting jobs is not counted from a view that lacks jobs that were accepted
+// seconds ago: a lagging leader reported 0 while 154 jobs waited.
+func TestWaitingIsNotCountedFromAnOldView(t *testing.T) {
+	// acceptedAgo is how long ago a job was accepted that the number must contain.
+	const acceptedAgo = 5 * time.Second
+	tests := map[string]struct {
+		// interrupt makes the leader's view age while a job is accepted.
+		interrupt func(t *testing.T, m *memoryStore)
+		// waiting is the expected number; not used if err is set.
+		waiting int
+		err     error
+	}{
+		"tail gets no answer": {
+			interrupt: func(_ *testing.T, m *memoryStore) { m.set(func() { m.stalled = true }) },
+			waiting:   1,
+		},
+		"store is unreachable": {
+			interrupt: func(_ *testing.T, m *memoryStore) { m.set(func() { m.unreachable = true }) },
+			err:       relay.ErrNoLeader,
+		},
+		"superseded without having read it": {
+			interrupt: func(t *testing.T, m *memoryStore) {
+				m.set(func() { m.stalled = true })
+				appendRecord(t, m, store.Work, keyLeader, "6")
+			},
+			err: relay.ErrNoLeader,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			m, clock := newMemoryStore(), &skippingClock{}
+			l := newLeaderWithClock(m, &fakeWorkers{}, 5, clock.now)
+			runLeader(t, l)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			a, err := l.Waiting(ctx, "q")
+			require.NoError(t, err)
+			require.Zero(t, a.Waiting)
+			tt.interrupt(t, m)
+			acceptJob(t, m, firstJob)
+			clock.skip(acceptedAgo)
+			a, err = l.Waiting(ctx, "q")
+			require.ErrorIs(t, err, tt.err)
+			if tt.err == nil {
+				require.Equal(t, tt.waiting, a.Waiting)
+			}
+		})
+	}
+}
+
 // A start that was queued for too long is not sent, as the state behind the decision may
 // have changed.
 func TestOldStartIsNotSent(t *testing.T) {
