fix(leader): count waiting jobs only with a current view

Callers were told that 0 jobs wait while 154 had waited for more than 5 s. The leader counted them in its memory and did not check how old its view of the work stream was. A rightful leader whose reads of the stream fail answered for as long as they failed, as its heartbeats still went through; a superseded one until it learned of the later leader. Before it counts, a leader now reads the stream unless it has known its end within 1.5 s (callers are told that the number may be 2 s old), and fails the lookup when it can't. A read to the end without the marker of a later leader also proves the leadership as of that read, so one check covers both cases.

--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -30,6 +30,9 @@
 // callers can contain the text, so it keeps the word owner.
 var ErrStopped = eris.New("the owner has stopped")
 
+// errOldView means that the leader could not read the work stream to its end in time.
+var errOldView = eris.New("the leader lags behind the accepted jobs")
+
 const (
 	// producer is the producer name, fenced by epoch, under which leaders append progress.
 	producer = "Progress"
@@ -49,6 +52,9 @@
 	maxQueuedEvents = 4096
 	// gaugeInterval is how often the gauges are updated.
 	gaugeInterval = time.Second
+	// maxCountAge is how old the view of the work stream may be from which waiting jobs are
+	// counted. Callers are told that the number may be 2 s old; the rest is for the way.
+	maxCountAge = 1500 * time.Millisecond
 	// forgetInterval is how often the records of ended jobs are dropped.
 	forgetInterval = 2 * time.Second
 	// maxForgetBatch bounds the jobs whose records are dropped in one append.
@@ -386,8 +392,12 @@
 	})
 }
 
-// Waiting returns the number of waiting jobs in a queue.
+// Waiting returns the number of waiting jobs in a queue. It fails unless the leader knows all
+// jobs that were accepted more than maxCountAge ago.
 func (l *Leader) Waiting(ctx context.Context, queue string) (relay.WaitingAnswer, error) {
+	if err := l.ensureCurrent(ctx, maxCountAge); err != nil {
+		return relay.WaitingAnswer{}, eris.Wrap(relay.ErrNoLeader, err.Error())
+	}
 	viewAge := l.view.age(l.cfg.Now())
 	return query(ctx, l, func(sch *scheduling.Scheduler) relay.WaitingAnswer {
 		return relay.WaitingAnswer{Waiting: sch.QueuedJobs(queue), Epoch: l.epoch, ViewAge: viewAge}
--- a/entry/leader/load.go
+++ b/entry/leader/load.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -272,6 +273,24 @@
 	return nil
 }
 
+// ensureCurrent reads the work stream unless the leader has known its end within maxAge. A
+// read to the end also shows that no later leader has taken over: its marker would be in it.
+func (l *Leader) ensureCurrent(ctx context.Context, maxAge time.Duration) error {
+	if l.isSuperseded.Load() {
+		return ErrFenced
+	}
+	if l.view.age(l.cfg.Now()) <= maxAge {
+		return nil
+	}
+	if err := l.catchUp(ctx); err != nil {
+		return err
+	}
+	if age := l.view.age(l.cfg.Now()); age > maxAge {
+		return eris.Wrapf(errOldView, "read %s ago, %d records behind", age.Round(time.Millisecond), l.view.behind())
+	}
+	return nil
+}
+
 // isLaterLeader reports whether a record is the marker of a later leader.
 func (l *Leader) isLaterLeader(r store.Record) bool {
 	if r.Key != keyLeader || r.Err != nil {
