fix(leader): a lookup reads the work stream to its end

A read returns at most 1 MiB. A leader that was further behind read one page and reported an accepted job beyond it as unknown, which callers see as 410. It now reads on to the end that the stream had when the lookup's read began; the end is in each answer of the store. The view counts as complete as of the first page whose end it has passed, so a stream that grows while it is read doesn't keep the view old.

--- a/entry/leader/load.go
+++ b/entry/leader/load.go
@@ -257,20 +257,27 @@
 	l.cfg.Metrics.Observe("work_read_time", l.cfg.Now().Sub(sentAt))
 }
 
-// catchUp reads the work stream to its end, so that a job still unknown afterwards wasn't
-// accepted before the call.
+// catchUp reads the work stream to the end that it has when the read begins, so that a job
+// still unknown afterwards wasn't accepted before the call.
 func (l *Leader) catchUp(ctx context.Context) error {
-	l.cfg.Metrics.Count("work_catch_up_reads", 1)
-	sentAt := l.cfg.Now()
-	page, err := l.cfg.Store.Read(ctx, store.Work, l.view.nextOffset(), 0)
-	if err != nil {
-		return err
-	}
-	l.applyWorkPage(page, sentAt)
-	if l.isSuperseded.Load() {
-		return ErrFenced
+	for end := int64(0); ; {
+		l.cfg.Metrics.Count("work_catch_up_reads", 1)
+		sentAt := l.cfg.Now()
+		page, err := l.cfg.Store.Read(ctx, store.Work, l.view.nextOffset(), 0)
+		if err != nil {
+			return err
+		}
+		l.applyWorkPage(page, sentAt)
+		if l.isSuperseded.Load() {
+			return ErrFenced
+		}
+		if end == 0 {
+			end = page.End
+		}
+		if page.ReachesEnd() || end > 0 && l.view.nextOffset() >= end {
+			return nil
+		}
 	}
-	return nil
 }
 
 // ensureCurrent reads the work stream unless the leader has known its end within maxAge. A
--- a/entry/leader/view.go
+++ b/entry/leader/view.go
@@ -18,6 +18,10 @@
 	// completeAt is a time before which every stored record has been passed to the scheduler;
 	// it never falls.
 	completeAt time.Time
+	// pendingEnd is the stream's end as of pendingAt, from a page that did not reach it; 0 if
+	// the view is past it.
+	pendingEnd int64
+	pendingAt  time.Time
 }
 
 // nextOffset returns the offset from which to read on.
@@ -32,17 +36,31 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.next = max(v.next, next)
+	if v.pendingEnd > 0 && v.next >= v.pendingEnd {
+		v.completeUntil(v.pendingAt)
+		v.pendingEnd = 0
+	}
+}
+
+// completeUntil records that the view has been complete as of at. The caller holds mu.
+func (v *workView) completeUntil(at time.Time) {
+	if at.After(v.completeAt) {
+		v.completeAt = at
+	}
 }
 
 // observe records a page whose records were all passed to the scheduler. The read was sent
 // at sentAt and began at or before the view's next offset.
 func (v *workView) observe(p store.Page, sentAt time.Time) {
+	v.advance(p.Next)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.next = max(v.next, p.Next)
 	v.end = max(v.end, p.End)
-	if p.ReachesEnd() && sentAt.After(v.completeAt) {
-		v.completeAt = sentAt
+	switch {
+	case p.ReachesEnd():
+		v.completeUntil(sentAt)
+	case v.pendingEnd == 0 && p.End > v.next:
+		v.pendingEnd, v.pendingAt = p.End, sentAt
 	}
 }
 
