fix(leader): lookups share the reads of a leader that lags

Each lookup of a job that the leader didn't know read up to 1 MiB of the work stream by itself, and the tail read and passed on the same records once more. Lookups now share one read at a time, which begins after the lookups it serves and where the last read ended, and the tail goes on behind it.

--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -46,6 +46,8 @@
 	readWait = time.Second
 	// retryDelay is the delay after a failed call to the store.
 	retryDelay = 100 * time.Millisecond
+	// catchUpTimeout bounds the reads for a lookup, longer than callers wait.
+	catchUpTimeout = 3 * time.Second
 	// listInterval is how often hosts are listed when the scheduler doesn't ask for it.
 	listInterval = time.Second
 	// maxQueuedEvents bounds the events queued for the scheduler.
@@ -103,8 +105,10 @@
 	commits        chan scheduling.Commit
 	// relist requests a listing of hosts before the next interval.
 	relist chan struct{}
-	// view is the part of the work stream that the scheduler has been given.
-	view workView
+	// view is the part of the work stream that the scheduler has been given, and catchUps
+	// the reads that bring it up to date.
+	view     workView
+	catchUps *sharedCall
 	// isSuperseded is set once a later leader's marker was read.
 	isSuperseded atomic.Bool
 }
@@ -120,6 +124,7 @@
 		relist:  make(chan struct{}, 1),
 	}
 	l.callQueues = newCallQueues(l)
+	l.catchUps = newSharedCall(l.catchUp)
 	l.heartbeater = &election.Heartbeater{
 		Epoch: epoch, Term: term, Self: cfg.Self, Store: cfg.Store, Log: l.log, Now: cfg.Now, Peers: cfg.Peers,
 		Confirmed: func(sentAt time.Time) {
@@ -378,7 +383,7 @@
 	if err != nil || a.Known {
 		return a, err
 	}
-	if err := l.catchUp(ctx); err != nil {
+	if err := l.catchUps.do(ctx); err != nil {
 		return a, eris.Wrap(relay.ErrNoLeader, err.Error())
 	}
 	return l.lookUp(ctx, id)
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -354,6 +354,40 @@
 	require.Less(t, m.lookedUp, 2*lag, "records read in %d reads", m.lookups)
 }
 
+// brokenTail fails the first read and records where the next one begins.
+type brokenTail struct {
+	*memoryStore
+	duringFirst func()
+	from        chan int64
+	reads       int
+}
+
+// Read fails once.
+func (b *brokenTail) Read(ctx context.Context, s store.Stream, from int64, wait time.Duration) (store.Page, error) {
+	if b.reads++; b.reads == 1 {
+		b.duringFirst()
+		return store.Page{}, store.ErrUnknown
+	}
+	select {
+	case b.from <- from:
+	default:
+	}
+	return b.memoryStore.Read(ctx, s, from, wait)
+}
+
+// The tail goes on behind what lookups have read meanwhile. It used to read and pass on the
+// same records once more, which keeps a lagging leader busy.
+func TestTailSkipsWhatLookupsHaveRead(t *testing.T) {
+	m := newMemoryStore()
+	l := newLeader(m, &fakeWorkers{}, 5)
+	b := &brokenTail{memoryStore: m, duringFirst: func() { l.view.advance(800) }, from: make(chan int64, 1)}
+	l.cfg.Store = b
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = l.tailWork(ctx, 1) }()
+	require.EqualValues(t, 800, <-b.from)
+}
+
 // skippingClock is the real clock plus a skip, to age what was read before.
 type skippingClock struct {
 	skipped atomic.Int64
--- a/entry/leader/load.go
+++ b/entry/leader/load.go
@@ -186,23 +186,37 @@
 // pageFunc handles a page of a stream. The read was sent at sentAt.
 type pageFunc func(p store.Page, sentAt time.Time)
 
-// tail reads a stream continuously and passes its pages to apply. If records were trimmed
-// before they were read, it passes the newest record of each key to reload and goes on
-// from there.
-func (l *Leader) tail(ctx context.Context, stream store.Stream, from int64, apply, reload pageFunc) error {
-	log := l.log.WithField("Stream", string(stream))
+// streamTail configures how a stream is read continuously.
+type streamTail struct {
+	stream store.Stream
+	// from is the offset to begin at.
+	from int64
+	// applied returns the offset before which other reads have passed on all records. It is
+	// nil for a stream that has no other reads.
+	applied func() int64
+	// apply handles a page. reload handles the newest record of each key, which replaces
+	// records that were trimmed before they were read.
+	apply, reload pageFunc
+}
+
+// tail reads a stream continuously and passes its pages on.
+func (l *Leader) tail(ctx context.Context, t streamTail) error {
+	log := l.log.WithField("Stream", string(t.stream))
 	var failedSince time.Time
-	for ctx.Err() == nil {
+	for from := t.from; ctx.Err() == nil; {
+		if t.applied != nil {
+			from = max(from, t.applied())
+		}
 		sentAt := l.cfg.Now()
-		page, err := l.cfg.Store.Read(ctx, stream, from, readWait)
+		page, err := l.cfg.Store.Read(ctx, t.stream, from, readWait)
 		switch {
 		case errors.Is(err, store.ErrTrimmed):
 			log.WithField("From", from).Warn("stream reloaded after a gap")
 			sentAt = l.cfg.Now()
-			if page, err = l.readNewest(ctx, stream); err != nil {
+			if page, err = l.readNewest(ctx, t.stream); err != nil {
 				return err
 			}
-			reload(page, sentAt)
+			t.reload(page, sentAt)
 		case err != nil:
 			if failedSince.IsZero() && ctx.Err() == nil {
 				failedSince = sentAt
@@ -213,7 +227,7 @@
 			}
 			continue
 		default:
-			apply(page, sentAt)
+			t.apply(page, sentAt)
 		}
 		if !failedSince.IsZero() {
 			log.WithFields(logrus.Fields{"From": from, "Records": len(page.Records), "End": page.End, "AfterMs": l.cfg.Now().Sub(failedSince).Milliseconds()}).Info("reading a stream resumed")
@@ -232,7 +246,7 @@
 			cancel()
 		}
 	}
-	err := l.tail(ctx, store.Work, from, apply, apply)
+	err := l.tail(ctx, streamTail{stream: store.Work, from: from, applied: l.view.nextOffset, apply: apply, reload: apply})
 	if l.isSuperseded.Load() {
 		return ErrFenced
 	}
@@ -259,7 +273,9 @@
 
 // catchUp reads the work stream to the end that it has when the read begins, so that a job
 // still unknown afterwards wasn't accepted before the call.
-func (l *Leader) catchUp(ctx context.Context) error {
+func (l *Leader) catchUp() error {
+	ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
+	defer cancel()
 	for end := int64(0); ; {
 		l.cfg.Metrics.Count("work_catch_up_reads", 1)
 		sentAt := l.cfg.Now()
@@ -289,7 +305,7 @@
 	if l.view.age(l.cfg.Now()) <= maxAge {
 		return nil
 	}
-	if err := l.catchUp(ctx); err != nil {
+	if err := l.catchUps.do(ctx); err != nil {
 		return err
 	}
 	if age := l.view.age(l.cfg.Now()); age > maxAge {
@@ -358,7 +374,7 @@
 			l.applyWorkers(sch, now, p.Records)
 		})
 	}
-	return l.tail(ctx, store.Workers, from, apply, reload)
+	return l.tail(ctx, streamTail{stream: store.Workers, from: from, apply: apply, reload: reload})
 }
 
 func (l *Leader) tailOperator(ctx context.Context, from int64) error {
@@ -368,7 +384,7 @@
 			l.applyWaves(sch, now, wall, p.Records)
 		})
 	}
-	return l.tail(ctx, store.Operator, from, apply, apply)
+	return l.tail(ctx, streamTail{stream: store.Operator, from: from, apply: apply, reload: apply})
 }
 
 // listHosts lists the fleet's hosts at each interval, or earlier on request.
