fix(scheduling): a repeated cancellation isn't taken off the waiting jobs

A job whose cancellation came first was never counted as waiting, but a second cancellation, from a caller's retry or a record that is read twice, subtracted it. A job now carries whether it is counted, and only what was added is subtracted; a job that ends without a start is no longer counted either.

--- a/fleet/scheduling/restore.go
+++ b/fleet/scheduling/restore.go
@@ -76,7 +76,7 @@
 	js.dataCentres, js.nextDataCentres = p.DataCentres, p.DataCentres
 	s.jobs[j.ID] = js
 	if js.Times == 0 {
-		s.queuedJobs[js.Queue]++
+		s.countQueued(js)
 	} else {
 		s.scheduledJobs.put(js.ID, js)
 	}
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -207,7 +207,7 @@
 // queued.
 func (s *Scheduler) enqueueJob(now time.Time, wall int64, js *jobState) {
 	if js.Times == 0 {
-		s.queuedJobs[js.Queue]++
+		s.countQueued(js)
 		s.releaseSteps(s.addOccurrence(js, 0, js.acceptedAt))
 		return
 	}
@@ -249,7 +249,19 @@
 		return
 	}
 	js.hasStarted = true
-	if js.Times == 0 {
+	s.uncountQueued(js)
+}
+
+// countQueued adds a job to those of which no task has started.
+func (s *Scheduler) countQueued(js *jobState) {
+	js.isQueued = true
+	s.queuedJobs[js.Queue]++
+}
+
+// uncountQueued removes a job from those of which no task has started, if it is one.
+func (s *Scheduler) uncountQueued(js *jobState) {
+	if js.isQueued {
+		js.isQueued = false
 		s.queuedJobs[js.Queue]--
 	}
 }
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -19,6 +19,8 @@
 	state, storedState job.State
 	// hasStarted is set when the first task starts or the job is cancelled.
 	hasStarted bool
+	// isQueued is set while the job counts as one of which no task has started.
+	isQueued bool
 	// occurrences holds those that are due, ordered by number.
 	occurrences []*occurrence
 	// doneOccurrences counts the occurrences with all steps done.
@@ -275,6 +277,7 @@
 	}
 	js.state = state
 	js.endedAt, js.endedWall = now, wall
+	s.uncountQueued(js)
 	s.markChanged(js)
 	s.logDecision("job ended", js.ID, "State", string(state), "Reason", reason, "Queue", js.Queue,
 		"AgeMs", now.Sub(js.acceptedAt).Milliseconds())
