fix(publication): the newest configuration is that at the end of the stream

A host that was more than one page of publications behind took the last configuration of a page for the newest and could answer 404 for a queue that exists. The check now reads to the end of the stream, and only a read that reached it counts. The new test returned version 3 as proven the newest where 6 was published.

--- a/entry/publication/follower.go
+++ b/entry/publication/follower.go
@@ -66,7 +66,7 @@
 // Run reads publications until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := f.read(ctx, readWait); err != nil {
+		if _, err := f.read(ctx, readWait); err != nil {
 			f.cfg.Log.WithField("Error", err.Error()).Debug("reading publications failed")
 			clock.Sleep(ctx, retryDelay)
 		}
@@ -74,7 +74,8 @@
 }
 
 // EnsureFresh returns the current configuration and whether it is known to be the newest. It
-// reads the store if the last check is older than maxStaleness.
+// reads the store to the end of the publications if the last check is older than
+// maxStaleness.
 func (f *Follower) EnsureFresh(ctx context.Context) (*queue.Configuration, bool) {
 	f.mu.Lock()
 	isFresh := f.loaded && f.cfg.Now().Sub(f.checkedAt) <= maxStaleness
@@ -82,16 +83,19 @@
 	if isFresh {
 		return f.Current(), true
 	}
-	if err := f.read(ctx, 0); err != nil {
-		f.cfg.Log.WithField("Error", err.Error()).Info("checking for a newer configuration failed")
-		return f.Current(), false
+	for reachesEnd := false; !reachesEnd; {
+		var err error
+		if reachesEnd, err = f.read(ctx, 0); err != nil {
+			f.cfg.Log.WithField("Error", err.Error()).Info("checking for a newer configuration failed")
+			return f.Current(), false
+		}
 	}
 	return f.Current(), true
 }
 
-// read reads and applies the next publications. It starts over from the newest records on
-// the first call and if the next ones were trimmed.
-func (f *Follower) read(ctx context.Context, wait time.Duration) error {
+// read reads and applies the next publications, and reports whether there were no more. It
+// starts over from the newest records on the first call and if the next ones were trimmed.
+func (f *Follower) read(ctx context.Context, wait time.Duration) (bool, error) {
 	f.mu.Lock()
 	next, loaded := f.nextOffset, f.loaded
 	f.mu.Unlock()
@@ -101,11 +105,13 @@
 	if loaded {
 		page, err = f.cfg.Store.Read(ctx, store.Operator, next, wait)
 	}
+	reachesEnd := page.ReachesEnd()
 	if !loaded || errors.Is(err, store.ErrTrimmed) {
 		page, err = f.cfg.Store.Newest(ctx, store.Operator)
+		reachesEnd = true
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	for _, r := range page.Records {
 		f.apply(r)
@@ -114,10 +120,10 @@
 	defer f.mu.Unlock()
 	f.nextOffset = max(f.nextOffset, page.Next)
 	f.loaded = true
-	if wait == 0 || len(page.Records) > 0 || f.checkedAt.Before(askedAt) {
+	if reachesEnd && (wait == 0 || len(page.Records) > 0 || f.checkedAt.Before(askedAt)) {
 		f.checkedAt = askedAt
 	}
-	return nil
+	return reachesEnd, nil
 }
 
 // apply adopts the configuration of a record, if it has one.
--- a/entry/publication/follower_test.go
+++ b/entry/publication/follower_test.go
@@ -114,3 +114,37 @@
 	require.False(t, ok)
 	require.Equal(t, 2, s.newest, "trimmed records are reloaded")
 }
+
+// pagedStore answers reads with a page of at most two records.
+type pagedStore struct {
+	store.Store
+	records []store.Record
+}
+
+func (p *pagedStore) Read(_ context.Context, _ store.Stream, from int64, _ time.Duration) (store.Page, error) {
+	end := int64(len(p.records))
+	to := min(from+2, end)
+	return store.Page{Records: p.records[from:to], Next: to, End: end}, nil
+}
+
+func (p *pagedStore) Newest(context.Context, store.Stream) (store.Page, error) {
+	end := int64(len(p.records))
+	return store.Page{Records: p.records[end-1:], Next: end, End: end}, nil
+}
+
+// A host that is more than one page of publications behind must not take the last
+// configuration of a page for the newest: it would answer 404 for a queue that exists.
+func TestFreshReadsToTheEnd(t *testing.T) {
+	now := time.Unix(100, 0)
+	p := &pagedStore{records: []store.Record{record("1")}}
+	f, _ := newTestFollower(p, &now)
+	_, ok := f.EnsureFresh(context.Background())
+	require.True(t, ok)
+	for v := 2; v <= 6; v++ {
+		p.records = append(p.records, record(strconv.Itoa(v)))
+	}
+	now = now.Add(time.Second)
+	c, ok := f.EnsureFresh(context.Background())
+	require.True(t, ok)
+	require.EqualValues(t, 6, c.Version)
+}
