fix(platform): bound the page of a read

A read asked for up to 1 MiB. On a leader whose processor is full a direct read of 320 kB took 981 ms, just over its timeout; for the next second all reads go through other hosts, where 1 MiB needs 0.84 s of a small host's link, over the 600 ms of a relayed read, and fails in the same way each time.

--- a/standin/estate/log.go
+++ b/standin/estate/log.go
@@ -21,6 +21,8 @@
 const (
 	// maxPageItems is the most records on one page of the newest records.
 	maxPageItems = 500
+	// defaultPageKB is the size of a read's page in KiB, unless the call asks for another.
+	defaultPageKB = 1024
 	// answersKept is the number of answers kept for each producer, to repeat an answer when
 	// an append is retried.
 	answersKept = 5
@@ -302,6 +304,10 @@
 	name, from := string(rc.QueryArgs().Peek("Topic")), intArg(rc, "From")
 	wait := min(time.Duration(intArg(rc, "WaitMs"))*time.Millisecond, maxWait)
 	deadline := time.After(wait)
+	maxBytes := defaultPageKB << 10
+	if kb := intArg(rc, "MaxKb"); kb > 0 {
+		maxBytes = int(kb) << 10
+	}
 	for {
 		l.mu.Lock()
 		t := l.topic(name)
@@ -312,7 +318,7 @@
 			return
 		}
 		if from < t.end() || wait == 0 {
-			rc.SetBody(t.encodeFrom(from))
+			rc.SetBody(t.encodeFrom(from, maxBytes))
 			l.mu.Unlock()
 			return
 		}
@@ -327,12 +333,15 @@
 }
 
 // encodeFrom encodes the answer to a read: the topic's end and first offset and the records
-// from an offset on.
-func (t *topic) encodeFrom(from int64) []byte {
+// from an offset on, as many as fit in maxBytes, but at least one.
+func (t *topic) encodeFrom(from int64, maxBytes int) []byte {
 	b := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
 	b = binary.BigEndian.AppendUint64(b, uint64(t.first))
 	for i := from; i < t.end(); i++ {
 		c := t.records[i-t.first]
+		if i > from && len(b)+len(c) > maxBytes {
+			break
+		}
 		b = binary.BigEndian.AppendUint32(b, uint32(len(c)))
 		b = append(b, c...)
 	}
