fix(relay): a caller's deadline says nothing about the path to the store

A check for a newer configuration waits 200 ms. When the store or the host itself was slower, the check counted as a failure of the direct path, and for the next second all calls of the host, heartbeats and the reads of the leader included, went through peers. The new test failed before with a call that was not sent.

--- a/entry/relay/store.go
+++ b/entry/relay/store.go
@@ -136,6 +136,13 @@
 	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown)
 }
 
+// hasEnded reports whether a call's context has ended. The outcome then says nothing about
+// the path, as its caller may just have been in a hurry.
+func hasEnded(ctx context.Context, now time.Time) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !now.Before(deadline)
+}
+
 // withFailover makes a call directly and, if it has no answer, through up to maxPeers
 // peers. The error is ErrUnknown if any try may have been carried out.
 func withFailover[T any](ctx context.Context, s *Store, maxPeers int, direct func() (T, error), relayed func(p Peer) (T, error)) (out T, err error) {
@@ -144,7 +151,9 @@
 	mayBeDone := false
 	if s.mayTryDirect() {
 		out, err = direct()
-		s.recordDirect(err)
+		if !isUnanswered(err) || !hasEnded(ctx, time.Now()) {
+			s.recordDirect(err)
+		}
 		if !isUnanswered(err) {
 			return out, err
 		}
--- a/entry/relay/store_test.go
+++ b/entry/relay/store_test.go
@@ -71,6 +71,28 @@
 	require.Equal(t, 1, direct.calls)
 }
 
+// slowStore answers reads later than their caller waits, and appends at once.
+type slowStore struct{ scriptedStore }
+
+func (s *slowStore) Read(ctx context.Context, _ store.Stream, _ int64, _ time.Duration) (store.Page, error) {
+	<-ctx.Done()
+	return store.Page{}, store.ErrUnknown
+}
+
+// A call that its caller gave up early says nothing about the direct path: the other calls,
+// such as heartbeats, must not go through peers for a second because of it.
+func TestCallersDeadlineDoesNotBlockDirectPath(t *testing.T) {
+	direct := &slowStore{}
+	s := newTestStore(direct)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	_, err := s.Read(ctx, store.Operator, 0, 0)
+	require.ErrorIs(t, err, store.ErrUnknown)
+	_, err = s.Append(context.Background(), store.Append{})
+	require.NoError(t, err)
+	require.Equal(t, 1, direct.calls)
+}
+
 // unresponsiveStore does not answer reads.
 type unresponsiveStore struct{ store.Store }
 
