feat(leader): log slow rounds of the scheduler

A leader whose processor is full lags without a failed read. The duration of its rounds, the events that wait and the age of its view tell whether the scheduler or the reads are late.

--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -52,6 +52,9 @@
 	listInterval = time.Second
 	// maxQueuedEvents bounds the events queued for the scheduler.
 	maxQueuedEvents = 4096
+	// slowRound is the duration from which a round of the scheduler is logged. What it decides
+	// rests on the state at its begin.
+	slowRound = 500 * time.Millisecond
 	// gaugeInterval is how often the gauges are updated.
 	gaugeInterval = time.Second
 	// maxCountAge is how old the view of the work stream may be from which waiting jobs are
@@ -247,13 +250,17 @@
 	gaugesAt := l.cfg.Now()
 	defer l.clearGauges()
 	for {
+		var beganAt time.Time
+		events := 0
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case e := <-l.events:
-			e(sch, l.cfg.Now(), l.cfg.Wall())
-			l.drain(sch)
+			beganAt = l.cfg.Now()
+			e(sch, beganAt, l.cfg.Wall())
+			events = 1 + l.drain(sch)
 		case <-tick.C:
+			beganAt = l.cfg.Now()
 		}
 		now := l.cfg.Now()
 		sch.Tick(now, l.cfg.Wall())
@@ -267,12 +274,25 @@
 		}
 		l.flush(now, sch)
 		l.dispatch(ctx, sch.TakeActions())
+		l.observeRound(l.cfg.Now().Sub(beganAt), now.Sub(beganAt), events)
 		if sch.Fenced() {
 			return ErrFenced
 		}
 	}
 }
 
+// observeRound records how long a round of the scheduler took, and the part of it that its
+// events took.
+func (l *Leader) observeRound(took, eventsTook time.Duration, events int) {
+	l.cfg.Metrics.Observe("scheduler_round_time", took)
+	if took >= slowRound {
+		l.log.WithFields(logrus.Fields{
+			"TookMs": took.Milliseconds(), "EventsTookMs": eventsTook.Milliseconds(), "Events": events,
+			"Queued": len(l.events), "ViewAgeMs": l.view.age(l.cfg.Now()).Milliseconds(), "Behind": l.view.behind(),
+		}).Warn("slow scheduler round")
+	}
+}
+
 // updateGauges shows how far the leader is behind its inputs.
 func (l *Leader) updateGauges(now time.Time) {
 	l.setGauges(l.view.age(now).Milliseconds(), l.view.behind(), int64(len(l.events)))
@@ -289,16 +309,18 @@
 	l.cfg.Metrics.Gauge("scheduler_events_queued", queued)
 }
 
-// drain processes all queued events, so that the scheduler decides on them together.
-func (l *Leader) drain(sch *scheduling.Scheduler) {
-	for range maxQueuedEvents {
+// drain processes all queued events, so that the scheduler decides on them together. It
+// returns their number.
+func (l *Leader) drain(sch *scheduling.Scheduler) int {
+	for n := range maxQueuedEvents {
 		select {
 		case e := <-l.events:
 			e(sch, l.cfg.Now(), l.cfg.Wall())
 		default:
-			return
+			return n
 		}
 	}
+	return maxQueuedEvents
 }
 
 // flush sends the open commit: at once if callers or workers wait for it, else after
@@ -403,9 +425,8 @@
 	if err := l.ensureCurrent(ctx, maxCountAge); err != nil {
 		return relay.WaitingAnswer{}, eris.Wrap(relay.ErrNoLeader, err.Error())
 	}
-	viewAge := l.view.age(l.cfg.Now())
 	return query(ctx, l, func(sch *scheduling.Scheduler) relay.WaitingAnswer {
-		return relay.WaitingAnswer{Waiting: sch.QueuedJobs(queue), Epoch: l.epoch, ViewAge: viewAge}
+		return relay.WaitingAnswer{Waiting: sch.QueuedJobs(queue), Epoch: l.epoch, ViewAge: l.view.age(l.cfg.Now())}
 	})
 }
 
