fix(scheduling): placement rests in proportion to the time that it took

What started the lag of the incident: a queue's turn with 260 jobs a second and 278 workers made a placement round cost some 250,000 evaluations, and the next one was due 30 ms after the begin of the last, so rounds followed each other and took the leader's processor (6 million evaluations a second). A round is now followed by a rest of twice its duration, at most 500 ms. The leader's loop tells the scheduler when a tick ended, as the scheduler has no clock of its own.

--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -264,6 +264,7 @@
 		}
 		now := l.cfg.Now()
 		sch.Tick(now, l.cfg.Wall())
+		sch.EndTick(l.cfg.Now())
 		if now.After(forgetAt) {
 			forgetAt = now.Add(forgetInterval)
 			l.forget(ctx, sch.Forget(now))
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -69,8 +69,10 @@
 	nextBalance time.Time
 	// evaluations counts the workers evaluated for a task since the pools were last logged.
 	evaluations int
-	// placedAt is when the last placement round took place.
-	placedAt time.Time
+	// placedAt is when the last placement round began, and placementRestUntil the end of the
+	// rest after it. isPlacing is set until EndTick is told the end of the round.
+	placedAt, placementRestUntil time.Time
+	isPlacing                    bool
 	// nextHedge is when runs that need a second attempt are next looked for.
 	nextHedge time.Time
 	// nextPreempt is when runs may next be stopped in favour of earlier queues.
@@ -296,14 +298,32 @@
 		s.tickWorkers(now)
 	}
 	s.tickHosts(now)
-	if (s.dirty && !now.Before(s.placedAt.Add(s.placementGap()))) || !now.Before(s.placedAt.Add(placementInterval)) {
+	if s.isPlacementDue(now) {
 		s.dirty = false
 		s.placedAt = now
+		s.isPlacing = true
 		s.place(now)
 		s.hedge(now)
 	}
 }
 
+func (s *Scheduler) isPlacementDue(now time.Time) bool {
+	if now.Before(s.placementRestUntil) {
+		return false
+	}
+	return s.dirty && !now.Before(s.placedAt.Add(s.placementGap())) || !now.Before(s.placedAt.Add(placementInterval))
+}
+
+// EndTick tells when the work of the last Tick ended. A placement round is followed by a rest
+// in proportion to its duration.
+func (s *Scheduler) EndTick(now time.Time) {
+	if !s.isPlacing {
+		return
+	}
+	s.isPlacing = false
+	s.placementRestUntil = now.Add(min(placementRest*now.Sub(s.placedAt), maxPlacementRest))
+}
+
 // Forget drops ended jobs in two steps. Once a job's end is stored, it drops the job's text
 // and steps and returns its ID, once: the accepted record isn't needed any more because the
 // progress record says enough. After the retention it drops the job and its progress
--- a/fleet/scheduling/scheduler_test.go
+++ b/fleet/scheduling/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -30,3 +31,28 @@
 	s.finish(now, 0, s.jobs[testID], job.Failed, "test")
 	require.Zero(t, s.QueuedJobs("q"))
 }
+
+// Placement must not take the whole processor of a leader with many waiting tasks: its reads
+// of the streams and the reports of workers came seconds late.
+func TestPlacementRestsInProportion(t *testing.T) {
+	s, now := readyScheduler(t)
+	// round ticks and ends the tick after the given time. It reports whether tasks were placed.
+	round := func(took time.Duration) bool {
+		began := now
+		s.dirty = true
+		s.Tick(now, 0)
+		now = now.Add(took)
+		s.EndTick(now)
+		return s.placedAt.Equal(began)
+	}
+	now = now.Add(placementInterval)
+	require.True(t, round(50*time.Millisecond))
+	now = now.Add(90 * time.Millisecond)
+	require.False(t, round(0), "the rest is twice the round")
+	now = now.Add(20 * time.Millisecond)
+	require.True(t, round(2*time.Second))
+	now = now.Add(maxPlacementRest)
+	require.True(t, round(0), "the rest is bounded")
+	now = now.Add(maxPlacementGap)
+	require.True(t, round(0), "a round that takes no time needs no rest")
+}
