fix(scheduling): start and move nothing from an old view

The leader now tells the scheduler how much older its view of jobs and workers is than the last confirmation of its leadership, and beyond 1.5 s nothing is started and no host is ordered. The view is compared with the confirmation and not with the clock, because in an outage of the whole store both age together and nothing can be cancelled either. Idle reads wait 0.5 s in place of 1 s, so that a quiet stream doesn't look old.

--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -42,8 +42,8 @@
 	// until the commit is stored, and the next hold waits for that.
 	commitDelay = 12 * time.Millisecond
 	// readWait is how long a read of a stream waits for a record. It bounds how long a
-	// broken connection goes unnoticed.
-	readWait = time.Second
+	// broken connection goes unnoticed, and the age of the view of a quiet stream.
+	readWait = 500 * time.Millisecond
 	// retryDelay is the delay after a failed call to the store.
 	retryDelay = 100 * time.Millisecond
 	// catchUpTimeout bounds the reads for a lookup, longer than callers wait.
@@ -110,8 +110,12 @@
 	relist chan struct{}
 	// view is the part of the work stream that the scheduler has been given, and catchUps
 	// the reads that bring it up to date.
-	view     workView
+	view     streamView
 	catchUps *sharedCall
+	// workersView is the part of the workers' stream that the scheduler has been given.
+	workersView streamView
+	// confirmedAt is the send time of the latest heartbeat that the store accepted.
+	confirmedAt atomic.Pointer[time.Time]
 	// isSuperseded is set once a later leader's marker was read.
 	isSuperseded atomic.Bool
 }
@@ -131,6 +135,7 @@
 	l.heartbeater = &election.Heartbeater{
 		Epoch: epoch, Term: term, Self: cfg.Self, Store: cfg.Store, Log: l.log, Now: cfg.Now, Peers: cfg.Peers,
 		Confirmed: func(sentAt time.Time) {
+			l.confirmedAt.Store(&sentAt)
 			l.enqueue(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.ConfirmLeadership(sentAt) })
 		},
 	}
@@ -181,6 +186,7 @@
 		return err
 	}
 	l.view.observe(store.Page{Next: barrier + 1, End: barrier + 1}, loadedAt)
+	l.workersView.observe(store.Page{Next: from.workers, End: from.workers}, loadedAt)
 	l.log.WithFields(logrus.Fields{"TookMs": l.cfg.Now().Sub(startedAt).Milliseconds(), "Barrier": barrier}).Info("takeover complete")
 	g.Go(func() error { return l.tailWork(ctx, barrier+1) })
 	g.Go(func() error { return l.tailWorkers(ctx, from.workers) })
@@ -252,6 +258,9 @@
 	for {
 		var beganAt time.Time
 		events := 0
+		// The lag counts from before the events that are handled below, so that it is not
+		// less than that of the scheduler's state.
+		lag := l.viewLag()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -262,6 +271,7 @@
 		case <-tick.C:
 			beganAt = l.cfg.Now()
 		}
+		sch.SetViewLag(lag)
 		now := l.cfg.Now()
 		sch.Tick(now, l.cfg.Wall())
 		sch.EndTick(l.cfg.Now())
@@ -282,6 +292,16 @@
 	}
 }
 
+// viewLag returns how much older the older one of the two views is than the last
+// confirmation of the leadership.
+func (l *Leader) viewLag() time.Duration {
+	confirmedAt := l.confirmedAt.Load()
+	if confirmedAt == nil {
+		return 0
+	}
+	return max(l.view.lag(*confirmedAt), l.workersView.lag(*confirmedAt))
+}
+
 // observeRound records how long a round of the scheduler took, and the part of it that its
 // events took.
 func (l *Leader) observeRound(took, eventsTook time.Duration, events int) {
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -29,6 +29,8 @@
 	changed chan struct{}
 	// stalled makes reads that wait get no answer, and unreachable makes all reads fail.
 	stalled, unreachable bool
+	// failing is a stream whose reads fail.
+	failing store.Stream
 	// pageLimit bounds the records of a read, 0 for no bound. The platform's store returns at
 	// most 1 MiB.
 	pageLimit int
@@ -41,6 +43,13 @@
 	return &memoryStore{streams: make(map[store.Stream][]store.Record), epochs: make(map[store.Stream]int64), changed: make(chan struct{})}
 }
 
+// count returns the number of a stream's records.
+func (m *memoryStore) count(s store.Stream) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.streams[s])
+}
+
 // set changes the store's state.
 func (m *memoryStore) set(change func()) {
 	m.mu.Lock()
@@ -94,7 +103,7 @@
 	timeout := time.After(wait)
 	for {
 		m.mu.Lock()
-		all, changed, stalled, unreachable := m.streams[s], m.changed, m.stalled && wait > 0, m.unreachable
+		all, changed, stalled, unreachable := m.streams[s], m.changed, m.stalled && wait > 0, m.unreachable || m.failing == s
 		m.mu.Unlock()
 		if unreachable {
 			return store.Page{}, store.ErrUnavailable
@@ -451,6 +460,66 @@
 	}
 }
 
+// drainDecoder decodes a worker's record whose value is "draining" as a draining worker.
+type drainDecoder struct{ fixedDecoder }
+
+// Worker returns a worker with the key as its ID.
+func (drainDecoder) Worker(r store.Record) (scheduling.Entry, error) {
+	e, err := fixedDecoder{}.Worker(r)
+	e.Draining = string(r.Value) == "draining"
+	return e, err
+}
+
+// A leader that can't read a stream starts nothing on the ground of an old view of it,
+// although its heartbeats go through: it started tasks 5 s after their job's cancellation, or
+// their worker's draining, was stored.
+func TestNoStartFromAnOldView(t *testing.T) {
+	const storedAgo = 5 * time.Second
+	tests := map[string]struct {
+		failing store.Stream
+		// before is stored while the leader reads all streams, hidden while it can't read the
+		// failing one, and last then makes a start possible that hidden forbids.
+		before, hidden, last func(t *testing.T, m *memoryStore)
+	}{
+		"cancelled job": {
+			failing: store.Work,
+			before:  func(t *testing.T, m *memoryStore) { acceptJob(t, m, firstJob) },
+			hidden:  func(t *testing.T, m *memoryStore) { appendRecord(t, m, store.Work, CancelledKey(firstJob), "1") },
+			last:    func(t *testing.T, m *memoryStore) { appendRecord(t, m, store.Workers, "w1", "x") },
+		},
+		"draining worker": {
+			failing: store.Workers,
+			before:  func(t *testing.T, m *memoryStore) { appendRecord(t, m, store.Workers, "w1", "x") },
+			hidden:  func(t *testing.T, m *memoryStore) { appendRecord(t, m, store.Workers, "w1", "draining") },
+			last:    func(t *testing.T, m *memoryStore) { acceptJob(t, m, firstJob) },
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			m, w, clock := newMemoryStore(), &fakeWorkers{}, &skippingClock{}
+			appendRecord(t, m, store.Operator, "config", "x")
+			l := newLeaderWithClock(m, w, 5, clock.now)
+			l.cfg.Decoder = drainDecoder{}
+			runLeader(t, l)
+			tt.before(t, m)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			require.Eventually(t, func() bool {
+				_, err := l.Waiting(ctx, "q")
+				return err == nil && l.view.behind() == 0
+			}, 5*time.Second, time.Millisecond)
+			time.Sleep(2 * tickInterval)
+			m.set(func() { m.failing = tt.failing })
+			tt.hidden(t, m)
+			clock.skip(storedAgo)
+			heartbeats := m.count(store.Leader)
+			require.Eventually(t, func() bool { return m.count(store.Leader) > heartbeats }, 5*time.Second, time.Millisecond)
+			tt.last(t, m)
+			require.Never(t, func() bool { return w.startCount() > 0 }, 500*time.Millisecond, 5*time.Millisecond)
+		})
+	}
+}
+
 // A start that was queued for too long is not sent, as the state behind the decision may
 // have changed.
 func TestOldStartIsNotSent(t *testing.T) {
--- a/entry/leader/load.go
+++ b/entry/leader/load.go
@@ -355,10 +355,11 @@
 }
 
 func (l *Leader) tailWorkers(ctx context.Context, from int64) error {
-	apply := func(p store.Page, _ time.Time) {
+	apply := func(p store.Page, sentAt time.Time) {
 		l.enqueue(func(sch *scheduling.Scheduler, now time.Time, _ int64) { l.applyWorkers(sch, now, p.Records) })
+		l.workersView.observe(p, sentAt)
 	}
-	reload := func(p store.Page, _ time.Time) {
+	reload := func(p store.Page, sentAt time.Time) {
 		l.enqueue(func(sch *scheduling.Scheduler, now time.Time, _ int64) {
 			listed := make(map[scheduling.WorkerID]bool, len(p.Records))
 			for _, r := range p.Records {
@@ -373,6 +374,7 @@
 			}
 			l.applyWorkers(sch, now, p.Records)
 		})
+		l.workersView.observe(p, sentAt)
 	}
 	return l.tail(ctx, streamTail{stream: store.Workers, from: from, apply: apply, reload: reload})
 }
--- a/entry/leader/view.go
+++ b/entry/leader/view.go
@@ -7,9 +7,8 @@
 	"github.com/godwitcross/godwitcross/entry/store"
 )
 
-// workView is the part of the work stream that the scheduler has been given, and how current
-// it is.
-type workView struct {
+// streamView is the part of a stream that the scheduler has been given, and how current it is.
+type streamView struct {
 	mu sync.Mutex
 	// next is the offset of the first record not yet passed to the scheduler; it never falls.
 	next int64
@@ -25,14 +24,14 @@
 }
 
 // nextOffset returns the offset from which to read on.
-func (v *workView) nextOffset() int64 {
+func (v *streamView) nextOffset() int64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.next
 }
 
 // advance records that the scheduler was given all records before next.
-func (v *workView) advance(next int64) {
+func (v *streamView) advance(next int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.next = max(v.next, next)
@@ -43,7 +42,7 @@
 }
 
 // completeUntil records that the view has been complete as of at. The caller holds mu.
-func (v *workView) completeUntil(at time.Time) {
+func (v *streamView) completeUntil(at time.Time) {
 	if at.After(v.completeAt) {
 		v.completeAt = at
 	}
@@ -51,7 +50,7 @@
 
 // observe records a page whose records were all passed to the scheduler. The read was sent
 // at sentAt and began at or before the view's next offset.
-func (v *workView) observe(p store.Page, sentAt time.Time) {
+func (v *streamView) observe(p store.Page, sentAt time.Time) {
 	v.advance(p.Next)
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -65,14 +64,19 @@
 }
 
 // age returns how long ago the view was last known to be complete.
-func (v *workView) age(now time.Time) time.Duration {
+func (v *streamView) age(now time.Time) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return now.Sub(v.completeAt)
 }
 
+// lag returns how much older the view is than at, or 0 if it is newer.
+func (v *streamView) lag(at time.Time) time.Duration {
+	return max(v.age(at), 0)
+}
+
 // behind returns how many records the stream held beyond the view when it was last read.
-func (v *workView) behind() int64 {
+func (v *streamView) behind() int64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return max(v.end-v.next, 0)
--- a/entry/leader/view_test.go
+++ b/entry/leader/view_test.go
@@ -11,7 +11,7 @@
 
 // The view counts as complete only as of a read that reached the stream's end, so that a
 // leader that is more than a page behind knows that it is.
-func TestWorkViewAge(t *testing.T) {
+func TestStreamViewAge(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
 	records := func(from, n int64) []store.Record {
@@ -42,7 +42,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			var v workView
+			var v streamView
 			v.observe(store.Page{Next: 5, End: 5}, start)
 			for _, r := range tt.reads {
 				v.observe(r.page, r.sentAt)
--- a/fleet/scheduling/hostorder.go
+++ b/fleet/scheduling/hostorder.go
@@ -63,9 +63,10 @@
 }
 
 // isConfirmedForHosts reports whether leadership was confirmed recently enough for host
-// orders, which unlike runs have no lease that expires.
+// orders, which unlike runs have no lease that expires, and whether the view of waiting jobs
+// on which moves rest is current.
 func (s *Scheduler) isConfirmedForHosts(now time.Time) bool {
-	return now.Sub(s.leaderConfirmedAt) < maxHostProofAge
+	return now.Sub(s.leaderConfirmedAt) < maxHostProofAge && s.isViewCurrent()
 }
 
 // Ordered handles the platform's answer to a host order.
--- a/fleet/scheduling/orders.go
+++ b/fleet/scheduling/orders.go
@@ -68,11 +68,12 @@
 		s.emit(Stop{Worker: w.Incarnation, Address: w.Address, Task: r.task.id(), Run: r.number, Token: s.cfg.Epoch, NewConnection: r.sendCount > 0})
 		r.sendCount++
 	case uncertain:
-		if deadline, ok := s.extendLease(now, w); ok {
-			s.sendStart(r, deadline)
-		} else {
+		deadline, ok := s.extendLease(now, w)
+		if !ok || !s.isViewCurrent() {
 			r.retryAt = now.Add(retryGap)
+			return
 		}
+		s.sendStart(r, deadline)
 	}
 }
 
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -58,6 +58,9 @@
 	inheritedUntil time.Time
 	// leaderConfirmedAt is when the leadership of this host was last confirmed.
 	leaderConfirmedAt time.Time
+	// viewLag is how much older the view of accepted jobs and workers is than the last
+	// confirmation of leadership.
+	viewLag time.Duration
 	// startedAt is when this leader took over.
 	startedAt time.Time
 	// hostsListedAt is when the hosts were last listed.
@@ -179,6 +182,26 @@
 	}
 }
 
+// SetViewLag tells how much older the view of accepted jobs and workers is than the last
+// confirmation of leadership. Both age together while the store is away, when nothing can be
+// cancelled either. If only the view ages, what it lacks may forbid a start or a move, so none
+// is ordered until it is current again.
+func (s *Scheduler) SetViewLag(lag time.Duration) {
+	wasCurrent := s.isViewCurrent()
+	s.viewLag = lag
+	switch isCurrent := s.isViewCurrent(); {
+	case wasCurrent && !isCurrent:
+		s.logDecision("starts paused: the view is old", "", "LagMs", lag.Milliseconds())
+	case !wasCurrent && isCurrent:
+		s.dirty = true
+		s.logDecision("starts resumed: the view is current", "", "LagMs", lag.Milliseconds())
+	}
+}
+
+func (s *Scheduler) isViewCurrent() bool {
+	return s.viewLag <= maxViewLag
+}
+
 // Configure applies a configuration if its version is newer.
 func (s *Scheduler) Configure(c *queue.Configuration) {
 	if c.Version > s.configuration.Version {
@@ -308,7 +331,7 @@
 }
 
 func (s *Scheduler) isPlacementDue(now time.Time) bool {
-	if now.Before(s.placementRestUntil) {
+	if now.Before(s.placementRestUntil) || !s.isViewCurrent() {
 		return false
 	}
 	return s.dirty && !now.Before(s.placedAt.Add(s.placementGap())) || !now.Before(s.placedAt.Add(placementInterval))
