fix(leader): handle a reload in the order of the stream

The newest record of each key comes in the order of the keys. A superseded leader that had to reload the work stream after a gap therefore took over accepted jobs before it met the marker of the later leader, and its view passed records that it had not been given yet, so that a lookup could miss them. The records are now handled in the order of their offsets.

--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -363,6 +365,40 @@
 	require.Less(t, m.lookedUp, 2*lag, "records read in %d reads", m.lookups)
 }
 
+// trimmedStore reports that the next records were trimmed, once.
+type trimmedStore struct {
+	*memoryStore
+	reads atomic.Int64
+}
+
+// Read fails once.
+func (s *trimmedStore) Read(ctx context.Context, stream store.Stream, from int64, wait time.Duration) (store.Page, error) {
+	if s.reads.Add(1) == 1 {
+		return store.Page{}, store.ErrTrimmed
+	}
+	return s.memoryStore.Read(ctx, stream, from, wait)
+}
+
+// Newest returns the newest records in the order of their keys, as the platform does.
+func (s *trimmedStore) Newest(ctx context.Context, stream store.Stream) (store.Page, error) {
+	page, err := s.memoryStore.Newest(ctx, stream)
+	slices.SortFunc(page.Records, func(a, b store.Record) int { return strings.Compare(a.Key, b.Key) })
+	return page, err
+}
+
+// A reload after a gap is handled in the order of the stream: a superseded leader took over
+// jobs behind the marker of the later leader, as their keys come first.
+func TestReloadStopsAtMarkerOfLaterLeader(t *testing.T) {
+	m := newMemoryStore()
+	l := newLeader(m, &fakeWorkers{}, 5)
+	l.cfg.Store = &trimmedStore{memoryStore: m}
+	acceptJob(t, m, firstJob)
+	appendRecord(t, m, store.Work, keyLeader, "6")
+	acceptJob(t, m, secondJob)
+	require.ErrorIs(t, l.tailWork(context.Background(), 0), ErrFenced)
+	require.EqualValues(t, 1, l.view.nextOffset(), "the marker's offset")
+}
+
 // brokenTail fails the first read and records where the next one begins.
 type brokenTail struct {
 	*memoryStore
--- a/entry/leader/load.go
+++ b/entry/leader/load.go
@@ -1,8 +1,10 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -194,8 +196,8 @@
 	// applied returns the offset before which other reads have passed on all records. It is
 	// nil for a stream that has no other reads.
 	applied func() int64
-	// apply handles a page. reload handles the newest record of each key, which replaces
-	// records that were trimmed before they were read.
+	// apply handles a page. reload handles the newest record of each key, in the order of the
+	// stream, in place of records that were trimmed before they were read.
 	apply, reload pageFunc
 }
 
@@ -216,6 +218,7 @@
 			if page, err = l.readNewest(ctx, t.stream); err != nil {
 				return err
 			}
+			slices.SortFunc(page.Records, func(a, b store.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 			t.reload(page, sentAt)
 		case err != nil:
 			if failedSince.IsZero() && ctx.Err() == nil {
