--- a/fleet/scheduling/days_test.go
+++ b/fleet/scheduling/days_test.go
@@ -26,15 +26,16 @@
 	"worker fails all runs", "worker deregistered", "wave progress lost",
 }
 
-func drawFaults(t *rapid.T) []plannedFault {
+// drawFaults draws up to most faults that begin up to latest tenths of a second into the day.
+func drawFaults(t *rapid.T, kinds []string, most, latest int) []plannedFault {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) plannedFault {
 		return plannedFault{
-			Kind:     rapid.SampledFrom(faultKinds).Draw(t, "kind"),
-			At:       rapid.IntRange(0, 150).Draw(t, "at"),
+			Kind:     rapid.SampledFrom(kinds).Draw(t, "kind"),
+			At:       rapid.IntRange(0, latest).Draw(t, "at"),
 			For:      rapid.IntRange(5, 80).Draw(t, "for"),
 			Selector: rapid.IntRange(0, 999).Draw(t, "which"),
 		}
-	}), 0, 6).Draw(t, "faults")
+	}), 0, most).Draw(t, "faults")
 }
 
 // inject starts a fault and schedules its end.
@@ -100,6 +101,30 @@
 			}
 		}
 		l.isUp = false
+	case "workers unhealthy":
+		w.faults.unhealthy = 0.3
+		w.after(d, func() { w.faults.unhealthy = 0 })
+	case "burst of jobs":
+		for range 5 + f.Selector%40 {
+			w.submit(w.newJob("a", 16000, 3), time.Duration(100+w.rng.Intn(1500))*time.Millisecond, w.rng.Intn(20) == 0)
+		}
+	case "jobs that fit nowhere":
+		for range 1 + f.Selector%4 {
+			j := w.newJob("b", 4000, 2)
+			j.Steps[0].Requires = "none"
+			w.submit(j, time.Second, false)
+		}
+	case "scheduled jobs":
+		j := w.newJob("a", 4000, 2)
+		j.Times, j.StartAt, j.Interval = 1+f.Selector%3, w.wall()+int64(f.Selector), d
+		w.submit(j, time.Second, false)
+	case "records repeated":
+		w.repeatRecords(f.Selector, d)
+	case "cancelled before it arrives":
+		j := w.newJob("a", 4000, 2)
+		w.addJob(j, time.Second, false)
+		w.cancel(j.ID)
+		w.after(d/10, func() { w.log = append(w.log, simRecord{accepted: &j}) })
 	case "worker deregistered":
 		delete(w.entries, sw.ID)
 		w.after(d, func() {
@@ -110,6 +135,16 @@
 	}
 }
 
+// repeatRecords appends a third of the latest records again after d, as an append that got
+// no answer is repeated or carried out late.
+func (w *world) repeatRecords(selector int, d time.Duration) {
+	for i, rec := range w.log[max(0, len(w.log)-30):] {
+		if i%3 == selector%3 && rec.claim == 0 && rec.forgotten == nil {
+			w.after(d, func() { w.log = append(w.log, rec) })
+		}
+	}
+}
+
 // crash kills a worker. Its host starts a new one after d.
 func (w *world) crash(sw *simWorker, d time.Duration) {
 	if !sw.isUp {
@@ -206,7 +241,7 @@
 // TestSimulatedDaysKeepRules simulates days with random faults in virtual time.
 func TestSimulatedDaysKeepRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := simulateDay(rapid.Int64Range(0, 1<<40).Draw(t, "seed"), drawFaults(t))
+		w := simulateDay(rapid.Int64Range(0, 1<<40).Draw(t, "seed"), drawFaults(t, faultKinds, 6, 150))
 		w.checkEnd()
 		require.Empty(t, w.violations)
 	})
--- a/fleet/scheduling/violations_test.go
+++ b/fleet/scheduling/violations_test.go
@@ -149,6 +149,17 @@
 				})
 			},
 		},
+		"a waiting job counts as started": {
+			rule: "MIXED",
+			before: func(w *world) {
+				w.after(9*time.Second, func() {
+					j := w.newJob("a", 2000, 2)
+					j.Steps[0].Requires = "none"
+					w.submit(j, time.Second, false)
+					w.after(time.Second, func() { w.leaders[0].s.markStarted(w.leaders[0].s.jobs[j.ID]) })
+				})
+			},
+		},
 		"a job is never scheduled": {
 			rule: "LOST",
 			before: func(w *world) {
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -54,6 +54,8 @@
 	// an order has ended it since.
 	lastAvailableAt map[job.Task]time.Time
 	interrupted     map[job.Task]bool
+	// forgetInterval is how often leaders drop the records of ended jobs, or 0 for never.
+	forgetInterval time.Duration
 }
 
 // faults are the faults in force.
@@ -62,6 +64,8 @@
 	late, answerLost float64
 	// failing workers fail all runs.
 	failing map[WorkerID]bool
+	// unhealthy is the share of starts that workers reject as unhealthy.
+	unhealthy float64
 }
 
 // simHost is a host as the platform holds it.
@@ -83,6 +87,8 @@
 	cancelled job.ID
 	// claim is the epoch of a leadership claim.
 	claim int64
+	// forgotten are the jobs whose accepted and cancelled records are dropped.
+	forgotten []job.ID
 }
 
 // simJob is a job and what its caller and its workers have seen of it.
@@ -99,6 +105,8 @@
 	failed map[job.Task]int
 	// alwaysFails is set if every run of the job fails.
 	alwaysFails bool
+	// begun is set once a worker has begun a task.
+	begun bool
 }
 
 // simWorker is one incarnation of a worker.
@@ -147,7 +155,10 @@
 	// committing is set while a commit is in progress.
 	committing bool
 	// known are the workers that the leader has registered.
-	known       map[WorkerID]Entry
+	known map[WorkerID]Entry
+	// given are the jobs that the leader was given as accepted.
+	given       map[job.ID]bool
+	forgotAt    time.Time
 	heartbeatAt time.Time
 	// listedAt is when the leader last listed the hosts.
 	listedAt      time.Time
@@ -233,7 +244,7 @@
 		add(name, pools[name])
 	}
 	add("spare", spare)
-	w.every(simTick, w.expire)
+	w.every(simTick, func() { w.expire(); w.checkWaiting() })
 	w.every(5*simTick, w.watchLongRunning)
 	w.every(100*time.Millisecond, w.elect)
 	w.every(time.Second, w.countPools)
@@ -446,7 +457,11 @@
 		sw.extend(o.DeadlineMs)
 		return sw.answer(NoCapacity)
 	}
+	if w.faults.unhealthy > 0 && w.rng.Float64() < w.faults.unhealthy {
+		return sw.answer(Unhealthy)
+	}
 	w.checkStart(sw, o.Task, j, st)
+	j.begun = true
 	r := &simRun{number: o.Run, job: j, step: st, startedAt: w.now, pace: 100}
 	if !st.LongRunning {
 		r.endsAt = w.now.Add(time.Duration(float64(j.work) * (0.9 + 0.2*w.rng.Float64())))
@@ -465,6 +480,27 @@
 	return free
 }
 
+// checkWaiting checks that no leader counts fewer waiting jobs than it was given: those
+// without times that aren't cancelled and of which no worker has begun a task.
+func (w *world) checkWaiting() {
+	for _, l := range w.leaders {
+		if !l.isUp || l.s.Fenced() {
+			continue
+		}
+		waiting := make(map[string]int)
+		for id := range l.given {
+			if j := w.jobs[id]; j.Times == 0 && j.cancelledAt.IsZero() && !j.begun {
+				waiting[j.Queue]++
+			}
+		}
+		for _, q := range w.configuration.Queues {
+			if n := l.s.QueuedJobs(q.Name); n < waiting[q.Name] {
+				w.violated("MIXED", "leader %d counts %d waiting jobs of %s in place of at least %d", l.epoch, n, q.Name, waiting[q.Name])
+			}
+		}
+	}
+}
+
 // checkStart checks a start against the rules.
 func (w *world) checkStart(sw *simWorker, t job.Task, j *simJob, st job.Step) {
 	if !st.Speculative {
@@ -678,21 +714,18 @@
 func (w *world) takeOver() *simLeader {
 	w.epoch++
 	w.log = append(w.log, simRecord{claim: w.epoch})
-	l := &simLeader{id: len(w.leaders), w: w, epoch: w.epoch, isUp: true, nextRecord: len(w.log), known: make(map[WorkerID]Entry), heartbeatAt: w.now}
+	l := &simLeader{
+		id: len(w.leaders), w: w, epoch: w.epoch, isUp: true, nextRecord: len(w.log), known: make(map[WorkerID]Entry),
+		given: make(map[job.ID]bool), heartbeatAt: w.now, forgotAt: w.now,
+	}
 	cfg := w.cfg
 	cfg.Epoch, cfg.Term = w.epoch, w.epoch-1
 	l.s = New(w.now, cfg)
 	l.s.Configure(w.configuration)
 	r := Restored{Progress: make(map[job.ID]job.Progress), Waves: make(map[int64]WaveProgress)}
-	seen := make(map[job.ID]bool)
-	for _, rec := range w.log {
-		if rec.accepted != nil && !seen[rec.accepted.ID] {
-			seen[rec.accepted.ID] = true
-			r.Jobs = append(r.Jobs, *rec.accepted)
-		}
-		if rec.cancelled != "" {
-			r.Cancelled = append(r.Cancelled, rec.cancelled)
-		}
+	r.Jobs, r.Cancelled = w.newestWork()
+	for _, j := range r.Jobs {
+		l.given[j.ID] = true
 	}
 	for _, key := range sortedKeys(w.stored) {
 		w.restoreRecord(&r, key, w.stored[key])
@@ -706,6 +739,30 @@
 	return l
 }
 
+// newestWork returns the jobs and cancellations whose records are kept in the log.
+func (w *world) newestWork() (jobs []job.Job, cancelled []job.ID) {
+	accepted, isCancelled := newTable[job.ID, job.Job](), newTable[job.ID, bool]()
+	for _, rec := range w.log {
+		if rec.accepted != nil {
+			accepted.put(rec.accepted.ID, *rec.accepted)
+		}
+		if rec.cancelled != "" {
+			isCancelled.put(rec.cancelled, true)
+		}
+		for _, id := range rec.forgotten {
+			accepted.drop(id)
+			isCancelled.drop(id)
+		}
+	}
+	for _, row := range accepted.rows {
+		jobs = append(jobs, row.value)
+	}
+	for _, row := range isCancelled.rows {
+		cancelled = append(cancelled, row.key)
+	}
+	return jobs, cancelled
+}
+
 func (w *world) restoreRecord(r *Restored, key string, value []byte) {
 	switch {
 	case key[:2] == ProgressPrefix:
@@ -762,6 +819,7 @@
 	}
 	startedAt := time.Now()
 	l.s.Tick(w.now, w.wall())
+	l.forget()
 	if !l.committing {
 		l.s.Flush()
 	}
@@ -779,6 +837,25 @@
 	}
 }
 
+// forget drops the records of ended jobs. The append is sent once, may arrive late and is
+// lost while the store can't be reached.
+func (l *simLeader) forget() {
+	w := l.w
+	if w.forgetInterval == 0 || w.now.Sub(l.forgotAt) < w.forgetInterval {
+		return
+	}
+	l.forgotAt = w.now
+	ids := l.s.Forget(w.now)
+	if len(ids) == 0 || !w.storeUp || l.cutFromStore {
+		return
+	}
+	delay := simStoreDelay
+	if w.rng.Float64() < w.faults.late {
+		delay = 2 * time.Second
+	}
+	w.after(delay, func() { w.log = append(w.log, simRecord{forgotten: ids}) })
+}
+
 func (l *simLeader) readLog() {
 	w := l.w
 	for ; l.nextRecord < len(w.log); l.nextRecord++ {
@@ -788,6 +865,7 @@
 			return
 		case rec.accepted != nil:
 			l.s.Accept(w.now, w.wall(), *rec.accepted)
+			l.given[rec.accepted.ID] = true
 		case rec.cancelled != "":
 			l.s.Cancel(w.now, w.wall(), rec.cancelled)
 		}
@@ -999,11 +1077,16 @@
 
 // submit appends an accepted job to the log. work is the mean duration of its runs.
 func (w *world) submit(j job.Job, work time.Duration, alwaysFails bool) {
+	w.addJob(j, work, alwaysFails)
+	w.log = append(w.log, simRecord{accepted: &j})
+}
+
+// addJob adds a job that isn't in the log yet.
+func (w *world) addJob(j job.Job, work time.Duration, alwaysFails bool) {
 	w.jobs[j.ID] = &simJob{
 		Job: j, acceptedAt: w.now, work: work, alwaysFails: alwaysFails, done: make(map[job.Task]bool),
 		endAcknowledged: make(map[job.Task]bool), failed: make(map[job.Task]int),
 	}
-	w.log = append(w.log, simRecord{accepted: &j})
 }
 
 func (w *world) cancel(id job.ID) {
