fix(leader): a reload doesn't move the view past records that it lacks

A reload that held a record stored after its first page moved the view behind it, and the tail, which now goes on from the view, skipped a job that was accepted in between: unknown for the rest of the leader's term, while the view counted as current. The view now never passes the end that the stream had at the first page. A lookup at a superseded leader, which held already, gets its test too.

--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -399,6 +399,75 @@
 	require.EqualValues(t, 1, l.view.nextOffset(), "the marker's offset")
 }
 
+// changingStore is a trimmed store in whose newest records others are stored between two pages.
+type changingStore struct {
+	*trimmedStore
+	between func()
+}
+
+// Newest returns two pages, in the order of their keys.
+func (s *changingStore) Newest(ctx context.Context, stream store.Stream) (store.Page, error) {
+	page, err := s.trimmedStore.Newest(ctx, stream)
+	if err != nil {
+		return page, err
+	}
+	half := len(page.Records) / 2
+	last := page.Records[half-1].Key
+	s.between()
+	second, err := s.trimmedStore.Newest(ctx, stream)
+	page.Records = page.Records[:half:half]
+	for _, r := range second.Records {
+		if r.Key > last {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page, err
+}
+
+// A job that is accepted while the pages of a reload are read is not skipped: a later page
+// has records that lie behind it in the stream.
+func TestReloadMissesNoRecordBetweenPages(t *testing.T) {
+	m := newMemoryStore()
+	l := newLeader(m, &fakeWorkers{}, 5)
+	acceptJob(t, m, jobNumber(10))
+	acceptJob(t, m, jobNumber(20))
+	l.cfg.Store = &changingStore{&trimmedStore{memoryStore: m}, func() {
+		acceptJob(t, m, jobNumber(1))
+		acceptJob(t, m, jobNumber(30))
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = l.tailWork(ctx, 0) }()
+	sch := scheduling.New(time.Now(), l.cfg.Scheduling)
+	isKnown := func(id job.ID) bool {
+		for len(l.events) > 0 {
+			(<-l.events)(sch, time.Now(), 0)
+		}
+		_, _, ok := sch.State(id)
+		return ok
+	}
+	acceptJob(t, m, jobNumber(40))
+	require.Eventually(t, func() bool { return isKnown(jobNumber(40)) }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return isKnown(jobNumber(1)) }, 2*time.Second, time.Millisecond)
+}
+
+// A leader that has not read the marker of a later one doesn't report the later one's job as
+// unknown.
+func TestSupersededLeaderReportsNoJobAsUnknown(t *testing.T) {
+	m := newMemoryStore()
+	l := newLeader(m, &fakeWorkers{}, 5)
+	runLeader(t, l)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := l.Waiting(ctx, "q")
+	require.NoError(t, err)
+	m.set(func() { m.stalled = true })
+	appendRecord(t, m, store.Work, keyLeader, "6")
+	acceptJob(t, m, firstJob)
+	_, err = l.State(ctx, firstJob)
+	require.ErrorIs(t, err, relay.ErrNoLeader)
+}
+
 // brokenTail fails the first read and records where the next one begins.
 type brokenTail struct {
 	*memoryStore
--- a/entry/leader/load.go
+++ b/entry/leader/load.go
@@ -268,7 +268,8 @@
 			return
 		}
 		l.applyWork(r)
-		l.view.advance(r.Offset + 1)
+		// A reload may hold records that were stored while its pages were read, but not all.
+		l.view.advance(min(r.Offset+1, p.Next))
 	}
 	l.view.observe(p, sentAt)
 	l.cfg.Metrics.Observe("work_read_time", l.cfg.Now().Sub(sentAt))
