fix(platform): read a record that is larger than the page

The bound of a read's page, 256 KiB, is also the size of the largest record, and the platform doesn't say that a page may exceed its bound. A read that got no record because the next one didn't fit would have been taken for the end of the stream, for good. The stand-in now returns no page above its bound.

--- a/entry/leader/view_test.go
+++ b/entry/leader/view_test.go
@@ -37,6 +37,7 @@
 		"page short of the end":        {[]read{{store.Page{Records: records(5, 2), Next: 7, End: 9}, at(8)}}, 10 * time.Second, 2, 7},
 		"later page passes that end":   {[]read{{store.Page{Records: records(5, 2), Next: 7, End: 9}, at(7)}, {store.Page{Records: records(7, 2), Next: 9, End: 12}, at(8)}}, 3 * time.Second, 3, 9},
 		"always a page behind":         {[]read{{store.Page{Records: records(5, 2), Next: 7, End: 9}, at(6)}, {store.Page{Records: records(7, 2), Next: 9, End: 11}, at(7)}, {store.Page{Records: records(9, 2), Next: 11, End: 13}, at(8)}, {store.Page{Records: records(11, 2), Next: 13, End: 15}, at(9)}}, 2 * time.Second, 2, 13},
+		"empty page short of the end":  {[]read{{store.Page{Next: 5, End: 9}, at(8)}}, 10 * time.Second, 4, 5},
 		"end not known":                {[]read{{store.Page{Records: records(5, 2), Next: 7}, at(8)}}, 10 * time.Second, 0, 7},
 		"earlier read is handled last": {[]read{{store.Page{Next: 7, End: 7}, at(8)}, {store.Page{Next: 5, End: 5}, at(6)}}, 2 * time.Second, 0, 7},
 	}
--- a/entry/store/store.go
+++ b/entry/store/store.go
@@ -98,7 +98,10 @@
 
 // ReachesEnd reports whether the stream had no records after the page when it was read.
 func (p Page) ReachesEnd() bool {
-	return len(p.Records) == 0 || p.End > 0 && p.Next >= p.End
+	if p.End > 0 {
+		return p.Next >= p.End
+	}
+	return len(p.Records) == 0
 }
 
 // Store is the platform's log.
--- a/standin/estate/log.go
+++ b/standin/estate/log.go
@@ -333,13 +333,14 @@
 }
 
 // encodeFrom encodes the answer to a read: the topic's end and first offset and the records
-// from an offset on, as many as fit in maxBytes, but at least one.
+// from an offset on, as many as fit in maxBytes. A record that doesn't fit by itself isn't
+// returned: the platform doesn't say that a page exceeds its bound.
 func (t *topic) encodeFrom(from int64, maxBytes int) []byte {
 	b := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
 	b = binary.BigEndian.AppendUint64(b, uint64(t.first))
 	for i := from; i < t.end(); i++ {
 		c := t.records[i-t.first]
-		if i > from && len(b)+len(c) > maxBytes {
+		if len(b)+len(c) > maxBytes {
 			break
 		}
 		b = binary.BigEndian.AppendUint32(b, uint32(len(c)))
