fix(relay): short calls are relayed while the direct path gives no answer

Such a call now sends the short calls of the next second through peers, while longer calls, heartbeats and reads among them, go on with the direct path and find out whether it is lost. Found by review.

--- a/entry/relay/store.go
+++ b/entry/relay/store.go
@@ -19,6 +19,9 @@
 	// unreachableAfter is how long calls must be unanswered until the store counts as
 	// unreachable: several times its usual latency.
 	unreachableAfter = 500 * time.Millisecond
+	// shortCall is the time up to which a call is too short to tell a lost path from a slow
+	// one: the timeout of a direct read.
+	shortCall = 900 * time.Millisecond
 	// maxPeersTried bounds the peers tried for a call. A read, which is repeated soon
 	// anyway, tries one.
 	maxPeersTried = 2
@@ -56,7 +59,10 @@
 	// path is tried again.
 	directRetryAt time.Time
 	directDown    bool
-	nextPeer      int
+	// shortRetryAt is the same for short calls, after one that its caller gave up. Longer
+	// calls go on with the direct path.
+	shortRetryAt time.Time
+	nextPeer     int
 	// answeredAt is the time of the last answer on any path. lastCallFailed is set if the
 	// latest call had no answer.
 	answeredAt     time.Time
@@ -68,11 +74,20 @@
 	return &Store{cfg: cfg}
 }
 
-// mayTryDirect reports whether the direct path may be tried.
-func (s *Store) mayTryDirect() bool {
+// mayTryDirect reports whether a call may try the direct path.
+func (s *Store) mayTryDirect(ctx context.Context, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !time.Now().Before(s.directRetryAt)
+	deadline, ok := ctx.Deadline()
+	isShort := ok && deadline.Sub(now) < shortCall
+	return !now.Before(s.directRetryAt) && !(isShort && now.Before(s.shortRetryAt))
+}
+
+// recordGivenUp records a call on the direct path that its caller gave up.
+func (s *Store) recordGivenUp(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shortRetryAt = now.Add(directRetryDelay)
 }
 
 // recordDirect records the outcome of a call on the direct path.
@@ -84,7 +99,7 @@
 	if failed {
 		s.directRetryAt = time.Now().Add(directRetryDelay)
 	} else {
-		s.directRetryAt = time.Time{}
+		s.directRetryAt, s.shortRetryAt = time.Time{}, time.Time{}
 	}
 	s.mu.Unlock()
 	switch {
@@ -136,8 +151,8 @@
 	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown)
 }
 
-// hasEnded reports whether a call's context has ended. The outcome then says nothing about
-// the path, as its caller may just have been in a hurry.
+// hasEnded reports whether a call's context has ended, so that an outcome without an answer
+// tells little about the path.
 func hasEnded(ctx context.Context, now time.Time) bool {
 	deadline, ok := ctx.Deadline()
 	return ctx.Err() != nil || ok && !now.Before(deadline)
@@ -149,9 +164,11 @@
 	defer func() { s.recordOutcome(err) }()
 	err = error(store.ErrUnavailable)
 	mayBeDone := false
-	if s.mayTryDirect() {
+	if s.mayTryDirect(ctx, time.Now()) {
 		out, err = direct()
-		if !isUnanswered(err) || !hasEnded(ctx, time.Now()) {
+		if now := time.Now(); isUnanswered(err) && hasEnded(ctx, now) {
+			s.recordGivenUp(now)
+		} else {
 			s.recordDirect(err)
 		}
 		if !isUnanswered(err) {
--- a/entry/relay/store_test.go
+++ b/entry/relay/store_test.go
@@ -93,6 +93,26 @@
 	require.Equal(t, 1, direct.calls)
 }
 
+// Calls that wait less than the direct path's timeout find a peer all the same while that path
+// gives no answer: one of them waits in vain, the next ones are relayed.
+func TestShortCallsLeaveAnUnansweredPath(t *testing.T) {
+	const calls = 5
+	s := newTestStore(&slowStore{})
+	s.cfg.Peers = func() []Peer { return []Peer{{Name: "b"}} }
+	answered := 0
+	for range calls {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		_, err := withFailover(ctx, s, 1,
+			func() (int, error) { <-ctx.Done(); return 0, store.ErrUnknown },
+			func(Peer) (int, error) { return 1, nil })
+		cancel()
+		if err == nil {
+			answered++
+		}
+	}
+	require.Equal(t, calls-1, answered)
+}
+
 // unresponsiveStore does not answer reads.
 type unresponsiveStore struct{ store.Store }
 
