fix(leader): end with the context although the event queue is full

A leader whose context ended while its queue of 4,096 events was full never returned: its tail waited for a place in the queue, which nobody emptied any more. The host went on as the leader, counted as ready and answered no lookup, nor did it release the leadership. The queue now counts as closed as soon as the scheduler's loop ends, and lookups fail at once. Found by review, not seen in a log.

--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -92,12 +93,14 @@
 
 // Leader runs the scheduler during one epoch.
 type Leader struct {
-	cfg         Config
-	epoch       int64
-	term        int64
-	log         logrus.FieldLogger
-	events      chan event
+	cfg    Config
+	epoch  int64
+	term   int64
+	log    logrus.FieldLogger
+	events chan event
+	// done is closed by closeEvents once events are no longer handled.
 	done        chan struct{}
+	closeEvents func()
 	callQueues  *callQueues
 	heartbeater *election.Heartbeater
 	// committing is set while a commit is being appended; only the scheduler's goroutine
@@ -130,6 +133,7 @@
 		commits: make(chan scheduling.Commit, 1),
 		relist:  make(chan struct{}, 1),
 	}
+	l.closeEvents = sync.OnceFunc(func() { close(l.done) })
 	l.callQueues = newCallQueues(l)
 	l.catchUps = newSharedCall(l.catchUp)
 	l.heartbeater = &election.Heartbeater{
@@ -157,7 +161,7 @@
 // should lead. In the first and last case it releases the leadership, so that the next
 // leader need not wait for the election timeout.
 func (l *Leader) Run(ctx context.Context) error {
-	defer close(l.done)
+	defer l.closeEvents()
 	startedAt := l.cfg.Now()
 	g, gctx := errgroup.WithContext(ctx)
 	// Heartbeats start first, so that no other host claims while a slow store delays the
@@ -255,6 +259,7 @@
 	forgetAt := l.cfg.Now().Add(forgetInterval)
 	gaugesAt := l.cfg.Now()
 	defer l.clearGauges()
+	defer l.closeEvents()
 	for {
 		var beganAt time.Time
 		events := 0
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -625,6 +626,46 @@
 	}
 }
 
+// A leader ends with its context although its event queue is full: its host went on as the
+// leader, without answering lookups.
+func TestLeaderEndsWithFullQueue(t *testing.T) {
+	for i := range 8 {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			t.Parallel()
+			m := newMemoryStore()
+			l := newLeader(m, &fakeWorkers{}, 5)
+			var isHeld atomic.Bool
+			release := make(chan struct{})
+			l.cfg.Wall = func() int64 {
+				if isHeld.Load() {
+					<-release
+				}
+				return time.Now().UnixMilli()
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			result := make(chan error, 1)
+			go func() { result <- l.Run(ctx) }()
+			_, err := l.Waiting(ctx, "q")
+			require.NoError(t, err)
+			m.set(func() { m.pageLimit = 800 })
+			isHeld.Store(true)
+			time.Sleep(5 * tickInterval)
+			for i := range maxQueuedEvents + 1000 {
+				acceptJob(t, m, jobNumber(i))
+			}
+			require.Eventually(t, func() bool { return len(l.events) == maxQueuedEvents }, 20*time.Second, time.Millisecond)
+			cancel()
+			isHeld.Store(false)
+			close(release)
+			select {
+			case <-result:
+			case <-time.After(5 * time.Second):
+				t.Fatal("the leader hasn't ended")
+			}
+		})
+	}
+}
+
 // A start that was queued for too long is not sent, as the state behind the decision may
 // have changed.
 func TestOldStartIsNotSent(t *testing.T) {
