fix(leader): an empty read shows the stream's end as of its wait

Starts are paused while the view lags 1.5 s behind the confirmation of the leadership. The store answers without a record only after the wait, so the view is complete as of then.

--- a/entry/leader/view.go
+++ b/entry/leader/view.go
@@ -57,7 +57,7 @@
 	v.end = max(v.end, p.End)
 	switch {
 	case p.ReachesEnd():
-		v.completeUntil(sentAt)
+		v.completeUntil(sentAt.Add(p.Waited))
 	case v.pendingEnd == 0 && p.End > v.next:
 		v.pendingEnd, v.pendingAt = p.End, sentAt
 	}
--- a/entry/leader/view_test.go
+++ b/entry/leader/view_test.go
@@ -33,6 +33,7 @@
 	}{
 		"nothing read since":           {nil, 10 * time.Second, 0, 5},
 		"empty page":                   {[]read{{store.Page{Next: 5, End: 5}, at(8)}}, 2 * time.Second, 0, 5},
+		"empty page after a wait":      {[]read{{store.Page{Next: 5, End: 5, Waited: time.Second}, at(8)}}, time.Second, 0, 5},
 		"page to the end":              {[]read{{store.Page{Records: records(5, 2), Next: 7, End: 7}, at(8)}}, 2 * time.Second, 0, 7},
 		"page short of the end":        {[]read{{store.Page{Records: records(5, 2), Next: 7, End: 9}, at(8)}}, 10 * time.Second, 2, 7},
 		"later page passes that end":   {[]read{{store.Page{Records: records(5, 2), Next: 7, End: 9}, at(7)}, {store.Page{Records: records(7, 2), Next: 9, End: 12}, at(8)}}, 3 * time.Second, 3, 9},
--- a/entry/store/store.go
+++ b/entry/store/store.go
@@ -94,6 +94,9 @@
 	Next int64
 	// End is the stream's end when the page was read, or 0 if the store didn't say.
 	End int64 `json:",omitempty"`
+	// Waited is how long the store had waited when it answered without a record; 0 if that
+	// isn't known.
+	Waited time.Duration `json:",omitempty"`
 }
 
 // ReachesEnd reports whether the stream had no records after the page when it was read.
