fix(leader): a wave isn't completed from an old view of the publications

The pause of starts and host orders did not regard the operators' stream. Its view now counts like the others. The lag is also measured before all events that a round handles, so that it is not less than that of the scheduler's state.

--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -115,8 +115,9 @@
 	// the reads that bring it up to date.
 	view     streamView
 	catchUps *sharedCall
-	// workersView is the part of the workers' stream that the scheduler has been given.
-	workersView streamView
+	// workersView and operatorView are the parts of the other streams that the scheduler has
+	// been given.
+	workersView, operatorView streamView
 	// confirmedAt is the send time of the latest heartbeat that the store accepted.
 	confirmedAt atomic.Pointer[time.Time]
 	// isSuperseded is set once a later leader's marker was read.
@@ -191,6 +192,7 @@
 	}
 	l.view.observe(store.Page{Next: barrier + 1, End: barrier + 1}, loadedAt)
 	l.workersView.observe(store.Page{Next: from.workers, End: from.workers}, loadedAt)
+	l.operatorView.observe(store.Page{Next: from.operator, End: from.operator}, loadedAt)
 	l.log.WithFields(logrus.Fields{"TookMs": l.cfg.Now().Sub(startedAt).Milliseconds(), "Barrier": barrier}).Info("takeover complete")
 	g.Go(func() error { return l.tailWork(ctx, barrier+1) })
 	g.Go(func() error { return l.tailWorkers(ctx, from.workers) })
@@ -272,10 +274,11 @@
 		case e := <-l.events:
 			beganAt = l.cfg.Now()
 			e(sch, beganAt, l.cfg.Wall())
-			events = 1 + l.drain(sch)
+			events = 1
 		case <-tick.C:
 			beganAt = l.cfg.Now()
 		}
+		events += l.drain(sch)
 		sch.SetViewLag(lag)
 		now := l.cfg.Now()
 		sch.Tick(now, l.cfg.Wall())
@@ -297,14 +300,14 @@
 	}
 }
 
-// viewLag returns how much older the older one of the two views is than the last
-// confirmation of the leadership.
+// viewLag returns how much older the oldest view of a stream is than the last confirmation of
+// the leadership.
 func (l *Leader) viewLag() time.Duration {
 	confirmedAt := l.confirmedAt.Load()
 	if confirmedAt == nil {
 		return 0
 	}
-	return max(l.view.lag(*confirmedAt), l.workersView.lag(*confirmedAt))
+	return max(l.view.lag(*confirmedAt), l.workersView.lag(*confirmedAt), l.operatorView.lag(*confirmedAt))
 }
 
 // observeRound records how long a round of the scheduler took, and the part of it that its
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -123,7 +123,7 @@
 			if stalled {
 				return store.Page{}, store.ErrUnknown
 			}
-			return store.Page{Next: from, End: int64(len(all))}, nil
+			return store.Page{Next: from, End: int64(len(all)), Waited: wait}, nil
 		case <-ctx.Done():
 			return store.Page{}, ctx.Err()
 		}
@@ -626,6 +626,76 @@
 	}
 }
 
+// maintainedHosts lists two hosts and, once allowed, accepts maintenance of the first one.
+type maintainedHosts struct {
+	noHosts
+	isAllowed atomic.Bool
+}
+
+// List returns the hosts.
+func (*maintainedHosts) List(context.Context) ([]scheduling.Host, error) {
+	return []scheduling.Host{{ID: "h1", Pool: "p", State: scheduling.HostUp}, {ID: "h2", Pool: "p", State: scheduling.HostUp}}, nil
+}
+
+// Maintain accepts the first host only.
+func (h *maintainedHosts) Maintain(_ context.Context, o scheduling.Maintain) scheduling.Outcome {
+	if h.isAllowed.Load() && o.Host == "h1" {
+		return scheduling.Accepted
+	}
+	return scheduling.Busy
+}
+
+// waveDecoder decodes the operators' record wave as wave 1 of the hosts in its value, and
+// records a report of its completion.
+type waveDecoder struct {
+	fixedDecoder
+	isCompleted *atomic.Bool
+}
+
+// Publication returns the wave, or the fixed configuration.
+func (d waveDecoder) Publication(r store.Record) (Publication, error) {
+	if r.Key != "wave" {
+		return d.fixedDecoder.Publication(r)
+	}
+	w := scheduling.Wave{Number: 1, Duration: time.Minute, MaxCount: 2}
+	for _, h := range strings.Split(string(r.Value), ",") {
+		w.Hosts = append(w.Hosts, scheduling.HostID(h))
+	}
+	return Publication{Wave: &w}, nil
+}
+
+// WaveStatus records a completion.
+func (d waveDecoder) WaveStatus(w scheduling.ReportWave) (store.Record, error) {
+	if w.Completed {
+		d.isCompleted.Store(true)
+	}
+	return store.Record{Key: "k"}, nil
+}
+
+// A wave is not reported as completed by a leader that can't read that operators have added a
+// host to it.
+func TestWaveIsNotCompletedFromAnOldView(t *testing.T) {
+	m, clock, hosts := newMemoryStore(), &skippingClock{}, &maintainedHosts{}
+	appendRecord(t, m, store.Operator, "config", "x")
+	appendRecord(t, m, store.Operator, "wave", "h1")
+	l := newLeaderWithClock(m, &fakeWorkers{}, 5, clock.now)
+	var isCompleted atomic.Bool
+	l.cfg.Decoder, l.cfg.Hosts = waveDecoder{isCompleted: &isCompleted}, hosts
+	l.cfg.Scheduling.PreviousHeartbeatAge = -1
+	runLeader(t, l)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, err := l.Waiting(ctx, "q")
+	require.NoError(t, err)
+	m.set(func() { m.failing = store.Operator })
+	appendRecord(t, m, store.Operator, "wave", "h1,h2")
+	clock.skip(5 * time.Second)
+	// The hosts are listed, and a heartbeat confirms the leadership, after the skip.
+	time.Sleep(listInterval + 500*time.Millisecond)
+	hosts.isAllowed.Store(true)
+	require.Never(t, isCompleted.Load, 3*time.Second, 10*time.Millisecond)
+}
+
 // A leader ends with its context although its event queue is full: its host went on as the
 // leader, without answering lookups.
 func TestLeaderEndsWithFullQueue(t *testing.T) {
--- a/entry/leader/load.go
+++ b/entry/leader/load.go
@@ -384,11 +384,12 @@
 }
 
 func (l *Leader) tailOperator(ctx context.Context, from int64) error {
-	apply := func(p store.Page, _ time.Time) {
+	apply := func(p store.Page, sentAt time.Time) {
 		l.enqueue(func(sch *scheduling.Scheduler, now time.Time, wall int64) {
 			l.applyOperator(sch, now, wall, p.Records)
 			l.applyWaves(sch, now, wall, p.Records)
 		})
+		l.operatorView.observe(p, sentAt)
 	}
 	return l.tail(ctx, streamTail{stream: store.Operator, from: from, apply: apply, reload: apply})
 }
--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -61,8 +61,8 @@
 	// maxHostProofAge is the maximum age of the last confirmation of leadership for an
 	// order for a host: two heartbeats. Such an order has no lease that would expire.
 	maxHostProofAge = time.Second
-	// maxViewLag is how far the leader's view of accepted jobs and workers may lag behind the
-	// confirmation of its leadership while it starts tasks and orders hosts. Cancellations and
+	// maxViewLag is how far the leader's view of accepted jobs, workers and publications may
+	// lag behind the confirmation of its leadership while it starts tasks and orders hosts. Cancellations and
 	// draining workers must take effect within 2 to 4 s.
 	maxViewLag = 1500 * time.Millisecond
 	// retryGap is the delay before an unanswered order is sent again.
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -58,8 +58,8 @@
 	inheritedUntil time.Time
 	// leaderConfirmedAt is when the leadership of this host was last confirmed.
 	leaderConfirmedAt time.Time
-	// viewLag is how much older the view of accepted jobs and workers is than the last
-	// confirmation of leadership.
+	// viewLag is how much older the view of accepted jobs, workers and publications is than
+	// the last confirmation of leadership.
 	viewLag time.Duration
 	// startedAt is when this leader took over.
 	startedAt time.Time
@@ -182,8 +182,8 @@
 	}
 }
 
-// SetViewLag tells how much older the view of accepted jobs and workers is than the last
-// confirmation of leadership. Both age together while the store is away, when nothing can be
+// SetViewLag tells how much older the view of accepted jobs, workers and publications is than
+// the last confirmation of leadership. Both age together while the store is away, when nothing can be
 // cancelled either. If only the view ages, what it lacks may forbid a start or a move, so none
 // is ordered until it is current again.
 func (s *Scheduler) SetViewLag(lag time.Duration) {
