test(scheduling): no order of any kind from an old view

A review's mutations showed that two of the three places that heed the age of the view had no test: the repeated start and the move of a host, which is in the incident's own timeline. Each of the three mutations now fails its case.

--- a/fleet/scheduling/scheduler_test.go
+++ b/fleet/scheduling/scheduler_test.go
@@ -56,3 +56,42 @@
 	now = now.Add(maxPlacementGap)
 	require.True(t, round(0), "a round that takes no time needs no rest")
 }
+
+// With an old view nothing is ordered that an unread cancellation, draining or job may forbid:
+// no start, no repeated start that had no answer, and no move of a host to another pool.
+func TestNoOrdersFromAnOldView(t *testing.T) {
+	const oldView, currentView = maxViewLag + time.Millisecond, maxViewLag
+	t.Run("start", func(t *testing.T) {
+		h := newHarness(t, 1)
+		h.s.SetViewLag(oldView)
+		h.job(1, "")
+		require.Empty(t, h.tick())
+		h.s.SetViewLag(currentView)
+		require.Len(t, h.tick(), 1)
+	})
+	t.Run("repeated start", func(t *testing.T) {
+		s, now := readyScheduler(t)
+		s.Accept(now, 0, testJob(1))
+		now = now.Add(placementInterval)
+		s.Tick(now, 0)
+		ordered := starts(s.TakeActions())
+		require.Len(t, ordered, 1)
+		st := ordered[0]
+		s.Started(now, st.Worker, st.Task, st.Run, Answer{Outcome: Unknown})
+		s.SetViewLag(oldView)
+		now = now.Add(retryGap)
+		s.Tick(now, 0)
+		require.Empty(t, starts(s.TakeActions()))
+		s.SetViewLag(currentView)
+		now = now.Add(retryGap)
+		s.Tick(now, 0)
+		require.Len(t, starts(s.TakeActions()), 1)
+	})
+	t.Run("move", func(t *testing.T) {
+		s, now := newLeader(t, "")
+		s.SetViewLag(oldView)
+		require.Empty(t, firstMoves(s, now, 4*time.Second))
+		s.SetViewLag(currentView)
+		require.NotEmpty(t, firstMoves(s, now.Add(4*time.Second), 4*time.Second))
+	})
+}
