feat(scheduling): log how long placement took

That placement fills the leader's processor was inferred from the number of evaluations. The line that has it now also has the duration of the rounds.

--- a/fleet/scheduling/demand.go
+++ b/fleet/scheduling/demand.go
@@ -171,8 +171,8 @@
 		return
 	}
 	s.nextPoolLog = now.Add(poolLogInterval)
-	s.logDecision("placement", "", "Looks", s.evaluations)
-	s.evaluations = 0
+	s.logDecision("placement", "", "Looks", s.evaluations, "TookMs", s.placementTook.Milliseconds())
+	s.evaluations, s.placementTook = 0, 0
 	for _, p := range pools {
 		hosts, idle, free := 0, 0, job.Resources{}
 		for _, w := range s.workers.all() {
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -70,8 +70,10 @@
 	hostOrderBudgetAt time.Time
 	// nextBalance is when pools are next compared with their demand.
 	nextBalance time.Time
-	// evaluations counts the workers evaluated for a task since the pools were last logged.
-	evaluations int
+	// evaluations counts the workers evaluated for a task, and placementTook sums the duration
+	// of placement rounds, since the pools were last logged.
+	evaluations   int
+	placementTook time.Duration
 	// placedAt is when the last placement round began, and placementRestUntil the end of the
 	// rest after it. isPlacing is set until EndTick is told the end of the round.
 	placedAt, placementRestUntil time.Time
@@ -344,7 +346,9 @@
 		return
 	}
 	s.isPlacing = false
-	s.placementRestUntil = now.Add(min(placementRest*now.Sub(s.placedAt), maxPlacementRest))
+	took := now.Sub(s.placedAt)
+	s.placementTook += took
+	s.placementRestUntil = now.Add(min(placementRest*took, maxPlacementRest))
 }
 
 // Forget drops ended jobs in two steps. Once a job's end is stored, it drops the job's text
