refactor(standin): plain wording of the simulated platform

Cause: names and comments told a list, took an append and refused with a why; rest, from, told, grown, only and begun did not say what they hold. Comments name what a field holds, what an epoch fences and which commands have no effect. Tests keep their cases and assertions under plainer names. Paths, JSON fields, statuses and error answers are unchanged.

--- a/standin/platform/fleet.go
+++ b/standin/platform/fleet.go
@@ -9,10 +9,10 @@
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 )
 
-// DrainState is how far a host is in being drained and rebooted.
+// DrainState is the state of a host while it is drained and rebooted.
 type DrainState string
 
-// The states of a host in the platform's pools.
+// The drain states of a host.
 const (
 	Admitted  DrainState = "Admitted"
 	Draining  DrainState = "Draining"
@@ -20,10 +20,10 @@
 	Rebooting DrainState = "Rebooting"
 )
 
-// TaskState is how far a task is.
+// TaskState is the state of a task on a worker.
 type TaskState string
 
-// The states of a task on a worker.
+// The states of a task.
 const (
 	TaskRunning      TaskState = "Running"
 	TaskThrottled    TaskState = "Throttled"
@@ -35,68 +35,73 @@
 
 // StartTask is the request to start a task under a lease.
 type StartTask struct {
-	// Epoch fences: a worker refuses a lower one than it has seen for tasks.
+	// Epoch fences the command: a worker rejects an epoch lower than the highest that it
+	// has seen in commands to its tasks.
 	Epoch int64
-	// Boot is the number of restarts after which the worker is expected to be.
+	// Boot is the expected number of the worker's restarts. The worker rejects the start if
+	// it differs.
 	Boot int
-	// Term is how long the lease holds without being renewed.
+	// Term is the duration of the lease, unless it is renewed.
 	Term time.Duration
-	// Size is what the task may use.
+	// Size is the resources that the task reserves.
 	Size inventory.Size
-	// RunTime is how long the stand-in lets the task run.
+	// RunTime is how long the task runs, unless Command sets another duration.
 	RunTime time.Duration
+	// Command is what the task executes. "run DURATION" sets the run time, "fail" makes the
+	// task fail at its start.
 	Command string
-	// Resume is the task whose checkpoint this one goes on from.
+	// Resume is the ID of the task from whose checkpoint this one continues.
 	Resume string
 }
 
-// Task is a task on a worker.
+// Task is the state of a task on a worker.
 type Task struct {
 	ID    string
 	State TaskState
 	Epoch int64
 	Size  inventory.Size
-	// Until is when the lease lapses.
+	// Until is when the lease expires.
 	Until time.Time
-	// Ends is when the task is done by itself.
+	// Ends is when the task completes unless it is stopped.
 	Ends time.Time
-	// Starts counts how often the task was executed.
+	// Starts is the number of times that the task was executed.
 	Starts int
-	// Peak is the most that the task really used.
+	// Peak is the peak usage of the task.
 	Peak inventory.Size
-	// Used is the processor time so far, in thousandths of a core times
-	// milliseconds.
+	// Used is the processor time so far, in millicore-milliseconds.
 	Used int64
-	// from is the moment up to which Used is counted.
-	from time.Time
+	// usedUntil is the time up to which Used is counted.
+	usedUntil time.Time
 }
 
-// Worker is a worker with its tasks, and its host's state in the platform's pools.
+// Worker is the state of a worker, its tasks and its host.
 type Worker struct {
 	Facts inventory.WorkerInfo
+	// State is the drain state of the host.
 	State DrainState
 	// TaskEpoch is the highest epoch seen in any command to a task.
 	TaskEpoch int64
 	// HostEpoch is the highest epoch seen in any command to the host.
 	HostEpoch int64
-	// Reboot is the identity of the last reboot that began.
+	// Reboot is the ID of the last reboot that began.
 	Reboot string
-	// Reboots counts completed reboots.
+	// Reboots is the number of completed reboots.
 	Reboots int
-	// Back is when a running reboot ends.
-	Back  time.Time
+	// Back is when the reboot in progress ends.
+	Back time.Time
+	// Tasks holds the tasks by ID, including those that ended.
 	Tasks map[string]*Task
-	// usage is what the worker's tasks used, by the moments of its reports.
+	// usage records the worker's usage reports.
 	usage usageMeter
 }
 
-// Fleet is all workers. It is safe for concurrent use.
+// Fleet holds the state of all workers. It is safe for concurrent use.
 type Fleet struct {
 	mu      sync.Mutex
 	workers map[inventory.WorkerID]*Worker
 	// RebootTime is how long a reboot takes.
 	RebootTime time.Duration
-	// UsageDelay is how old a usage report is.
+	// UsageDelay is the minimum age of a usage report in an answer.
 	UsageDelay time.Duration
 }
 
@@ -105,27 +110,27 @@
 	return &Fleet{workers: make(map[inventory.WorkerID]*Worker), RebootTime: time.Second, UsageDelay: time.Second}
 }
 
-// Put adds a worker.
-func (f *Fleet) Put(facts inventory.WorkerInfo) {
+// Put adds a worker, or replaces the one of the same ID and its tasks.
+func (f *Fleet) Put(info inventory.WorkerInfo) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[facts.ID] = &Worker{Facts: facts, State: Admitted, Tasks: make(map[string]*Task)}
+	f.workers[info.ID] = &Worker{Facts: info, State: Admitted, Tasks: make(map[string]*Task)}
 }
 
-// Workers returns copies of all workers, in order of their names.
+// Workers returns copies of all workers, sorted by ID.
 func (f *Fleet) Workers(now time.Time) []Worker {
-	return f.workersThat(now, func(*Worker) bool { return true })
+	return f.selectWorkers(now, func(*Worker) bool { return true })
 }
 
-// workersThat returns copies of the workers that are wanted, in order of their
-// names. Only these are copied.
-func (f *Fleet) workersThat(now time.Time, isWanted func(w *Worker) bool) []Worker {
+// selectWorkers returns copies of the workers that match, sorted by ID. It copies no other
+// worker.
+func (f *Fleet) selectWorkers(now time.Time, matches func(w *Worker) bool) []Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Worker
 	for _, w := range f.workers {
 		w.advance(now, false)
-		if !isWanted(w) {
+		if !matches(w) {
 			continue
 		}
 		c := *w
@@ -140,8 +145,9 @@
 	return out
 }
 
-// advance moves tasks and reboots on to the moment.
-func (w *Worker) advance(now time.Time, lapse bool) {
+// advance brings tasks, reboots and drains up to date. If expireLeases is set, the leases of
+// all running tasks expire now.
+func (w *Worker) advance(now time.Time, expireLeases bool) {
 	if w.State == Admitted && len(w.Tasks) == 0 {
 		return
 	}
@@ -151,7 +157,7 @@
 	}
 	running := 0
 	for _, t := range w.Tasks {
-		t.advance(now, lapse)
+		t.advance(now, expireLeases)
 		if t.State == TaskRunning || t.State == TaskThrottled {
 			running++
 		}
@@ -161,7 +167,8 @@
 	}
 }
 
-func (t *Task) advance(now time.Time, lapse bool) {
+// advance brings the state and the usage of a running task up to date.
+func (t *Task) advance(now time.Time, expireLease bool) {
 	if t.State != TaskRunning && t.State != TaskThrottled {
 		return
 	}
@@ -169,23 +176,26 @@
 	if !t.Ends.After(now) {
 		end, state = t.Ends, TaskDone
 	}
-	if lapse || !t.Until.After(end) {
+	if expireLease || !t.Until.After(end) {
 		if t.Until.Before(end) {
 			end = t.Until
 		}
 		state = TaskStopped
 	}
-	if end.After(t.from) {
-		t.Used += int64(t.reserved().Cores) * end.Sub(t.from).Milliseconds()
-		t.from = end
+	if end.After(t.usedUntil) {
+		t.Used += int64(t.reserved().Cores) * end.Sub(t.usedUntil).Milliseconds()
+		t.usedUntil = end
 	}
 	t.State = state
 }
 
-// command is a change of a worker's task or host under an epoch.
+// command is the body of a command to a task or host.
 type command struct {
+	// Epoch fences the command.
 	Epoch int64
-	Term  time.Duration `json:",omitempty"`
-	// Reboot is the identity of a reboot. One that was begun is not begun again.
+	// Term is the duration of a renewed lease.
+	Term time.Duration `json:",omitempty"`
+	// Reboot is the ID of a reboot. A repeated command with the ID of the host's last reboot
+	// has no effect.
 	Reboot string `json:",omitempty"`
 }
--- a/standin/platform/hostlist.go
+++ b/standin/platform/hostlist.go
@@ -7,40 +7,41 @@
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 )
 
-// HostList is the platform's list of hosts, told with a delay.
+// HostList is the platform's list of hosts, whose changes become visible after a delay. It is
+// safe for concurrent use.
 type HostList struct {
 	mu sync.Mutex
-	// delay is how old the told list is at least.
+	// delay is the minimum age of a visible change.
 	delay time.Duration
 	hosts map[inventory.HostID]inventory.ListedHost
-	// told is the list as it is told now; pending ones become visible in order
-	// once they are delay old.
-	told    inventory.HostList
+	// visible is the version that readers see. Pending versions replace it in order, each
+	// after the delay.
+	visible inventory.HostList
 	pending []inventory.HostList
-	// past are the last lists that were told, oldest first.
-	past    []inventory.HostList
+	// history holds the versions that were visible before, oldest first.
+	history []inventory.HostList
 	version int64
 }
 
-// maxPast is how many lists back an update can be told.
-const maxPast = 64
+// maxHistory is the number of former versions for which an incremental update is available.
+const maxHistory = 64
 
-// NewHostList returns an empty list.
+// NewHostList returns an empty list with the delay.
 func NewHostList(delay time.Duration) *HostList {
 	return &HostList{delay: delay, hosts: make(map[inventory.HostID]inventory.ListedHost)}
 }
 
-// Put lists a host, or changes what is listed.
+// Put adds hosts, or replaces those of the same ID.
 func (l *HostList) Put(now time.Time, hosts ...inventory.ListedHost) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, h := range hosts {
 		l.hosts[h.ID] = h
 	}
-	l.record(now)
+	l.addVersion(now)
 }
 
-// SetState changes the state of a listed host.
+// SetState changes the state of a host. It has no effect on a host that isn't listed.
 func (l *HostList) SetState(now time.Time, id inventory.HostID, state inventory.HostState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -50,18 +51,19 @@
 	}
 	h.State = state
 	l.hosts[id] = h
-	l.record(now)
+	l.addVersion(now)
 }
 
-// Remove takes a host off the list.
+// Remove removes a host from the list.
 func (l *HostList) Remove(now time.Time, id inventory.HostID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.hosts, id)
-	l.record(now)
+	l.addVersion(now)
 }
 
-func (l *HostList) record(now time.Time) {
+// addVersion adds the current hosts as a pending version.
+func (l *HostList) addVersion(now time.Time) {
 	l.version++
 	list := inventory.HostList{At: now, Version: l.version}
 	for _, h := range l.hosts {
@@ -70,39 +72,39 @@
 	l.pending = append(l.pending, list)
 }
 
-// List returns the list as it is told at the moment. A frozen list does not move on.
+// List returns the list that is visible now. A frozen list stays at its last version.
 func (l *HostList) List(now time.Time, frozen bool) inventory.HostList {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if frozen {
-		return l.told
+		return l.visible
 	}
 	for len(l.pending) > 0 && now.Sub(l.pending[0].At) >= l.delay {
-		l.past = append(l.past, l.told)
-		l.past = l.past[max(0, len(l.past)-maxPast):]
-		l.told = l.pending[0]
+		l.history = append(l.history, l.visible)
+		l.history = l.history[max(0, len(l.history)-maxHistory):]
+		l.visible = l.pending[0]
 		l.pending = l.pending[1:]
 	}
-	told := l.told
+	list := l.visible
 	if len(l.pending) == 0 {
-		told.At = now.Add(-l.delay)
+		list.At = now.Add(-l.delay)
 	}
-	return told
+	return list
 }
 
-// Update returns what brings somebody with the version up to date: the whole list
-// if the version is unknown.
+// Update returns the changes since the version, or the whole list if the version isn't in the
+// history.
 func (l *HostList) Update(now time.Time, frozen bool, version int64) inventory.HostListUpdate {
-	told := l.List(now, frozen)
-	if told.Version == version {
-		return inventory.HostListUpdate{At: told.At, Version: version}
+	list := l.List(now, frozen)
+	if list.Version == version {
+		return inventory.HostListUpdate{At: list.At, Version: version}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, p := range l.past {
-		if p.Version == version && version > 0 {
-			return told.UpdateFrom(p)
+	for _, previous := range l.history {
+		if previous.Version == version && version > 0 {
+			return list.UpdateFrom(previous)
 		}
 	}
-	return inventory.HostListUpdate{At: told.At, Version: told.Version, Whole: true, Hosts: told.Hosts}
+	return inventory.HostListUpdate{At: list.At, Version: list.Version, Whole: true, Hosts: list.Hosts}
 }
--- a/standin/platform/log.go
+++ b/standin/platform/log.go
@@ -1,5 +1,5 @@
-// Package platform stands in for the platform's services over plain HTTP with
-// JSON in Pascal case: log streams, the host list, workers and pools of hosts.
+// Package platform simulates the platform's services for the product's own path over plain
+// HTTP with JSON in Pascal case: log streams, the host list, workers and pools of hosts.
 package platform
 
 import (
@@ -8,33 +8,34 @@
 	"time"
 )
 
-// logRecord is one kept record.
+// logRecord is a record of a stream and the time of its append.
 type logRecord struct {
 	at   time.Time
 	body json.RawMessage
 }
 
-// logStream is one append-only stream. The offset of records[0] is oldest.
+// logStream is an append-only stream.
 type logStream struct {
+	// oldest is the offset of records[0].
 	oldest  int64
 	records []logRecord
-	// grown is closed and replaced by each append.
-	grown chan struct{}
+	// appended is closed and replaced by each append.
+	appended chan struct{}
 }
 
-// Log is an append-only log of streams with limited retention.
+// Log is a set of append-only streams with limited retention. It is safe for concurrent use.
 type Log struct {
 	mu      sync.Mutex
 	streams map[string]*logStream
-	// retention is the number of records that each stream keeps at least; 0
-	// keeps all.
+	// retention is the number of records that each stream keeps; 0 keeps all.
 	retention int
-	// appendsPerSecond is the largest number of append calls that are taken in
-	// one second; 0 means no limit.
+	// appendsPerSecond is the maximum number of append calls in one second; 0 means no
+	// limit.
 	appendsPerSecond int
-	second           int64
-	appends          int
-	total            int64
+	// appendsInSecond is the number of append calls in currentSecond, in Unix time.
+	currentSecond   int64
+	appendsInSecond int
+	totalAppends    int64
 }
 
 // NewLog returns an empty log.
@@ -42,19 +43,19 @@
 	return &Log{streams: make(map[string]*logStream), retention: retention, appendsPerSecond: appendsPerSecond}
 }
 
-// Appends returns the number of append calls taken so far.
+// Appends returns the number of append calls accepted so far.
 func (l *Log) Appends() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.total
+	return l.totalAppends
 }
 
-// Append adds records in order and returns the offset of the first. It returns
-// false when the log has taken all appends of this second.
+// Append adds records in order and returns the offset of the first. It returns false if the
+// limit of append calls in this second is reached.
 func (l *Log) Append(now time.Time, name string, bodies []json.RawMessage) (int64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.admit(now) {
+	if !l.allowAppend(now) {
 		return 0, false
 	}
 	s := l.stream(name)
@@ -66,57 +67,59 @@
 		s.records = append([]logRecord(nil), s.records[drop:]...)
 		s.oldest += int64(drop)
 	}
-	close(s.grown)
-	s.grown = make(chan struct{})
+	close(s.appended)
+	s.appended = make(chan struct{})
 	return first, true
 }
 
-func (l *Log) admit(now time.Time) bool {
-	if s := now.Unix(); s != l.second {
-		l.second, l.appends = s, 0
+// allowAppend reports whether another append call is allowed in this second, and counts it.
+func (l *Log) allowAppend(now time.Time) bool {
+	if s := now.Unix(); s != l.currentSecond {
+		l.currentSecond, l.appendsInSecond = s, 0
 	}
-	if l.appendsPerSecond > 0 && l.appends >= l.appendsPerSecond {
+	if l.appendsPerSecond > 0 && l.appendsInSecond >= l.appendsPerSecond {
 		return false
 	}
-	l.appends++
-	l.total++
+	l.appendsInSecond++
+	l.totalAppends++
 	return true
 }
 
+// stream returns the stream of the name and creates it if it doesn't exist.
 func (l *Log) stream(name string) *logStream {
 	s, ok := l.streams[name]
 	if !ok {
-		s = &logStream{grown: make(chan struct{})}
+		s = &logStream{appended: make(chan struct{})}
 		l.streams[name] = s
 	}
 	return s
 }
 
-// Batch is the answer to a read.
+// Batch is the result of a read.
 type Batch struct {
 	// First is the offset of Records[0].
 	First int64
-	// End is the offset behind the last record of the stream.
+	// End is the offset after the last record of the stream.
 	End int64
-	// Oldest is the offset of the oldest record that is kept.
+	// Oldest is the offset of the oldest retained record.
 	Oldest  int64
 	Records []json.RawMessage
 }
 
-// Read returns up to limit records from the offset on, and a channel that is
-// closed when the stream grows.
+// Read returns up to limit records from the offset on, and a channel that is closed at the
+// next append to the stream.
 func (l *Log) Read(name string, from int64, limit int) (Batch, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	b := Batch{First: from, End: s.oldest + int64(len(s.records)), Oldest: s.oldest, Records: []json.RawMessage{}}
-	for o := max(from, s.oldest); o < b.End && len(b.Records) < limit; o++ {
-		b.Records = append(b.Records, s.records[o-s.oldest].body)
+	for offset := max(from, s.oldest); offset < b.End && len(b.Records) < limit; offset++ {
+		b.Records = append(b.Records, s.records[offset-s.oldest].body)
 	}
-	return b, s.grown
+	return b, s.appended
 }
 
-// Forget drops all records of a stream below the offset, as retention does.
+// Forget deletes all records of a stream below the offset, as retention does.
 func (l *Log) Forget(name string, below int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/standin/platform/pools.go
+++ b/standin/platform/pools.go
@@ -8,12 +8,13 @@
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 )
 
-// PoolHost is a host as the platform's pools tell of it.
+// PoolHost is the state of a host in the answers of the pools service.
 type PoolHost struct {
-	ID     inventory.HostID
-	State  DrainState
+	ID    inventory.HostID
+	State DrainState
+	// Reboot is the ID of the last reboot that began.
 	Reboot string `json:",omitempty"`
-	// Reboots counts completed reboots.
+	// Reboots is the number of completed reboots.
 	Reboots int `json:",omitempty"`
 }
 
@@ -21,63 +22,65 @@
 	return PoolHost{ID: w.Facts.ID.Host(), State: w.State, Reboot: w.Reboot, Reboots: w.Reboots}
 }
 
-// handlePools lists hosts, or takes a command to one host.
-func (p *Platform) handlePools(ctx *fasthttp.RequestCtx, rest []string) {
+// handlePools lists hosts or executes a command to one host.
+func (p *Platform) handlePools(ctx *fasthttp.RequestCtx, segments []string) {
 	switch {
-	case len(rest) == 1 && rest[0] == "hosts":
+	case len(segments) == 1 && segments[0] == "hosts":
 		p.listPoolHosts(ctx)
-	case len(rest) == 3 && rest[0] == "hosts":
-		p.commandHost(ctx, inventory.WorkerID(rest[1]), rest[2])
+	case len(segments) == 3 && segments[0] == "hosts":
+		p.handleHostCommand(ctx, inventory.WorkerID(segments[1]), segments[2])
 	default:
-		refuse(ctx, fasthttp.StatusNotFound, "want /pools/hosts or /pools/hosts/{Host}/{drain|reboot|admit}")
+		writeError(ctx, fasthttp.StatusNotFound, "want /pools/hosts or /pools/hosts/{Host}/{drain|reboot|admit}")
 	}
 }
 
-// listPoolHosts lists the hosts in the state that the query State names, or else
-// all that are not admitted.
+// listPoolHosts answers with the hosts in the state of the query parameter State, or with all
+// that are not admitted if it is absent.
 func (p *Platform) listPoolHosts(ctx *fasthttp.RequestCtx) {
-	only := DrainState(ctx.QueryArgs().Peek("State"))
+	state := DrainState(ctx.QueryArgs().Peek("State"))
 	hosts := []PoolHost{}
 	isListed := func(w *Worker) bool {
-		return w.State == only || (only == "" && w.State != Admitted)
+		return w.State == state || (state == "" && w.State != Admitted)
 	}
-	for _, w := range p.Fleet.workersThat(p.now(), isListed) {
+	for _, w := range p.Fleet.selectWorkers(p.now(), isListed) {
 		hosts = append(hosts, w.poolHost())
 	}
-	answer(ctx, fasthttp.StatusOK, hosts)
+	writeJSON(ctx, fasthttp.StatusOK, hosts)
 }
 
-func (p *Platform) commandHost(ctx *fasthttp.RequestCtx, id inventory.WorkerID, verb string) {
+// handleHostCommand drains, reboots or admits a host. A command that doesn't apply to the
+// host's state has no effect; the answer shows the state.
+func (p *Platform) handleHostCommand(ctx *fasthttp.RequestCtx, id inventory.WorkerID, verb string) {
 	var c command
 	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
-		refuse(ctx, fasthttp.StatusBadRequest, "not a command")
+		writeError(ctx, fasthttp.StatusBadRequest, "not a command")
 		return
 	}
 	p.Fleet.mu.Lock()
 	defer p.Fleet.mu.Unlock()
 	w, ok := p.Fleet.workers[id]
 	if !ok {
-		refuse(ctx, fasthttp.StatusNotFound, "no such host")
+		writeError(ctx, fasthttp.StatusNotFound, "no such host")
 		return
 	}
 	now := p.now()
 	w.advance(now, false)
 	if c.Epoch < w.HostEpoch {
-		refuse(ctx, fasthttp.StatusConflict, "older epoch")
+		writeError(ctx, fasthttp.StatusConflict, "older epoch")
 		return
 	}
 	w.HostEpoch = c.Epoch
-	begun := c.Reboot != "" && c.Reboot == w.Reboot
+	isRepeated := c.Reboot != "" && c.Reboot == w.Reboot
 	switch {
 	case verb == "drain" && w.State == Admitted:
 		w.State = Draining
 		w.advance(now, false)
-	case verb == "reboot" && w.State == Drained && !begun:
+	case verb == "reboot" && w.State == Drained && !isRepeated:
 		w.State = Rebooting
 		w.Reboot = c.Reboot
 		w.Back = now.Add(p.Fleet.RebootTime)
 	case verb == "admit" && w.State != Rebooting:
 		w.State = Admitted
 	}
-	answer(ctx, fasthttp.StatusOK, w.poolHost())
+	writeJSON(ctx, fasthttp.StatusOK, w.poolHost())
 }
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -12,29 +12,30 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Limits of the stand-in's interface.
+// Limits of requests.
 const (
-	// MaxReadRecords bounds the records of one read.
+	// MaxReadRecords is the maximum number of records of one read.
 	MaxReadRecords = 1000
-	// MaxWait bounds how long a read waits for new records.
+	// MaxWait is the maximum time that a read waits for new records.
 	MaxWait = 30 * time.Second
-	// maxBody bounds a request's body, in bytes.
-	maxBody = 32 << 20
+	// maxBodySize is the maximum size of a request's body, in bytes.
+	maxBodySize = 32 << 20
 )
 
-// Options say how the platform behaves.
+// Options configure a platform.
 type Options struct {
 	// Retention is the number of records that each stream keeps; 0 keeps all.
 	Retention int
-	// AppendsPerSecond bounds append calls; 0 means no limit.
+	// AppendsPerSecond is the maximum number of append calls in one second; 0 means no
+	// limit.
 	AppendsPerSecond int
-	// ListDelay is how late the host list is.
+	// ListDelay is the delay after which changes of the host list become visible.
 	ListDelay time.Duration
-	// Now is the platform's clock.
+	// Now is the platform's clock; nil means time.Now.
 	Now func() time.Time
 }
 
-// Platform is the stand-in for all services of the platform.
+// Platform simulates all services of the platform.
 type Platform struct {
 	Log    *Log
 	Hosts  *HostList
@@ -61,15 +62,15 @@
 func (p *Platform) Serve(l net.Listener) error {
 	s := &fasthttp.Server{
 		Handler:               p.Handle,
-		MaxRequestBodySize:    maxBody,
+		MaxRequestBodySize:    maxBodySize,
 		NoDefaultServerHeader: true,
 		Name:                  "platform",
 	}
 	return s.Serve(l)
 }
 
-// Handle answers one request. Faults of the target named by the first segment
-// of the path apply to it.
+// Handle answers one request. The first segment of the path is the target whose faults apply
+// to the request. The fault AnswerLost doesn't apply to reads.
 func (p *Platform) Handle(ctx *fasthttp.RequestCtx) {
 	segments := strings.Split(strings.Trim(string(ctx.Path()), "/"), "/")
 	target := segments[0]
@@ -78,7 +79,7 @@
 		return
 	}
 	if _, ok := p.Faults.Use(fault.Down, target); ok {
-		drop(ctx)
+		closeConnection(ctx)
 		return
 	}
 	if f, ok := p.Faults.Use(fault.Slow, target); ok {
@@ -89,26 +90,27 @@
 		return
 	}
 	if _, ok := p.Faults.Use(fault.AnswerLost, target); ok {
-		drop(ctx)
+		closeConnection(ctx)
 	}
 }
 
-func (p *Platform) route(ctx *fasthttp.RequestCtx, target string, rest []string) {
+// route calls the handler of the target with the remaining segments of the path.
+func (p *Platform) route(ctx *fasthttp.RequestCtx, target string, segments []string) {
 	switch target {
 	case "log":
-		p.handleLog(ctx, rest)
+		p.handleLog(ctx, segments)
 	case "hosts":
 		p.handleHosts(ctx, target)
 	case "workers":
-		p.handleWorkers(ctx, rest)
+		p.handleWorkers(ctx, segments)
 	case "pools":
-		p.handlePools(ctx, rest)
+		p.handlePools(ctx, segments)
 	default:
-		refuse(ctx, fasthttp.StatusNotFound, "no such service")
+		writeError(ctx, fasthttp.StatusNotFound, "no such service")
 	}
 }
 
-// handleHosts tells the host list, or lists a host that the body describes.
+// handleHosts answers with the host list, or adds the host in the body to it.
 func (p *Platform) handleHosts(ctx *fasthttp.RequestCtx, target string) {
 	if string(ctx.Method()) == fasthttp.MethodPost {
 		p.listHost(ctx)
@@ -116,17 +118,17 @@
 	}
 	_, frozen := p.Faults.Use(fault.StaleList, target)
 	known, _ := strconv.ParseInt(string(ctx.QueryArgs().Peek("Known")), 10, 64)
-	answer(ctx, fasthttp.StatusOK, p.Hosts.Update(p.now(), frozen, known))
+	writeJSON(ctx, fasthttp.StatusOK, p.Hosts.Update(p.now(), frozen, known))
 }
 
 func (p *Platform) listHost(ctx *fasthttp.RequestCtx) {
 	var h inventory.ListedHost
 	if err := json.Unmarshal(ctx.PostBody(), &h); err != nil || h.ID == "" || h.Role == "" || h.State == "" {
-		refuse(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Role\":...,\"State\":...}")
+		writeError(ctx, fasthttp.StatusBadRequest, "want {\"ID\":...,\"Role\":...,\"State\":...}")
 		return
 	}
 	p.Hosts.Put(p.now(), h)
-	answer(ctx, fasthttp.StatusOK, h)
+	writeJSON(ctx, fasthttp.StatusOK, h)
 }
 
 // appendRequest is the body of an append.
@@ -139,55 +141,55 @@
 	First int64
 }
 
-func (p *Platform) handleLog(ctx *fasthttp.RequestCtx, rest []string) {
-	if len(rest) != 3 || rest[0] != "streams" || rest[2] != "records" {
-		refuse(ctx, fasthttp.StatusNotFound, "want /log/streams/{Stream}/records")
+func (p *Platform) handleLog(ctx *fasthttp.RequestCtx, segments []string) {
+	if len(segments) != 3 || segments[0] != "streams" || segments[2] != "records" {
+		writeError(ctx, fasthttp.StatusNotFound, "want /log/streams/{Stream}/records")
 		return
 	}
 	if string(ctx.Method()) == fasthttp.MethodPost {
-		p.appendRecords(ctx, rest[1])
+		p.appendRecords(ctx, segments[1])
 		return
 	}
-	p.readRecords(ctx, rest[1])
+	p.readRecords(ctx, segments[1])
 }
 
 func (p *Platform) appendRecords(ctx *fasthttp.RequestCtx, stream string) {
 	var r appendRequest
 	if err := json.Unmarshal(ctx.PostBody(), &r); err != nil || len(r.Records) == 0 {
-		refuse(ctx, fasthttp.StatusBadRequest, "want {\"Records\":[...]}")
+		writeError(ctx, fasthttp.StatusBadRequest, "want {\"Records\":[...]}")
 		return
 	}
 	first, ok := p.Log.Append(p.now(), stream, r.Records)
 	if !ok {
-		refuse(ctx, fasthttp.StatusTooManyRequests, "too many appends in this second")
+		writeError(ctx, fasthttp.StatusTooManyRequests, "too many appends in this second")
 		return
 	}
-	answer(ctx, fasthttp.StatusOK, appendAnswer{First: first})
+	writeJSON(ctx, fasthttp.StatusOK, appendAnswer{First: first})
 }
 
 func (p *Platform) readRecords(ctx *fasthttp.RequestCtx, stream string) {
 	from, err := strconv.ParseInt(string(ctx.QueryArgs().Peek("From")), 10, 64)
 	if err != nil || from < 0 {
-		refuse(ctx, fasthttp.StatusBadRequest, "From is not an offset")
+		writeError(ctx, fasthttp.StatusBadRequest, "From is not an offset")
 		return
 	}
 	limit := min(max(ctx.QueryArgs().GetUintOrZero("Max"), 1), MaxReadRecords)
 	wait := min(time.Duration(ctx.QueryArgs().GetUintOrZero("WaitMilliseconds"))*time.Millisecond, MaxWait)
-	b, grown := p.Log.Read(stream, from, limit)
+	b, appended := p.Log.Read(stream, from, limit)
 	if len(b.Records) == 0 && wait > 0 && from >= b.Oldest {
 		t := time.NewTimer(wait)
 		defer t.Stop()
 		select {
-		case <-grown:
+		case <-appended:
 		case <-t.C:
 		}
 		b, _ = p.Log.Read(stream, from, limit)
 	}
 	if from < b.Oldest {
-		answer(ctx, fasthttp.StatusGone, b)
+		writeJSON(ctx, fasthttp.StatusGone, b)
 		return
 	}
-	answer(ctx, fasthttp.StatusOK, b)
+	writeJSON(ctx, fasthttp.StatusOK, b)
 }
 
 func (p *Platform) handleFaults(ctx *fasthttp.RequestCtx) {
@@ -195,26 +197,26 @@
 	case fasthttp.MethodPost:
 		var f fault.Fault
 		if err := json.Unmarshal(ctx.PostBody(), &f); err != nil || f.Kind == "" {
-			refuse(ctx, fasthttp.StatusBadRequest, "want {\"Kind\":...,\"Target\":...,\"Count\":...,\"Delay\":...}")
+			writeError(ctx, fasthttp.StatusBadRequest, "want {\"Kind\":...,\"Target\":...,\"Count\":...,\"Delay\":...}")
 			return
 		}
 		p.Faults.Set(f)
 	case fasthttp.MethodDelete:
 		p.Faults.Clear()
 	}
-	answer(ctx, fasthttp.StatusOK, p.Faults.List())
+	writeJSON(ctx, fasthttp.StatusOK, p.Faults.List())
 }
 
-// drop closes the connection without an answer.
-func drop(ctx *fasthttp.RequestCtx) {
+// closeConnection closes the connection without an answer.
+func closeConnection(ctx *fasthttp.RequestCtx) {
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
 }
 
-func answer(ctx *fasthttp.RequestCtx, status int, body any) {
+func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
 	b, err := json.Marshal(body)
 	if err != nil {
-		refuse(ctx, fasthttp.StatusInternalServerError, err.Error())
+		writeError(ctx, fasthttp.StatusInternalServerError, err.Error())
 		return
 	}
 	ctx.SetStatusCode(status)
@@ -222,11 +224,11 @@
 	ctx.SetBody(b)
 }
 
-// refusal is the body of an answer that says what was wrong.
-type refusal struct {
+// errorAnswer is the body of an answer to a rejected request.
+type errorAnswer struct {
 	Error string
 }
 
-func refuse(ctx *fasthttp.RequestCtx, status int, why string) {
-	answer(ctx, status, refusal{Error: why})
+func writeError(ctx *fasthttp.RequestCtx, status int, message string) {
+	writeJSON(ctx, status, errorAnswer{Error: message})
 }
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -13,7 +13,7 @@
 	"github.com/godwitcross/godwitcross/standin/fault"
 )
 
-// clock is a platform's clock that a test moves.
+// clock is a manual clock of a platform.
 type clock struct{ now time.Time }
 
 func newPlatform(o Options) (*Platform, *clock) {
@@ -60,11 +60,11 @@
 	require.Equal(t, int64(1), b.Oldest)
 	require.Equal(t, 200, do(t, p, "GET", "/log/streams/S/records?From=1&Max=2", nil, &b))
 	require.Equal(t, Batch{First: 1, End: 4, Oldest: 1, Records: []json.RawMessage{json.RawMessage("2"), json.RawMessage("3")}}, b)
-	require.Equal(t, 200, do(t, p, "GET", "/log/streams/T/records?From=0&Max=2", nil, &b), "streams are apart")
+	require.Equal(t, 200, do(t, p, "GET", "/log/streams/T/records?From=0&Max=2", nil, &b), "streams are independent")
 	require.Empty(t, b.Records)
 }
 
-func TestLogTakesSoManyAppendsASecond(t *testing.T) {
+func TestLogLimitsAppendsPerSecond(t *testing.T) {
 	p, c := newPlatform(Options{AppendsPerSecond: 2})
 	for _, want := range []int{200, 200, 429} {
 		require.Equal(t, want, do(t, p, "POST", "/log/streams/S/records", records(1), nil))
@@ -73,13 +73,13 @@
 	require.Equal(t, 200, do(t, p, "POST", "/log/streams/S/records", records(1), nil))
 }
 
-func TestFaultsOfTheLog(t *testing.T) {
+func TestLogFaults(t *testing.T) {
 	tests := map[string]struct {
 		kind fault.Kind
 		kept int
 	}{
-		"down has no effect":                   {fault.Down, 0},
-		"a lost answer comes after the effect": {fault.AnswerLost, 1},
+		"down has no effect":               {fault.Down, 0},
+		"a lost answer follows the effect": {fault.AnswerLost, 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -88,12 +88,12 @@
 			do(t, p, "POST", "/log/streams/S/records", records(1), nil)
 			b, _ := p.Log.Read("S", 0, 10)
 			require.Len(t, b.Records, test.kept)
-			require.Empty(t, p.Faults.List(), "the fault shows once")
+			require.Empty(t, p.Faults.List(), "the fault occurs once")
 		})
 	}
 }
 
-func TestHostListIsLateAndMayFreeze(t *testing.T) {
+func TestHostListIsDelayedAndCanFreeze(t *testing.T) {
 	p, c := newPlatform(Options{ListDelay: time.Second})
 	p.Hosts.Put(c.now, inventory.ListedHost{ID: "h1", State: inventory.HostLive})
 	var l inventory.HostList
@@ -120,18 +120,18 @@
 	}
 	var task Task
 	require.Equal(t, 200, do(t, p, "POST", "/workers/w1/tasks/j1", start(2), &task))
-	require.Equal(t, 200, do(t, p, "POST", "/workers/w1/tasks/j1", start(2), &task), "a repeat is answered alike")
+	require.Equal(t, 200, do(t, p, "POST", "/workers/w1/tasks/j1", start(2), &task), "a repeated start gets the same answer")
 	require.Equal(t, 1, task.Starts)
-	require.Equal(t, 409, do(t, p, "POST", "/workers/w1/tasks/j2", start(1), nil), "an older epoch is refused")
+	require.Equal(t, 409, do(t, p, "POST", "/workers/w1/tasks/j2", start(1), nil), "an older epoch is rejected")
 	require.Equal(t, 507, do(t, p, "POST", "/workers/w1/tasks/j3", StartTask{Epoch: 2, Term: 1, Size: inventory.Size{Cores: 2001}}, nil))
 	c.now = c.now.Add(5 * time.Second)
 	var w Worker
 	do(t, p, "GET", "/workers/w1", nil, &w)
 	require.Equal(t, TaskDone, w.Tasks["j1"].State)
-	require.Equal(t, int64(2000*3000), w.Tasks["j1"].Used, "use ends with the task")
+	require.Equal(t, int64(2000*3000), w.Tasks["j1"].Used, "usage ends with the task")
 }
 
-func TestLeaseThatLapsesStopsTheTask(t *testing.T) {
+func TestExpiredLeaseStopsTask(t *testing.T) {
 	p, c := newPlatform(Options{})
 	p.Fleet.Put(inventory.WorkerInfo{ID: "w1", Size: inventory.Size{Cores: 4000}})
 	do(t, p, "POST", "/workers/w1/tasks/j1", StartTask{Epoch: 1, Term: time.Second, RunTime: time.Minute}, nil)
@@ -141,7 +141,7 @@
 	require.Equal(t, TaskStopped, w.Tasks["j1"].State)
 }
 
-func TestHostDrainsBeforeItReboots(t *testing.T) {
+func TestHostDrainsBeforeReboot(t *testing.T) {
 	p, c := newPlatform(Options{})
 	p.Fleet.Put(inventory.WorkerInfo{ID: "w1", Size: inventory.Size{Cores: 4000}})
 	do(t, p, "POST", "/workers/w1/tasks/j1", StartTask{Epoch: 1, Term: time.Minute, RunTime: 5 * time.Second}, nil)
@@ -150,7 +150,7 @@
 		do(t, p, "POST", "/pools/hosts/w1/"+verb, command{Epoch: 1}, &w)
 		return w.State
 	}
-	require.Equal(t, Admitted, state("reboot"), "a host with work does not reboot")
+	require.Equal(t, Admitted, state("reboot"), "a host that is not drained does not reboot")
 	require.Equal(t, Draining, state("drain"))
 	require.Equal(t, 503, do(t, p, "POST", "/workers/w1/tasks/j2", StartTask{Epoch: 1, Term: time.Minute}, nil))
 	c.now = c.now.Add(6 * time.Second)
--- a/standin/platform/task.go
+++ b/standin/platform/task.go
@@ -11,37 +11,38 @@
 	"github.com/godwitcross/godwitcross/standin/fault"
 )
 
-func (p *Platform) handleWorkers(ctx *fasthttp.RequestCtx, rest []string) {
-	if len(rest) == 0 {
+// handleWorkers answers with workers or their usage, or executes a command to a worker's tasks.
+func (p *Platform) handleWorkers(ctx *fasthttp.RequestCtx, segments []string) {
+	if len(segments) == 0 {
 		p.listWorkers(ctx)
 		return
 	}
-	_, lapse := p.Faults.Use(fault.LeaseLapse, rest[0])
+	_, expireLeases := p.Faults.Use(fault.LeaseLapse, segments[0])
 	p.Fleet.mu.Lock()
 	defer p.Fleet.mu.Unlock()
-	w, ok := p.Fleet.workers[inventory.WorkerID(rest[0])]
+	w, ok := p.Fleet.workers[inventory.WorkerID(segments[0])]
 	if !ok {
-		refuse(ctx, fasthttp.StatusNotFound, "no such worker")
+		writeError(ctx, fasthttp.StatusNotFound, "no such worker")
 		return
 	}
-	w.advance(p.now(), lapse)
+	w.advance(p.now(), expireLeases)
 	switch {
-	case len(rest) == 1:
-		answer(ctx, fasthttp.StatusOK, w)
-	case len(rest) == 2 && rest[1] == "renew":
+	case len(segments) == 1:
+		writeJSON(ctx, fasthttp.StatusOK, w)
+	case len(segments) == 2 && segments[1] == "renew":
 		p.renewTasks(ctx, w)
-	case len(rest) == 2 && rest[1] == "usage":
-		p.reportUsage(ctx, w)
-	case len(rest) == 3 && rest[1] == "tasks":
-		p.startTask(ctx, w, rest[2])
-	case len(rest) == 4 && rest[1] == "tasks":
-		p.commandTask(ctx, w, rest[2], rest[3])
+	case len(segments) == 2 && segments[1] == "usage":
+		p.listUsageReports(ctx, w)
+	case len(segments) == 3 && segments[1] == "tasks":
+		p.startTask(ctx, w, segments[2])
+	case len(segments) == 4 && segments[1] == "tasks":
+		p.handleTaskCommand(ctx, w, segments[2], segments[3])
 	default:
-		refuse(ctx, fasthttp.StatusNotFound, "want /workers/{Worker}/tasks/{Task}")
+		writeError(ctx, fasthttp.StatusNotFound, "want /workers/{Worker}/tasks/{Task}")
 	}
 }
 
-// listWorkers answers with all workers or those of one data centre.
+// listWorkers answers with all workers, or those of the query parameter DataCentre.
 func (p *Platform) listWorkers(ctx *fasthttp.RequestCtx) {
 	dc := inventory.DataCentreID(ctx.QueryArgs().Peek("DataCentre"))
 	out := []Worker{}
@@ -50,24 +51,25 @@
 			out = append(out, w)
 		}
 	}
-	answer(ctx, fasthttp.StatusOK, out)
+	writeJSON(ctx, fasthttp.StatusOK, out)
 }
 
-// checkEpoch refuses commands under an older epoch than the worker has seen.
+// checkEpoch rejects a command with a lower epoch than the worker has seen, and reports
+// whether it accepted the command.
 func (w *Worker) checkEpoch(ctx *fasthttp.RequestCtx, epoch int64) bool {
 	if epoch < w.TaskEpoch {
-		refuse(ctx, fasthttp.StatusConflict, "older epoch")
+		writeError(ctx, fasthttp.StatusConflict, "older epoch")
 		return false
 	}
 	w.TaskEpoch = epoch
 	return true
 }
 
-// renewTasks prolongs the leases of all tasks and answers with the worker.
+// renewTasks renews the leases of all running tasks and answers with the worker.
 func (p *Platform) renewTasks(ctx *fasthttp.RequestCtx, w *Worker) {
 	var c command
 	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
-		refuse(ctx, fasthttp.StatusBadRequest, "not a command")
+		writeError(ctx, fasthttp.StatusBadRequest, "not a command")
 		return
 	}
 	if !w.checkEpoch(ctx, c.Epoch) {
@@ -78,14 +80,14 @@
 			t.Until, t.Epoch = p.now().Add(c.Term), c.Epoch
 		}
 	}
-	answer(ctx, fasthttp.StatusOK, w)
+	writeJSON(ctx, fasthttp.StatusOK, w)
 }
 
 func (t *Task) isRunning() bool {
 	return t.State == TaskRunning || t.State == TaskThrottled
 }
 
-// reserved is what the task takes of its worker. A throttled one takes half the
+// reserved returns the resources that the task reserves. A throttled task reserves half of its
 // cores.
 func (t *Task) reserved() inventory.Size {
 	s := t.Size
@@ -95,55 +97,58 @@
 	return s
 }
 
+// startTask starts a task. Repeating the start of a task that isn't checkpointed has no effect
+// and is answered with the task's state.
 func (p *Platform) startTask(ctx *fasthttp.RequestCtx, w *Worker, id string) {
 	var s StartTask
 	if err := json.Unmarshal(ctx.PostBody(), &s); err != nil || s.Term <= 0 {
-		refuse(ctx, fasthttp.StatusBadRequest, "not a task")
+		writeError(ctx, fasthttp.StatusBadRequest, "not a task")
 		return
 	}
 	if !w.checkEpoch(ctx, s.Epoch) {
 		return
 	}
 	if t, ok := w.Tasks[id]; ok && t.State != TaskCheckpointed {
-		answer(ctx, fasthttp.StatusOK, t)
+		writeJSON(ctx, fasthttp.StatusOK, t)
 		return
 	}
 	if s.Boot != w.Reboots {
-		refuse(ctx, fasthttp.StatusConflict, "the worker has restarted since")
+		writeError(ctx, fasthttp.StatusConflict, "the worker has restarted since")
 		return
 	}
 	if w.State != Admitted {
-		refuse(ctx, fasthttp.StatusServiceUnavailable, "host takes no tasks")
+		writeError(ctx, fasthttp.StatusServiceUnavailable, "host takes no tasks")
 		return
 	}
-	used := inventory.Size{}
+	reserved := inventory.Size{}
 	for _, t := range w.Tasks {
 		if t.isRunning() {
-			used = used.Add(t.reserved())
+			reserved = reserved.Add(t.reserved())
 		}
 	}
-	if !used.Add(s.Size).FitsIn(w.Facts.Size) {
-		refuse(ctx, fasthttp.StatusInsufficientStorage, "no room")
+	if !reserved.Add(s.Size).FitsIn(w.Facts.Size) {
+		writeError(ctx, fasthttp.StatusInsufficientStorage, "no room")
 		return
 	}
-	answer(ctx, fasthttp.StatusOK, p.runTask(w, id, s))
+	writeJSON(ctx, fasthttp.StatusOK, p.runTask(w, id, s))
 }
 
+// runTask adds a running task to the worker.
 func (p *Platform) runTask(w *Worker, id string, s StartTask) *Task {
 	now := p.now()
 	runTime := s.RunTime
-	// A command "run 300ms" says how long the task really runs.
+	// A command such as "run 300ms" sets the run time.
 	if text, ok := strings.CutPrefix(s.Command, "run "); ok {
 		if d, err := time.ParseDuration(text); err == nil {
 			runTime = d
 		}
 	}
-	if old := p.Fleet.checkpointed(s.Resume); old != nil {
-		runTime = old.Ends.Sub(old.from)
+	if checkpoint := p.Fleet.checkpointedTask(s.Resume); checkpoint != nil {
+		runTime = checkpoint.Ends.Sub(checkpoint.usedUntil)
 	}
-	t := &Task{ID: id, State: TaskRunning, Epoch: s.Epoch, Size: s.Size, Peak: s.Size, Until: now.Add(s.Term), Ends: now.Add(runTime), from: now}
-	if old, ok := w.Tasks[id]; ok {
-		t.Starts, t.Used = old.Starts, old.Used
+	t := &Task{ID: id, State: TaskRunning, Epoch: s.Epoch, Size: s.Size, Peak: s.Size, Until: now.Add(s.Term), Ends: now.Add(runTime), usedUntil: now}
+	if previous, ok := w.Tasks[id]; ok {
+		t.Starts, t.Used = previous.Starts, previous.Used
 	}
 	t.Starts++
 	if _, ok := p.Faults.Use(fault.FailTasks, string(w.Facts.ID)); ok || s.Command == "fail" {
@@ -153,8 +158,9 @@
 	return t
 }
 
-// checkpointed returns a checkpointed task of any worker; nil if there is none.
-func (f *Fleet) checkpointed(id string) *Task {
+// checkpointedTask returns the checkpointed task of the ID on any worker, or nil if there is
+// none.
+func (f *Fleet) checkpointedTask(id string) *Task {
 	for _, w := range f.workers {
 		if t, ok := w.Tasks[id]; ok && t.State == TaskCheckpointed {
 			return t
@@ -163,10 +169,12 @@
 	return nil
 }
 
-func (p *Platform) commandTask(ctx *fasthttp.RequestCtx, w *Worker, id, verb string) {
+// handleTaskCommand renews, checkpoints, throttles or stops a task. It has no effect on a task
+// that isn't running.
+func (p *Platform) handleTaskCommand(ctx *fasthttp.RequestCtx, w *Worker, id, verb string) {
 	var c command
 	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
-		refuse(ctx, fasthttp.StatusBadRequest, "not a command")
+		writeError(ctx, fasthttp.StatusBadRequest, "not a command")
 		return
 	}
 	if !w.checkEpoch(ctx, c.Epoch) {
@@ -174,12 +182,13 @@
 	}
 	t, ok := w.Tasks[id]
 	if !ok && verb == "stop" {
-		// Stopping a task that was never started keeps a late start from running it.
+		// Recording the stop of a task that was never started prevents a delayed start from
+		// running it.
 		t, ok = &Task{ID: id, State: TaskStopped, Epoch: c.Epoch}, true
 		w.Tasks[id] = t
 	}
 	if !ok {
-		refuse(ctx, fasthttp.StatusNotFound, "no such task")
+		writeError(ctx, fasthttp.StatusNotFound, "no such task")
 		return
 	}
 	switch {
@@ -193,5 +202,5 @@
 	case verb == "stop":
 		t.State = TaskStopped
 	}
-	answer(ctx, fasthttp.StatusOK, t)
+	writeJSON(ctx, fasthttp.StatusOK, t)
 }
--- a/standin/platform/task_test.go
+++ b/standin/platform/task_test.go
@@ -12,7 +12,7 @@
 	"github.com/godwitcross/godwitcross/standin/fault"
 )
 
-// worker is a platform with one worker, in virtual time.
+// worker is a platform with one worker and a manual clock.
 type worker struct {
 	t   *testing.T
 	p   *Platform
@@ -46,27 +46,27 @@
 	return w.call("POST", "/workers/w/tasks/"+id, s, nil)
 }
 
-func TestWhatAWorkerPromisesOfTasks(t *testing.T) {
-	t.Run("a task that was stopped before it came is never run", func(t *testing.T) {
+func TestWorkerTaskGuarantees(t *testing.T) {
+	t.Run("a task that is stopped before its start never runs", func(t *testing.T) {
 		w := newWorker(t)
 		var stopped, started Task
 		require.Equal(t, fasthttp.StatusOK, w.call("POST", "/workers/w/tasks/j.1/stop", command{Epoch: 2}, &stopped))
 		require.Equal(t, fasthttp.StatusOK, w.call("POST", "/workers/w/tasks/j.1", StartTask{Epoch: 2, Term: time.Minute}, &started))
 		require.Zero(t, started.Starts)
 	})
-	t.Run("an older epoch is refused, of a host's command it is not", func(t *testing.T) {
+	t.Run("epochs of task commands do not fence host commands", func(t *testing.T) {
 		w := newWorker(t)
 		require.Equal(t, fasthttp.StatusOK, w.start("j.1", StartTask{Epoch: 5}))
 		require.Equal(t, fasthttp.StatusConflict, w.start("j.2", StartTask{Epoch: 4}))
 		require.Equal(t, fasthttp.StatusOK, w.call("POST", "/pools/hosts/w/drain", command{Epoch: 1}, nil))
 	})
-	t.Run("a start decided before a restart is refused", func(t *testing.T) {
+	t.Run("a start for an earlier restart count is rejected", func(t *testing.T) {
 		w := newWorker(t)
 		w.p.Fleet.workers["w"].Reboots = 1
 		require.Equal(t, fasthttp.StatusConflict, w.start("j.1", StartTask{Epoch: 1}))
 		require.Equal(t, fasthttp.StatusOK, w.start("j.1", StartTask{Epoch: 1, Boot: 1}))
 	})
-	t.Run("a renewal prolongs all leases", func(t *testing.T) {
+	t.Run("a renewal extends all leases", func(t *testing.T) {
 		w := newWorker(t)
 		w.start("j.1", StartTask{Epoch: 1})
 		w.now = w.now.Add(50 * time.Second)
@@ -78,13 +78,13 @@
 	})
 }
 
-func TestUsageReportsAreLateRepeatedOrMissing(t *testing.T) {
+func TestUsageReportsAreDelayedRepeatedOrMissing(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		kind fault.Kind
 		want []int64
 	}{
-		{"late by the delay", "", []int64{0, 1_000_000}},
+		{"delayed", "", []int64{0, 1_000_000}},
 		{"repeated", fault.UsageRepeated, []int64{0, 1_000_000, 0, 1_000_000}},
 		{"missing", fault.UsageMissing, []int64{0}},
 	} {
@@ -98,10 +98,10 @@
 			if c.kind != "" {
 				w.p.Faults.Set(fault.Fault{Kind: c.kind, Target: "w", Count: 1})
 			}
-			var told []UsageReport
-			require.Equal(t, fasthttp.StatusOK, w.call("GET", "/workers/w/usage", nil, &told))
+			var reports []UsageReport
+			require.Equal(t, fasthttp.StatusOK, w.call("GET", "/workers/w/usage", nil, &reports))
 			var used []int64
-			for _, r := range told {
+			for _, r := range reports {
 				used = append(used, r.Used)
 			}
 			require.Equal(t, c.want, used)
--- a/standin/platform/usage.go
+++ b/standin/platform/usage.go
@@ -8,29 +8,28 @@
 	"github.com/godwitcross/godwitcross/standin/fault"
 )
 
-// UsageInterval is the time between two of a worker's reports.
+// UsageInterval is the time between two usage reports of a worker.
 const UsageInterval = time.Second
 
-// maxReports is how many reports a worker keeps.
+// maxReports is the number of reports that a worker keeps.
 const maxReports = 64
 
-// UsageReport is what a worker's tasks used up to a moment.
+// UsageReport is the cumulative usage of a worker's tasks.
 type UsageReport struct {
-	// Boot is the number of restarts; counters begin again at 0 with each.
+	// Boot is the number of restarts; each resets the counters to 0.
 	Boot int
 	// At is the end of the interval.
 	At time.Time
-	// Used counts processor time since the restart, in thousandths of a core
-	// times milliseconds.
+	// Used is the processor time since the restart, in millicore-milliseconds.
 	Used int64
 }
 
-// usageMeter makes a worker's reports.
+// usageMeter records a worker's usage reports.
 type usageMeter struct {
 	reports []UsageReport
 }
 
-// record adds a report if the last one is an interval old.
+// record adds a report unless there is one for the current interval.
 func (m *usageMeter) record(now time.Time, boot int, used int64) {
 	at := now.Truncate(UsageInterval)
 	if n := len(m.reports); n > 0 && !at.After(m.reports[n-1].At) {
@@ -42,26 +41,26 @@
 	}
 }
 
-// reportUsage answers with the reports that are old enough to be told. The
-// fault UsageMissing leaves out the last one, UsageRepeated tells each twice.
-func (p *Platform) reportUsage(ctx *fasthttp.RequestCtx, w *Worker) {
+// listUsageReports answers with the reports that are at least UsageDelay old. The fault
+// UsageMissing omits the last one, UsageRepeated sends each twice.
+func (p *Platform) listUsageReports(ctx *fasthttp.RequestCtx, w *Worker) {
 	now := p.now()
 	used := int64(0)
 	for _, t := range w.Tasks {
 		used += t.Used
 	}
 	w.usage.record(now, w.Reboots, used)
-	told := []UsageReport{}
+	reports := []UsageReport{}
 	for _, r := range w.usage.reports {
 		if now.Sub(r.At) >= p.Fleet.UsageDelay {
-			told = append(told, r)
+			reports = append(reports, r)
 		}
 	}
-	if _, ok := p.Faults.Use(fault.UsageMissing, string(w.Facts.ID)); ok && len(told) > 0 {
-		told = told[:len(told)-1]
+	if _, ok := p.Faults.Use(fault.UsageMissing, string(w.Facts.ID)); ok && len(reports) > 0 {
+		reports = reports[:len(reports)-1]
 	}
 	if _, ok := p.Faults.Use(fault.UsageRepeated, string(w.Facts.ID)); ok {
-		told = append(told, told...)
+		reports = append(reports, reports...)
 	}
-	answer(ctx, fasthttp.StatusOK, told)
+	writeJSON(ctx, fasthttp.StatusOK, reports)
 }
