refactor(standin): plain wording of the deployment in one process

Comments say what each function returns or waits for. Tests keep their cases and assertions under plainer names. File names, certificate names and the sample are unchanged.

--- a/standin/deployment/authority.go
+++ b/standin/deployment/authority.go
@@ -19,28 +19,28 @@
 	"github.com/godwitcross/godwitcross/entry/settings"
 )
 
-// certificateLife is how long the certificates of the stand-in authority hold.
-const certificateLife = time.Hour
+// certificateLifetime is how long a certificate is valid after it is issued.
+const certificateLifetime = time.Hour
 
-// Authority stands in for the authority that signs the certificates of entry
-// hosts and operators. Its files lie in a folder of its own.
+// Authority simulates the certificate authority that signs the certificates of entry hosts
+// and operators. It writes certificates and keys as PEM files.
 type Authority struct {
-	folder string
+	dir    string
 	cert   *x509.Certificate
 	key    *ecdsa.PrivateKey
 	serial int64
 }
 
-// NewAuthority returns an authority that writes into the folder.
-func NewAuthority(folder string, now time.Time) (*Authority, error) {
+// NewAuthority returns an authority that writes its files into the directory.
+func NewAuthority(dir string, now time.Time) (*Authority, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
-		return nil, eris.Wrap(err, "making the authority's key")
+		return nil, eris.Wrap(err, "generating the authority's key")
 	}
-	a := &Authority{folder: folder, key: key, serial: 1}
+	a := &Authority{dir: dir, key: key, serial: 1}
 	a.cert = &x509.Certificate{
 		SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: "Stand-in authority"},
-		NotBefore: now.Add(-time.Minute), NotAfter: now.Add(certificateLife),
+		NotBefore: now.Add(-time.Minute), NotAfter: now.Add(certificateLifetime),
 		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
 	}
 	der, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &key.PublicKey, key)
@@ -48,65 +48,68 @@
 		return nil, eris.Wrap(err, "signing the authority's certificate")
 	}
 	if a.cert, err = x509.ParseCertificate(der); err != nil {
-		return nil, eris.Wrap(err, "reading the authority's certificate")
+		return nil, eris.Wrap(err, "parsing the authority's certificate")
 	}
-	return a, a.write("authority.pem", "CERTIFICATE", der)
+	return a, a.writePEM("authority.pem", "CERTIFICATE", der)
 }
 
-// Issue writes a certificate for the name and the loopback address, and its
-// key, and returns where they lie.
+// Issue writes a certificate for the name and the loopback address, and its key. It returns
+// the settings of a listener that uses them.
 func (a *Authority) Issue(name string, now time.Time) (settings.Listener, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
-		return settings.Listener{}, eris.Wrapf(err, "making the key of %s", name)
+		return settings.Listener{}, eris.Wrapf(err, "generating the key of %s", name)
 	}
 	a.serial++
 	der, err := x509.CreateCertificate(rand.Reader, &x509.Certificate{
 		SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: name},
 		DNSNames: []string{name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		NotBefore: now.Add(-time.Minute), NotAfter: now.Add(certificateLife),
+		NotBefore: now.Add(-time.Minute), NotAfter: now.Add(certificateLifetime),
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}, a.cert, &key.PublicKey, a.key)
 	if err != nil {
 		return settings.Listener{}, eris.Wrapf(err, "signing the certificate of %s", name)
 	}
-	private, err := x509.MarshalPKCS8PrivateKey(key)
+	encodedKey, err := x509.MarshalPKCS8PrivateKey(key)
 	if err != nil {
 		return settings.Listener{}, eris.Wrapf(err, "encoding the key of %s", name)
 	}
-	if err := a.write(name+".pem", "CERTIFICATE", der); err != nil {
+	if err := a.writePEM(name+".pem", "CERTIFICATE", der); err != nil {
 		return settings.Listener{}, err
 	}
-	if err := a.write(name+"-key.pem", "PRIVATE KEY", private); err != nil {
+	if err := a.writePEM(name+"-key.pem", "PRIVATE KEY", encodedKey); err != nil {
 		return settings.Listener{}, err
 	}
-	return settings.Listener{Transport: settings.TransportTLS, Certificate: a.source(name + ".pem"), Key: a.source(name + "-key.pem"), Authority: a.source("authority.pem")}, nil
+	return settings.Listener{Transport: settings.TransportTLS, Certificate: a.fileSource(name + ".pem"), Key: a.fileSource(name + "-key.pem"), Authority: a.fileSource("authority.pem")}, nil
 }
 
-// Client returns the configuration of a client that bears the name.
+// Client issues a certificate for the name and returns the TLS configuration of a client that
+// presents it.
 func (a *Authority) Client(name string, now time.Time) (*tls.Config, error) {
 	if _, err := a.Issue(name, now); err != nil {
 		return nil, err
 	}
-	pair, err := tls.LoadX509KeyPair(filepath.Join(a.folder, name+".pem"), filepath.Join(a.folder, name+"-key.pem"))
+	pair, err := tls.LoadX509KeyPair(filepath.Join(a.dir, name+".pem"), filepath.Join(a.dir, name+"-key.pem"))
 	if err != nil {
 		return nil, eris.Wrapf(err, "loading the certificate of %s", name)
 	}
 	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: a.Pool(), Certificates: []tls.Certificate{pair}}, nil
 }
 
-// Pool returns the authority as clients trust it.
+// Pool returns a certificate pool that trusts the authority.
 func (a *Authority) Pool() *x509.CertPool {
 	p := x509.NewCertPool()
 	p.AddCert(a.cert)
 	return p
 }
 
-func (a *Authority) source(name string) settings.Source {
-	return settings.Source("file:" + filepath.Join(a.folder, name))
+// fileSource returns the settings source of a file that the authority wrote.
+func (a *Authority) fileSource(name string) settings.Source {
+	return settings.Source("file:" + filepath.Join(a.dir, name))
 }
 
-func (a *Authority) write(name, kind string, der []byte) error {
-	b := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
-	return eris.Wrapf(os.WriteFile(filepath.Join(a.folder, name), b, 0o600), "writing %s", name)
+// writePEM writes one PEM block as a file.
+func (a *Authority) writePEM(name, blockType string, der []byte) error {
+	b := pem.EncodeToMemory(&pem.Block{Type: blockType, Bytes: der})
+	return eris.Wrapf(os.WriteFile(filepath.Join(a.dir, name), b, 0o600), "writing %s", name)
 }
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -19,84 +19,84 @@
 	"github.com/godwitcross/godwitcross/standin/platform"
 )
 
-// Times of the sample.
+// Times of the sample configuration and of the simulated services.
 const (
-	deadlineUrgent   = configuration.Duration(2 * time.Second)
-	deadlineStandard = configuration.Duration(10 * time.Second)
-	waveStart        = configuration.Duration(22 * time.Hour)
-	waveWindow       = configuration.Duration(6 * time.Hour)
-	backendWork      = 5 * time.Millisecond
-	listDelay        = 300 * time.Millisecond
+	urgentDeadline     = configuration.Duration(2 * time.Second)
+	standardDeadline   = configuration.Duration(10 * time.Second)
+	waveStart          = configuration.Duration(22 * time.Hour)
+	waveWindow         = configuration.Duration(6 * time.Hour)
+	backendServiceTime = 5 * time.Millisecond
+	hostListDelay      = 300 * time.Millisecond
 )
 
 // ZonePlatform is the network zone of the platform's services.
 const ZonePlatform network.Zone = "Platform"
 
-// Options say what is started.
+// Options configure a deployment.
 type Options struct {
 	Log logrus.FieldLogger
-	// EntryHosts is the number in each data centre; at least 1.
+	// EntryHosts is the number of entry hosts in each data centre, at least 1.
 	EntryHosts int
-	// Owner restricts entry hosts and backend servers to one owner's; empty
-	// means both owners'.
+	// Owner restricts entry hosts and backend servers to those of one owner; empty means
+	// both owners.
 	Owner inventory.OwnerID
-	// NoticeTime and StopTime are passed on to the entry hosts.
+	// NoticeTime and StopTime are settings of the entry hosts.
 	NoticeTime time.Duration
 	StopTime   time.Duration
-	// Security says how the entry hosts know their clients.
+	// Security configures how entry hosts authenticate their clients.
 	Security Security
 }
 
 // Entry is a running entry host.
 type Entry struct {
-	Settings settings.Settings
-	stop     context.CancelFunc
-	done     chan error
-	power    *power
+	Settings    settings.Settings
+	stop        context.CancelFunc
+	done        chan error
+	connections *connectionTracker
 }
 
-// Stop stops the host as planned and returns when it has ended.
+// Stop stops the host gracefully and waits until it has ended.
 func (e *Entry) Stop() error {
 	e.stop()
 	return <-e.done
 }
 
-// Kill ends the host at once, as when its machine is gone.
+// Kill closes the host's connections and stops it without waiting, as when a host loses power.
 func (e *Entry) Kill() {
-	e.power.switchOff()
+	e.connections.closeAll()
 	e.stop()
 }
 
-// Deployment is everything running in one process.
+// Deployment is a simulated platform with entry hosts and backend servers in one process.
 type Deployment struct {
-	o        Options
+	options  Options
 	Platform *platform.Platform
 	Network  *network.Network
 	Backends []*backend.Server
-	// Addresses has the address of each backend server.
+	// Addresses maps each backend server to its address.
 	Addresses map[inventory.InstanceID]string
 	Entries   []*Entry
-	// PlatformAddress is where the platform's services answer.
+	// PlatformAddress is the address of the platform's services.
 	PlatformAddress string
 	listeners       []net.Listener
-	g               *errgroup.Group
+	servers         *errgroup.Group
 }
 
-// Start starts the stand-ins and the entry hosts.
+// Start starts the simulated platform, the backend servers and the entry hosts.
 func Start(o Options) (*Deployment, error) {
 	d := &Deployment{
-		o:         o,
-		Platform:  platform.New(platform.Options{AppendsPerSecond: 400, ListDelay: listDelay}),
+		options:   o,
+		Platform:  platform.New(platform.Options{AppendsPerSecond: 400, ListDelay: hostListDelay}),
 		Network:   network.New(),
 		Addresses: make(map[inventory.InstanceID]string),
-		g:         &errgroup.Group{},
+		servers:   &errgroup.Group{},
 	}
 	l, err := d.listen(ZonePlatform)
 	if err != nil {
 		return nil, err
 	}
 	d.PlatformAddress = l.Addr().String()
-	d.g.Go(func() error { return d.Platform.Serve(l) })
+	d.servers.Go(func() error { return d.Platform.Serve(l) })
 	for _, s := range sites {
 		if o.Owner != "" && o.Owner != s.owner {
 			continue
@@ -112,6 +112,7 @@
 	return d, nil
 }
 
+// startSite starts the backend servers and entry hosts of a site.
 func (d *Deployment) startSite(s site) error {
 	for _, v := range s.services {
 		for i := range instancesPerService {
@@ -122,7 +123,7 @@
 		}
 	}
 	for _, dc := range s.dataCentres {
-		for i := range d.o.EntryHosts {
+		for i := range d.options.EntryHosts {
 			name := inventory.EntryID(fmt.Sprintf("%s-entry-%d", dc, i+1))
 			if _, err := d.StartEntry(name, dc); err != nil {
 				return err
@@ -132,6 +133,7 @@
 	return nil
 }
 
+// listen listens on a free loopback port that belongs to the network zone.
 func (d *Deployment) listen(zone network.Zone) (net.Listener, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -142,15 +144,16 @@
 	return l, nil
 }
 
+// startBackend starts a backend server and adds it to the host list.
 func (d *Deployment) startBackend(v inventory.ServiceID, id inventory.InstanceID, dc inventory.DataCentreID) error {
 	l, err := d.listen(network.Zone(dc))
 	if err != nil {
 		return err
 	}
-	s := backend.New(backend.Options{ID: id, Service: v, Slots: configuration.DefaultSlots, Connections: configuration.DefaultConnections, ServiceTime: backendWork})
+	s := backend.New(backend.Options{ID: id, Service: v, Slots: configuration.DefaultSlots, Connections: configuration.DefaultConnections, ServiceTime: backendServiceTime})
 	d.Backends = append(d.Backends, s)
 	d.Addresses[id] = l.Addr().String()
-	d.g.Go(func() error { return s.Serve(l) })
+	d.servers.Go(func() error { return s.Serve(l) })
 	d.Platform.Hosts.Put(time.Now(), inventory.ListedHost{
 		ID: inventory.HostID(id), Role: inventory.RoleBackend, State: inventory.HostLive,
 		DataCentre: dc, Service: v, Address: l.Addr().String(),
@@ -158,9 +161,9 @@
 	return nil
 }
 
-// StartEntry starts one more entry host.
+// StartEntry starts another entry host.
 func (d *Deployment) StartEntry(name inventory.EntryID, dc inventory.DataCentreID) (*Entry, error) {
-	e, err := d.StartSecured(name, dc, d.o.Security)
+	e, err := d.StartSecured(name, dc, d.options.Security)
 	if err != nil {
 		return nil, err
 	}
@@ -168,9 +171,9 @@
 	return e, nil
 }
 
-// StartSecured starts an entry host with its own rules for clients. It is not
-// among Entries, and who starts it stops it.
-func (d *Deployment) StartSecured(name inventory.EntryID, dc inventory.DataCentreID, rules Security) (*Entry, error) {
+// StartSecured starts an entry host with security settings of its own. The host isn't among
+// Entries; the caller stops it.
+func (d *Deployment) StartSecured(name inventory.EntryID, dc inventory.DataCentreID, security Security) (*Entry, error) {
 	callers, err := d.listen(network.Zone(dc))
 	if err != nil {
 		return nil, err
@@ -187,19 +190,19 @@
 		Name: name, DataCentre: dc, Peers: d.peerAddresses(),
 		CallerAddress: callers.Addr().String(), OperatorAddress: operators.Addr().String(),
 		PeerAddress: peers.Addr().String(), PlatformAddress: d.PlatformAddress,
-		NoticeTime: d.o.NoticeTime, StopTime: d.o.StopTime, LogLevel: "info",
+		NoticeTime: d.options.NoticeTime, StopTime: d.options.StopTime, LogLevel: "info",
 	}
-	rules.apply(&s)
+	security.apply(&s)
 	d.Platform.Hosts.Put(time.Now(), inventory.ListedHost{
 		ID: inventory.HostID(name), Role: inventory.RoleEntry, State: inventory.HostLive,
 		DataCentre: dc, Address: callers.Addr().String(),
 	})
-	p := newPower()
-	h := host.New(host.Config{Settings: s, Log: d.o.Log, Dial: p.dialer(d.Network.Dialer(network.Zone(dc)))})
+	connections := newConnectionTracker()
+	h := host.New(host.Config{Settings: s, Log: d.options.Log, Dial: connections.trackDialer(d.Network.Dialer(network.Zone(dc)))})
 	ctx, stop := context.WithCancel(context.Background())
-	e := &Entry{Settings: s, stop: stop, done: make(chan error, 1), power: p}
+	e := &Entry{Settings: s, stop: stop, done: make(chan error, 1), connections: connections}
 	go func() {
-		e.done <- h.Serve(ctx, host.Listeners{Callers: p.listener(callers), Operators: p.listener(operators), Peers: p.listener(peers)})
+		e.done <- h.Serve(ctx, host.Listeners{Callers: connections.trackListener(callers), Operators: connections.trackListener(operators), Peers: connections.trackListener(peers)})
 	}()
 	return e, nil
 }
@@ -213,7 +216,7 @@
 	return addresses
 }
 
-// Executions returns how often each request key was executed by any backend server.
+// Executions returns the number of executions of each request key on all backend servers.
 func (d *Deployment) Executions() map[string]int {
 	total := make(map[string]int)
 	for _, s := range d.Backends {
@@ -224,7 +227,7 @@
 	return total
 }
 
-// Stop ends everything.
+// Stop stops the entry hosts and closes all listeners. It doesn't wait for them to end.
 func (d *Deployment) Stop() {
 	for _, e := range d.Entries {
 		e.stop()
--- a/standin/deployment/sample.go
+++ b/standin/deployment/sample.go
@@ -1,5 +1,5 @@
-// Package deployment starts the whole path in one process: the platform's
-// stand-in, entry hosts, backend servers and workers.
+// Package deployment runs the product's own path in one process: the simulated platform with
+// its workers, entry hosts and backend servers.
 package deployment
 
 import (
@@ -10,7 +10,7 @@
 	"github.com/godwitcross/godwitcross/fleet/label"
 )
 
-// Sizes of the sample.
+// Sizes of the sample configuration.
 const (
 	instancesPerService = 10
 	hostsPerPool        = 10
@@ -20,27 +20,27 @@
 	hostMemory          = 128 * inventory.Gibibyte
 )
 
-// labelPool is the label that the sample's selectors look at.
-const labelPool = "Pool"
+// poolLabel is the label by which the sample's selectors choose hosts and jobs.
+const poolLabel = "Pool"
 
-// site is one owner's part of the sample.
+// site is one owner's part of the sample configuration.
 type site struct {
 	owner       inventory.OwnerID
 	operator    inventory.OperatorID
 	region      inventory.RegionID
 	dataCentres []inventory.DataCentreID
-	spare       inventory.PoolID
+	sparePool   inventory.PoolID
 	services    []inventory.ServiceID
 	tenants     []inventory.TenantID
 	teams       []inventory.TeamID
 }
 
-// sites are the two deployments of the sample.
+// sites holds the sites of the sample configuration.
 var sites = []site{
 	{
 		owner: "Corchos", operator: "corchos-operator", region: "Montevideo",
 		dataCentres: []inventory.DataCentreID{"Montevideo-1", "Montevideo-2", "Montevideo-3"},
-		spare:       "Administration",
+		sparePool:   "Administration",
 		services:    []inventory.ServiceID{"Prices", "Stock", "Orders", "BatchPlans", "Reconciliation"},
 		tenants:     []inventory.TenantID{"OrderDesk", "Plant"},
 		teams:       []inventory.TeamID{"Pressing", "Shipping"},
@@ -48,7 +48,7 @@
 	{
 		owner: "Campanella", operator: "campanella-operator", region: "Sicily",
 		dataCentres: []inventory.DataCentreID{"Palermo", "Catania", "Messina"},
-		spare:       "FrontDesk",
+		sparePool:   "FrontDesk",
 		services:    []inventory.ServiceID{"Schedules", "Recordings", "Announcements", "Archive", "Licences"},
 		tenants:     []inventory.TenantID{"Secretaries", "Editors"},
 		teams:       []inventory.TeamID{"Rendering", "Archiving"},
@@ -74,8 +74,9 @@
 	return o
 }
 
+// addTo adds the site's objects.
 func (s site) addTo(o configuration.Objects) {
-	o.Owners[s.owner] = configuration.Owner{SparePool: s.spare}
+	o.Owners[s.owner] = configuration.Owner{SparePool: s.sparePool}
 	o.Operators[s.operator] = configuration.Operator{Owner: s.owner}
 	for _, dc := range s.dataCentres {
 		o.DataCentres[dc] = configuration.DataCentre{Region: s.region}
@@ -83,8 +84,8 @@
 	for _, t := range s.teams {
 		o.Teams[t] = configuration.Team{Owner: s.owner, Weight: 1}
 	}
-	o.Pools[s.spare] = configuration.Pool{Owner: s.owner}
-	s.addHosts(o, string(s.spare), hostsPerSparePool, nil)
+	o.Pools[s.sparePool] = configuration.Pool{Owner: s.owner}
+	s.addHosts(o, string(s.sparePool), hostsPerSparePool, nil)
 	for _, v := range s.services {
 		s.addService(o, v)
 	}
@@ -92,24 +93,26 @@
 	s.addWave(o)
 }
 
+// addService adds a service with its pool and the pool's hosts.
 func (s site) addService(o configuration.Objects, v inventory.ServiceID) {
 	o.Services[v] = configuration.Service{
 		Owner: s.owner,
 		Classes: map[inventory.ClassID]configuration.Class{
-			"Urgent":   {Weight: 4, Deadline: deadlineUrgent, Urgent: true},
-			"Standard": {Weight: 2, Deadline: deadlineStandard},
+			"Urgent":   {Weight: 4, Deadline: urgentDeadline, Urgent: true},
+			"Standard": {Weight: 2, Deadline: standardDeadline},
 		},
 		DefaultClass: "Standard",
 	}
 	o.Pools[inventory.PoolID(v)] = configuration.Pool{
 		Owner:  s.owner,
-		Hosts:  mustSelector(labelPool + "=" + string(v)),
-		Jobs:   mustSelector(labelPool + "=" + string(v)),
+		Hosts:  mustParseSelector(poolLabel + "=" + string(v)),
+		Jobs:   mustParseSelector(poolLabel + "=" + string(v)),
 		Budget: configuration.Budget{MaxUnavailable: 200_000, MaxPerRack: 1},
 	}
-	s.addHosts(o, string(v), hostsPerPool, label.Set{labelPool: string(v)})
+	s.addHosts(o, string(v), hostsPerPool, label.Set{poolLabel: string(v)})
 }
 
+// addHosts adds n hosts, spread over the site's data centres and racks.
 func (s site) addHosts(o configuration.Objects, pool string, n int, labels label.Set) {
 	for i := range n {
 		id := inventory.HostID(fmt.Sprintf("%s-%02d", pool, i+1))
@@ -123,6 +126,7 @@
 	}
 }
 
+// addTenants adds the tenants. The first one uses the class Urgent, others the default class.
 func (s site) addTenants(o configuration.Objects) {
 	for i, t := range s.tenants {
 		services := make(map[inventory.ServiceID]inventory.ClassID)
@@ -136,6 +140,7 @@
 	}
 }
 
+// addWave adds a paused wave over the pools of all services.
 func (s site) addWave(o configuration.Objects) {
 	pools := make([]inventory.PoolID, len(s.services))
 	for i, v := range s.services {
@@ -146,7 +151,7 @@
 	}
 }
 
-func mustSelector(text string) label.Selector {
+func mustParseSelector(text string) label.Selector {
 	s, err := label.Parse(text)
 	if err != nil {
 		panic(err)
--- a/standin/deployment/security.go
+++ b/standin/deployment/security.go
@@ -4,30 +4,31 @@
 	"github.com/godwitcross/godwitcross/entry/settings"
 )
 
-// Security says how entry hosts know their clients. The zero value is for
-// development: plain text, and names in headers are believed.
+// Security configures how entry hosts authenticate their clients. The zero value is for
+// development: plain text, and names in headers are trusted.
 type Security struct {
-	// Callers, Operators and Peers are used where Encrypted is set.
+	// Encrypted enables TLS with the settings of the listeners below; the other fields are
+	// ignored without it.
 	Encrypted bool
 	Callers   settings.Listener
 	Operators settings.Listener
 	Peers     settings.Listener
-	// PeerAddresses are asked in place of those of the deployment.
+	// PeerAddresses replace the peer addresses of the deployment.
 	PeerAddresses []string
-	// Names has names in headers believed although listeners are encrypted.
-	Names bool
-	// BootstrapTokenDigest is that of the token that publishes the first
+	// TrustHeaderNames makes entry hosts trust names in headers on encrypted listeners.
+	TrustHeaderNames bool
+	// BootstrapTokenDigest is the digest of the token that permits publishing the first
 	// configuration.
 	BootstrapTokenDigest string
 }
 
-// apply fills the security settings of an entry host.
+// apply sets the security settings of an entry host.
 func (s Security) apply(to *settings.Settings) {
 	if s.Encrypted {
 		to.CallerListener, to.OperatorListener, to.PeerListener = s.Callers, s.Operators, s.Peers
 		to.Peers = s.PeerAddresses
 		to.BootstrapTokenDigest = s.BootstrapTokenDigest
-		if s.Names {
+		if s.TrustHeaderNames {
 			to.HeaderNames = settings.HeaderNamesTrusted
 		}
 		return
--- a/standin/deployment/security_test.go
+++ b/standin/deployment/security_test.go
@@ -14,8 +14,9 @@
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 )
 
-// exchanges returns how often the host's peers answered it and did not.
-func exchanges(t *testing.T, c *client.Client) (answered, not int64) {
+// exchanges returns the numbers of the host's exchanges with peers that were answered and that
+// failed. It returns zeros if the metrics can't be read.
+func exchanges(t *testing.T, c *client.Client) (answered, failed int64) {
 	t.Helper()
 	var points []metric.Point
 	if c.Get("/metrics.json", &points) != nil {
@@ -29,34 +30,34 @@
 			answered = p.Value
 			continue
 		}
-		not += p.Value
+		failed += p.Value
 	}
-	return answered, not
+	return answered, failed
 }
 
-func TestEntryHostsProveEachOthersName(t *testing.T) {
-	const patience = 10 * time.Second
+func TestEntryHostsAuthenticatePeersByName(t *testing.T) {
+	const timeout = 10 * time.Second
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	d, err := Start(Options{Log: log, EntryHosts: 1, Owner: "Campanella", StopTime: time.Second})
 	require.NoError(t, err)
 	t.Cleanup(d.Stop)
 	now := time.Now()
-	ours, err := NewAuthority(t.TempDir(), now)
+	authority, err := NewAuthority(t.TempDir(), now)
 	require.NoError(t, err)
-	theirs, err := NewAuthority(t.TempDir(), now)
+	foreignAuthority, err := NewAuthority(t.TempDir(), now)
 	require.NoError(t, err)
-	operators, err := ours.Issue("operators", now)
+	operators, err := authority.Issue("operators", now)
 	require.NoError(t, err)
-	peers, err := ours.Issue("entry.godwitcross", now)
+	peers, err := authority.Issue("entry.godwitcross", now)
 	require.NoError(t, err)
-	start := func(name inventory.EntryID, rules Security) (*Entry, *client.Client) {
+	start := func(name inventory.EntryID, security Security) (*Entry, *client.Client) {
 		t.Helper()
-		rules.Encrypted, rules.Callers, rules.Operators, rules.Names = true, operators, operators, true
-		e, err := d.StartSecured(name, "Palermo", rules)
+		security.Encrypted, security.Callers, security.Operators, security.TrustHeaderNames = true, operators, operators, true
+		e, err := d.StartSecured(name, "Palermo", security)
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = e.Stop() })
-		cfg, err := ours.Client("scraper", now)
+		cfg, err := authority.Client("scraper", now)
 		require.NoError(t, err)
 		return e, client.NewClient(client.Config{Address: e.Settings.OperatorAddress, TLS: cfg})
 	}
@@ -64,20 +65,20 @@
 	address := []string{first.Settings.PeerAddress}
 
 	_, c := start("second", Security{Peers: peers, PeerAddresses: address})
-	require.Eventually(t, func() bool { n, _ := exchanges(t, c); return n > 0 }, patience, 20*time.Millisecond)
+	require.Eventually(t, func() bool { n, _ := exchanges(t, c); return n > 0 }, timeout, 20*time.Millisecond)
 
-	foreign, err := theirs.Issue("entry.godwitcross", now)
+	foreignPeers, err := foreignAuthority.Issue("entry.godwitcross", now)
 	require.NoError(t, err)
-	foreign.Authority = peers.Authority
-	misnamed, err := ours.Issue("backend.godwitcross", now)
+	foreignPeers.Authority = peers.Authority
+	misnamedPeers, err := authority.Issue("backend.godwitcross", now)
 	require.NoError(t, err)
-	for name, rules := range map[inventory.EntryID]Security{
-		"foreign":  {Peers: foreign, PeerAddresses: address},
-		"misnamed": {Peers: misnamed, PeerAddresses: address},
+	for name, security := range map[inventory.EntryID]Security{
+		"foreign":  {Peers: foreignPeers, PeerAddresses: address},
+		"misnamed": {Peers: misnamedPeers, PeerAddresses: address},
 	} {
 		t.Run(string(name), func(t *testing.T) {
-			_, c := start(name, rules)
-			require.Eventually(t, func() bool { _, n := exchanges(t, c); return n > 1 }, patience, 20*time.Millisecond)
+			_, c := start(name, security)
+			require.Eventually(t, func() bool { _, n := exchanges(t, c); return n > 1 }, timeout, 20*time.Millisecond)
 			answered, _ := exchanges(t, c)
 			require.Zero(t, answered)
 		})
