refactor(standin): plain wording of the commands

Cause: help texts spoke of stand-ins as processes of their own, of a server that stands in a data centre and of walking a path; listAt and printWelcome did not say what they do. Commands, flags, defaults and the commands to paste are unchanged.

The folder has no tests of its own; soak was not run.

--- a/standin/estate.go
+++ b/standin/estate.go
@@ -11,11 +11,12 @@
 	"github.com/godwitcross/godwitcross/standin/check"
 )
 
-// newEstate runs the platform's path until it is interrupted.
+// newEstate returns the command that runs entry hosts on the simulated users' platform until it
+// is interrupted.
 func newEstate() *cli.Command {
 	var verbose bool
 	return &cli.Command{
-		Name: "estate", Usage: "run two entry hosts on the users' platform's stand-in in one process",
+		Name: "estate", Usage: "run two entry hosts on the simulated users' platform in one process",
 		Flags: []cli.Flag{&cli.BoolFlag{Name: "verbose", Usage: "show the log lines of the entry hosts", Destination: &verbose}},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			log := logrus.New()
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,4 @@
-// Command standin runs small stand-ins for the platform and for backend servers.
+// Command standin runs simulated platforms and backend servers for development and tests.
 package main
 
 import (
@@ -24,7 +24,7 @@
 	defer stop()
 	app := &cli.Command{
 		Name:     "standin",
-		Usage:    "stand-ins for the platform and for backend servers",
+		Usage:    "simulated platforms and backend servers for development and tests",
 		Commands: []*cli.Command{newDev(), newSample(), newPlatform(), newBackend(), newEstate(), newSoak()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
@@ -33,6 +33,7 @@
 	}
 }
 
+// newSample returns the command that prints the sample configuration.
 func newSample() *cli.Command {
 	return &cli.Command{
 		Name: "sample", Usage: "print the sample configuration",
@@ -44,14 +45,15 @@
 	}
 }
 
+// newDev returns the command that runs the product's own path in one process.
 func newDev() *cli.Command {
 	var checkOnly, verbose bool
 	var entries int
 	return &cli.Command{
-		Name: "dev", Usage: "run the whole path in one process",
+		Name: "dev", Usage: "run the product's own path in one process",
 		Description: "Starts the platform, entry hosts, backend servers and workers on loopback addresses.\n\nExample: standin dev --check",
 		Flags: []cli.Flag{
-			&cli.BoolFlag{Name: "check", Usage: "walk the whole path, print a line for each step, and end", Destination: &checkOnly},
+			&cli.BoolFlag{Name: "check", Usage: "check each step of the path, print a line for each, and exit", Destination: &checkOnly},
 			&cli.BoolFlag{Name: "verbose", Usage: "show the log lines of the entry hosts", Destination: &verbose},
 			&cli.IntFlag{Name: "entry-hosts", Usage: "entry hosts in each data centre", Value: 1, Destination: &entries},
 		},
@@ -73,14 +75,15 @@
 			if err := check.Steps[0].Run(d); err != nil {
 				return err
 			}
-			printWelcome(w, d)
+			printInstructions(w, d)
 			<-ctx.Done()
 			return nil
 		},
 	}
 }
 
-func printWelcome(w io.Writer, d *deployment.Deployment) {
+// printInstructions prints the addresses of all parts and commands to try.
+func printInstructions(w io.Writer, d *deployment.Deployment) {
 	e := d.Entries[0].Settings
 	var operators []string
 	fmt.Fprintf(w, "%-20s http://%s\n", "platform", d.PlatformAddress)
@@ -108,7 +111,7 @@
   go run ./ctl waves
   go run ./ctl bill --verify
 
-as a scraper, and to bring a fault about:
+as a scraper, and to inject a fault:
   curl http://%[3]s/metrics
   curl -X POST -d '{"Kind":"Down","Target":"log","Count":-1}' http://%[4]s/faults
   curl -X DELETE http://%[4]s/faults
--- a/standin/process.go
+++ b/standin/process.go
@@ -17,15 +17,16 @@
 	"github.com/godwitcross/godwitcross/standin/platform"
 )
 
-// Behaviour of the stand-ins as processes of their own.
+// Settings of the simulated servers that run as separate processes.
 const (
-	appendsPerSecond = 400
-	listDelay        = 300 * time.Millisecond
-	listTimeout      = 5 * time.Second
-	backendWork      = 5 * time.Millisecond
+	appendsPerSecond   = 400
+	hostListDelay      = 300 * time.Millisecond
+	registerTimeout    = 5 * time.Second
+	backendServiceTime = 5 * time.Millisecond
 )
 
-// serve serves on an address until the context ends.
+// serve calls run with a listener on the address and closes the listener when the context
+// ends.
 func serve(ctx context.Context, address string, run func(net.Listener) error) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -36,14 +37,15 @@
 	return run(l)
 }
 
+// newPlatform returns the command that runs the simulated platform.
 func newPlatform() *cli.Command {
 	var address string
 	return &cli.Command{
-		Name: "platform", Usage: "run the platform's stand-in as a process of its own",
-		Description: "It has the workers of the sample configuration. POST /hosts lists entry hosts and backend servers.\n\nExample: standin platform --address 127.0.0.1:8090",
+		Name: "platform", Usage: "run the simulated platform as a separate process",
+		Description: "The platform has the workers of the sample configuration. POST /hosts adds an entry host or a backend server to its host list.\n\nExample: standin platform --address 127.0.0.1:8090",
 		Flags:       []cli.Flag{&cli.StringFlag{Name: "address", Usage: "IP:port to serve on", Value: "127.0.0.1:8090", Destination: &address}},
 		Action: func(ctx context.Context, _ *cli.Command) error {
-			p := platform.New(platform.Options{AppendsPerSecond: appendsPerSecond, ListDelay: listDelay})
+			p := platform.New(platform.Options{AppendsPerSecond: appendsPerSecond, ListDelay: hostListDelay})
 			for id, h := range deployment.Sample().Hosts {
 				p.Fleet.Put(inventory.WorkerInfo{ID: id.Worker(), DataCentre: h.DataCentre, Rack: h.Rack, Size: h.Size})
 				p.Hosts.Put(time.Now(), inventory.ListedHost{ID: id, Role: inventory.RoleWorker, State: inventory.HostLive, DataCentre: h.DataCentre, Rack: h.Rack})
@@ -53,17 +55,18 @@
 	}
 }
 
+// newBackend returns the command that runs a backend server.
 func newBackend() *cli.Command {
 	var address, platformAddress, id, service, dataCentre string
 	return &cli.Command{
-		Name: "backend", Usage: "run a backend server as a process of its own and list it at the platform",
+		Name: "backend", Usage: "run a backend server as a separate process and register it with the platform",
 		Description: "Example: standin backend --id s1 --service Prices --data-centre Montevideo-1 --address 127.0.0.1:9001",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "address", Usage: "IP:port to serve on", Required: true, Destination: &address},
 			&cli.StringFlag{Name: "platform-address", Usage: "IP:port of the platform", Value: "127.0.0.1:8090", Destination: &platformAddress},
 			&cli.StringFlag{Name: "id", Usage: "unique name of the server", Required: true, Destination: &id},
-			&cli.StringFlag{Name: "service", Usage: "service that it answers for", Required: true, Destination: &service},
-			&cli.StringFlag{Name: "data-centre", Usage: "data centre that it stands in", Required: true, Destination: &dataCentre},
+			&cli.StringFlag{Name: "service", Usage: "service that the server belongs to", Required: true, Destination: &service},
+			&cli.StringFlag{Name: "data-centre", Usage: "data centre of the server", Required: true, Destination: &dataCentre},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			h := inventory.ListedHost{
@@ -71,11 +74,11 @@
 				DataCentre: inventory.DataCentreID(dataCentre), Service: inventory.ServiceID(service), Address: address,
 			}
 			s := backend.New(backend.Options{
-				ID: inventory.InstanceID(id), Service: h.Service, ServiceTime: backendWork,
+				ID: inventory.InstanceID(id), Service: h.Service, ServiceTime: backendServiceTime,
 				Slots: configuration.DefaultSlots, Connections: configuration.DefaultConnections,
 			})
 			return serve(ctx, address, func(l net.Listener) error {
-				if err := listAt(platformAddress, h); err != nil {
+				if err := registerHost(platformAddress, h); err != nil {
 					return err
 				}
 				return s.Serve(l)
@@ -84,8 +87,8 @@
 	}
 }
 
-// listAt puts a host on the platform's host list.
-func listAt(platformAddress string, h inventory.ListedHost) error {
+// registerHost adds a host to the platform's host list.
+func registerHost(platformAddress string, h inventory.ListedHost) error {
 	b, err := json.Marshal(h)
 	if err != nil {
 		return eris.Wrap(err, "encoding the host")
@@ -96,11 +99,11 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + platformAddress + "/hosts")
 	req.SetBodyRaw(b)
-	if err := fasthttp.DoTimeout(req, resp, listTimeout); err != nil {
-		return eris.Wrapf(err, "listing %s at the platform", h.ID)
+	if err := fasthttp.DoTimeout(req, resp, registerTimeout); err != nil {
+		return eris.Wrapf(err, "registering %s with the platform", h.ID)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return eris.Errorf("listing %s at the platform: status %d: %s", h.ID, resp.StatusCode(), resp.Body())
+		return eris.Errorf("registering %s with the platform: status %d: %s", h.ID, resp.StatusCode(), resp.Body())
 	}
 	return nil
 }
--- a/standin/soak.go
+++ b/standin/soak.go
@@ -11,20 +11,20 @@
 	"github.com/godwitcross/godwitcross/standin/soak"
 )
 
-// newSoak runs the soak.
+// newSoak returns the command that runs the soak test.
 func newSoak() *cli.Command {
 	var cfg soak.Config
 	var seed, seeds, seconds int
 	return &cli.Command{
-		Name: "soak", Usage: "run entry hosts as processes under random faults and check what callers and workers see",
+		Name: "soak", Usage: "run entry hosts as processes under random faults and check the guarantees to callers and workers",
 		Description: "Build the program first: go build -ldflags=-linkmode=external -o target/ ./platform/godwitcross\n\nExample: standin soak --seed 1 --seconds 10",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "seed", Usage: "first seed of faults and jobs", Value: 1, Destination: &seed},
-			&cli.IntFlag{Name: "seeds", Usage: "how many seeds, one after the other", Value: 1, Destination: &seeds},
-			&cli.IntFlag{Name: "seconds", Usage: "how long faults are injected, for each seed", Value: 10, Destination: &seconds},
-			&cli.IntFlag{Name: "entry-hosts", Usage: "processes", Value: 3, Destination: &cfg.Hosts},
-			&cli.IntFlag{Name: "workers", Usage: "workers at the start; half as many hosts are spare", Value: 6, Destination: &cfg.Workers},
-			&cli.StringFlag{Name: "binary", Usage: "program of an entry host", Value: "target/godwitcross", Destination: &cfg.Binary},
+			&cli.IntFlag{Name: "seeds", Usage: "number of seeds, run one after the other", Value: 1, Destination: &seeds},
+			&cli.IntFlag{Name: "seconds", Usage: "duration of fault injection for each seed, in seconds", Value: 10, Destination: &seconds},
+			&cli.IntFlag{Name: "entry-hosts", Usage: "number of entry host processes", Value: 3, Destination: &cfg.Hosts},
+			&cli.IntFlag{Name: "workers", Usage: "number of workers at the start, with half as many spare hosts", Value: 6, Destination: &cfg.Workers},
+			&cli.StringFlag{Name: "binary", Usage: "path of the entry host program", Value: "target/godwitcross", Destination: &cfg.Binary},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			cfg.Duration, cfg.Out = time.Duration(seconds)*time.Second, cmd.Root().Writer
