--- a/standin/check/cutoff_test.go
+++ b/standin/check/cutoff_test.go
@@ -212,7 +212,7 @@
 	}
 	end := statusOf(t, d.Entries[0]).Next
 	require.Greater(t, end, unread)
-	d.Platform.Log.Forget(string(journal.StreamFleet), int64(end))
+	d.Platform.Log.Truncate(string(journal.StreamFleet), int64(end))
 	publishWeight(t, d, 50)
 	require.Eventually(t, func() bool { return newestSnapshot(t, d) >= end }, waitLimit, 20*time.Millisecond)
 }
--- a/standin/check/security.go
+++ b/standin/check/security.go
@@ -75,7 +75,7 @@
 	}
 	toCallers := l
 	toCallers.Authority = ""
-	e, err := d.StartSecured("Palermo-secured", "Palermo", deployment.Security{Encrypted: true, Callers: toCallers, Operators: l, Peers: l})
+	e, err := d.StartEntryWithSecurity("Palermo-secured", "Palermo", deployment.Security{Encrypted: true, Callers: toCallers, Operators: l, Peers: l})
 	if err != nil {
 		return nil, err
 	}
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -163,7 +163,7 @@
 
 // StartEntry starts another entry host.
 func (d *Deployment) StartEntry(name inventory.EntryID, dc inventory.DataCentreID) (*Entry, error) {
-	e, err := d.StartSecured(name, dc, d.options.Security)
+	e, err := d.StartEntryWithSecurity(name, dc, d.options.Security)
 	if err != nil {
 		return nil, err
 	}
@@ -171,9 +171,9 @@
 	return e, nil
 }
 
-// StartSecured starts an entry host with security settings of its own. The host isn't among
+// StartEntryWithSecurity starts an entry host with security settings of its own. The host isn't among
 // Entries; the caller stops it.
-func (d *Deployment) StartSecured(name inventory.EntryID, dc inventory.DataCentreID, security Security) (*Entry, error) {
+func (d *Deployment) StartEntryWithSecurity(name inventory.EntryID, dc inventory.DataCentreID, security Security) (*Entry, error) {
 	callers, err := d.listen(network.Zone(dc))
 	if err != nil {
 		return nil, err
--- a/standin/deployment/secret_test.go
+++ b/standin/deployment/secret_test.go
@@ -69,7 +69,7 @@
 	bootstrapToken, tenantToken, wrongToken := strings.Repeat("root-token-", 4), strings.Repeat("tenant-token-", 4), strings.Repeat("wrong-token-", 4)
 	callers := l
 	callers.Authority = ""
-	e, err := d.StartSecured("secured", "Palermo", Security{
+	e, err := d.StartEntryWithSecurity("secured", "Palermo", Security{
 		Encrypted: true, Callers: callers, Operators: l, Peers: l,
 		BootstrapTokenDigest: configuration.DigestToken([]byte(bootstrapToken)).String(),
 	})
--- a/standin/deployment/security_test.go
+++ b/standin/deployment/security_test.go
@@ -54,7 +54,7 @@
 	start := func(name inventory.EntryID, security Security) (*Entry, *client.Client) {
 		t.Helper()
 		security.Encrypted, security.Callers, security.Operators, security.TrustHeaderNames = true, operators, operators, true
-		e, err := d.StartSecured(name, "Palermo", security)
+		e, err := d.StartEntryWithSecurity(name, "Palermo", security)
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = e.Stop() })
 		cfg, err := authority.Client("scraper", now)
--- a/standin/platform/log.go
+++ b/standin/platform/log.go
@@ -119,8 +119,8 @@
 	return b, s.appended
 }
 
-// Forget deletes all records of a stream below the offset, as retention does.
-func (l *Log) Forget(name string, below int64) {
+// Truncate deletes all records of a stream below the offset, as retention does.
+func (l *Log) Truncate(name string, below int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
