--- a/bench/command/whole.go
+++ b/bench/command/whole.go
@@ -50,7 +50,7 @@
 				fmt.Fprintln(cmd.Root().Writer, l)
 			}
 			if len(r.Violations) > 0 {
-				return eris.Wrapf(whole.ErrBroken, "%d times", len(r.Violations))
+				return eris.Wrapf(whole.ErrViolation, "%d times", len(r.Violations))
 			}
 			return nil
 		},
--- a/bench/whole/run.go
+++ b/bench/whole/run.go
@@ -20,8 +20,8 @@
 	"github.com/godwitcross/godwitcross/standin/deployment"
 )
 
-// ErrBroken is returned when a run broke a promise.
-var ErrBroken = eris.New("a promise was broken")
+// ErrViolation is returned if a run violated a guarantee.
+var ErrViolation = eris.New("a guarantee was violated")
 
 // Shape of a run.
 const (
