refactor(bench): plain wording of the claims measurement

The four methods that deduplicate requests were called guards and were played. They are now dedupMethods with a run function; the probabilities of the trials are named as such, and the comments say what each method does. The names of the figures, such as claims.kept_doubles, are unchanged.

--- a/bench/policy/claims.go
+++ b/bench/policy/claims.go
@@ -13,77 +13,80 @@
 	"github.com/godwitcross/godwitcross/fleet/lease"
 )
 
-// claims weighs the ways in which a repeated key can be kept from running twice.
+// claims compares methods of deduplicating requests by idempotency key.
 var claims = measure.Measurement{
 	Name:  "claims",
-	Usage: "doubles and refusals of four ways to guard repeated keys, and bytes per claim",
-	Run:   runClaims,
+	Usage: "duplicates and refusals of four deduplication methods for idempotency keys, and bytes per claim",
+	Run:   measureClaims,
 }
 
-// Shape of the trials.
+// Parameters of the trials.
 const (
-	trials = 20_000
-	// replaced is the chance that a host is replaced between a request and its
-	// repeat, cut that a data centre is cut off from all else meanwhile, and away
-	// that the log is away at the first request.
-	replaced = 0.2
-	cut      = 0.1
-	away     = 0.05
-	// copies is how many peers hold a claim.
-	copies = 2
+	claimTrials = 20_000
+	// replacementProbability is the probability that a host is replaced between a
+	// request and its retry, partitionProbability that a data centre is isolated during
+	// a request, and logOutageProbability that the log is unavailable at the first
+	// request.
+	replacementProbability = 0.2
+	partitionProbability   = 0.1
+	logOutageProbability   = 0.05
+	// claimReplicas is the number of peers that store a claim.
+	claimReplicas = 2
 )
 
-// trial is one request with a key and its repeat through another host.
+// trial is a request with an idempotency key and its retry through another host.
 type trial struct {
 	key string
-	// hosts are all entry hosts; host i stands in data centre i%dataCentres.
+	// hosts are all entry hosts; host i is in data centre i%dataCentres.
 	hosts         []inventory.EntryID
 	first, second int
-	// fresh hosts were replaced between the two and remember nothing.
-	fresh []bool
-	// cutFirst and cutSecond are the data centre that is cut off at the request
-	// and at its repeat, or -1. The platform is outside of it.
-	cutFirst, cutSecond int
-	logAway             bool
-	log                 *claim.Table
+	// replaced marks hosts that were replaced between the request and its retry and so
+	// have lost their state.
+	replaced []bool
+	// isolatedAtFirst and isolatedAtSecond are the data centres that are isolated
+	// during the request and its retry, or -1. The platform is outside them.
+	isolatedAtFirst, isolatedAtSecond int
+	logUnavailable                    bool
+	log                               *claim.Table
 }
 
-// reaches reports whether hosts a and b reach one another.
-func reaches(a, b, cutOff int) bool {
-	return a%dataCentres == b%dataCentres || (a%dataCentres != cutOff && b%dataCentres != cutOff)
+// canReach reports whether hosts a and b can reach each other.
+func canReach(a, b, isolated int) bool {
+	return a%dataCentres == b%dataCentres || (a%dataCentres != isolated && b%dataCentres != isolated)
 }
 
-// guard decides whether the request at a host may run. It returns whether the
-// request ran and whether it was refused.
-type guard struct {
+// dedupMethod decides whether a host may run a request.
+type dedupMethod struct {
 	name string
-	// play returns whether the first request ran and whether its repeat did.
-	play func(t *trial) (first, second bool)
+	// run reports whether the first request and its retry were run.
+	run func(t *trial) (first, second bool)
 }
 
-var guards = []guard{
-	{"kept", playKept},
-	{"reachable_peers", func(t *trial) (bool, bool) { return playPeers(t, false) }},
-	{"fixed_peers", func(t *trial) (bool, bool) { return playPeers(t, true) }},
-	{"log", playLog},
+var dedupMethods = []dedupMethod{
+	{"kept", runLocalCache},
+	{"reachable_peers", func(t *trial) (bool, bool) { return runPeerClaims(t, false) }},
+	{"fixed_peers", func(t *trial) (bool, bool) { return runPeerClaims(t, true) }},
+	{"log", runLogClaims},
 }
 
-// playKept keeps the answer at the host that ran the request.
-func playKept(t *trial) (first, second bool) {
-	return true, t.first != t.second || t.fresh[t.first]
+// runLocalCache caches the answer on the host that ran the request.
+func runLocalCache(t *trial) (first, second bool) {
+	return true, t.first != t.second || t.replaced[t.first]
 }
 
-// playPeers claims the key at the first ranks: those in reach, or fixed ones.
-func playPeers(t *trial, fixed bool) (first, second bool) {
+// runPeerClaims stores the claim on the highest-ranked peers: if fixed is set, the
+// request is refused unless all of them are reachable; otherwise unreachable ones are
+// skipped.
+func runPeerClaims(t *trial, fixed bool) (first, second bool) {
 	order := lease.Rank(lease.Duty(t.key), t.hosts)
-	holders := func(from, cutOff int) ([]int, bool) {
+	holders := func(from, isolated int) ([]int, bool) {
 		var out []int
 		for _, id := range order {
 			i := slices.Index(t.hosts, id)
-			if len(out) == copies {
+			if len(out) == claimReplicas {
 				break
 			}
-			if reaches(from, i, cutOff) {
+			if canReach(from, i, isolated) {
 				out = append(out, i)
 			} else if fixed {
 				return nil, false
@@ -91,19 +94,19 @@
 		}
 		return out, true
 	}
-	at, ok := holders(t.first, t.cutFirst)
-	asked, ok2 := holders(t.second, t.cutSecond)
+	firstHolders, ok := holders(t.first, t.isolatedAtFirst)
+	secondHolders, ok2 := holders(t.second, t.isolatedAtSecond)
 	if !ok2 {
 		return ok, false
 	}
-	known := slices.ContainsFunc(asked, func(i int) bool { return ok && slices.Contains(at, i) && !t.fresh[i] })
+	known := slices.ContainsFunc(secondHolders, func(i int) bool { return ok && slices.Contains(firstHolders, i) && !t.replaced[i] })
 	return ok, !known
 }
 
-// playLog claims the key through the log, with the code of the product.
-func playLog(t *trial) (first, second bool) {
-	run := func(host, cutOff int, id journal.RecordID, logAway bool) bool {
-		if logAway || host%dataCentres == cutOff {
+// runLogClaims claims the key through the log with the production code.
+func runLogClaims(t *trial) (first, second bool) {
+	run := func(host, isolated int, id journal.RecordID, logUnavailable bool) bool {
+		if logUnavailable || host%dataCentres == isolated {
 			return false
 		}
 		k, err := claim.NewDigest("tenant", "service", t.key)
@@ -117,21 +120,21 @@
 		holder, _ := t.log.Holder(k)
 		return holder == id
 	}
-	first = run(t.first, t.cutFirst, "first-"+journal.RecordID(t.key), t.logAway)
-	return first, run(t.second, t.cutSecond, "second-"+journal.RecordID(t.key), false)
+	first = run(t.first, t.isolatedAtFirst, "first-"+journal.RecordID(t.key), t.logUnavailable)
+	return first, run(t.second, t.isolatedAtSecond, "second-"+journal.RecordID(t.key), false)
 }
 
-func runClaims(o measure.Options) ([]measure.Figure, error) {
+func measureClaims(o measure.Options) ([]measure.Figure, error) {
 	var figures []measure.Figure
-	for _, g := range guards {
-		o.Progress(g.name)
+	for _, m := range dedupMethods {
+		o.Progress(m.name)
 		random := rand.New(rand.NewPCG(o.Seed, 3))
 		log := claim.NewTable()
-		doubles, refused, ran := 0, 0, 0
-		for i := range trials {
-			first, second := g.play(newTrial(random, i, log))
+		duplicates, refused, ran := 0, 0, 0
+		for i := range claimTrials {
+			first, second := m.run(newTrial(random, i, log))
 			if first && second {
-				doubles++
+				duplicates++
 			}
 			if !first {
 				refused++
@@ -141,9 +144,9 @@
 			}
 		}
 		figures = append(figures,
-			measure.Figure{Name: "claims." + g.name + "_doubles", Value: float64(doubles), Unit: measure.Count, Deterministic: true},
-			measure.Figure{Name: "claims." + g.name + "_first_refused", Value: ratio(refused, trials), Unit: measure.Ratio, Deterministic: true},
-			measure.Figure{Name: "claims." + g.name + "_ran", Value: ratio(ran, trials), Unit: measure.Ratio, Deterministic: true},
+			measure.Figure{Name: "claims." + m.name + "_doubles", Value: float64(duplicates), Unit: measure.Count, Deterministic: true},
+			measure.Figure{Name: "claims." + m.name + "_first_refused", Value: ratio(refused, claimTrials), Unit: measure.Ratio, Deterministic: true},
+			measure.Figure{Name: "claims." + m.name + "_ran", Value: ratio(ran, claimTrials), Unit: measure.Ratio, Deterministic: true},
 		)
 	}
 	sizes, err := claimSizes()
@@ -151,23 +154,23 @@
 }
 
 func newTrial(random *rand.Rand, i int, log *claim.Table) *trial {
-	t := &trial{key: fmt.Sprintf("key-%d", i), cutFirst: -1, cutSecond: -1, log: log}
+	t := &trial{key: fmt.Sprintf("key-%d", i), isolatedAtFirst: -1, isolatedAtSecond: -1, log: log}
 	for h := range entryHosts {
 		t.hosts = append(t.hosts, inventory.EntryID(fmt.Sprintf("entry-%d", h)))
-		t.fresh = append(t.fresh, random.Float64() < replaced)
+		t.replaced = append(t.replaced, random.Float64() < replacementProbability)
 	}
 	t.first, t.second = random.IntN(entryHosts), random.IntN(entryHosts)
-	if random.Float64() < cut {
-		t.cutFirst = random.IntN(dataCentres)
+	if random.Float64() < partitionProbability {
+		t.isolatedAtFirst = random.IntN(dataCentres)
 	}
-	if random.Float64() < cut {
-		t.cutSecond = random.IntN(dataCentres)
+	if random.Float64() < partitionProbability {
+		t.isolatedAtSecond = random.IntN(dataCentres)
 	}
-	t.logAway = random.Float64() < away
+	t.logUnavailable = random.Float64() < logOutageProbability
 	return t
 }
 
-// claimSizes returns the bytes of one claim in groups of several sizes.
+// claimSizes returns the bytes per claim for several group sizes.
 func claimSizes() ([]measure.Figure, error) {
 	var out []measure.Figure
 	for _, n := range []int{1, 10, 100} {
