--- a/bench/policy/list.go
+++ b/bench/policy/list.go
@@ -10,7 +10,7 @@
 	claims,
 	heartbeats,
 	propagation,
-	logReturn,
+	logRecovery,
 	waves,
 	moves,
 	capacities,
