refactor(bench): plain wording of the fleet measurements

Names of the capacity, wave and moves measurements follow: permit becomes filterGrant, skip skipIdleTime, relabellings generateLabelChanges, lull trough, and so on.

--- a/bench/policy/fleet_capacity.go
+++ b/bench/policy/fleet_capacity.go
@@ -9,47 +9,49 @@
 	"github.com/godwitcross/godwitcross/fleet/capacity"
 )
 
-// The demand of the brief: each service in turn asks for five times its mean for
-// a few seconds and then for a twentieth.
+// The simulated demand, from the requirements: the services take turns in demanding
+// five times their mean for a few seconds, and then a twentieth of it.
 const (
-	peakSeconds = 6
-	turnSeconds = 31
-	peakFactor  = 5.0
-	lullFactor  = 1.0 / 20
-	busyHosts   = 4.0
-	quietHosts  = 0.8
-	demandPools = 10
-	// warmUpDays are not counted, so that all policies have seen a week.
+	peakSeconds         = 6
+	peakIntervalSeconds = 31
+	peakFactor          = 5.0
+	troughFactor        = 1.0 / 20
+	busyHosts           = 4.0
+	offPeakHosts        = 0.8
+	demandPools         = 10
+	// warmUpDays are excluded from the result, so that all policies have a week of
+	// history.
 	warmUpDays = 7
 	demandDays = 14
 	daySeconds = 86_400
-	// decideEvery is the time between two decisions, takeSeconds how long a host
-	// takes to come and giveSeconds how long one drains before it is gone.
-	decideEvery = 10
-	takeSeconds = 70
-	giveSeconds = 60
+	// decisionIntervalSeconds is the time between two decisions, acquireSeconds the
+	// time until an added host is available, and releaseSeconds the time to drain a
+	// host before it is released.
+	decisionIntervalSeconds = 10
+	acquireSeconds          = 70
+	releaseSeconds          = 60
 )
 
-var capacities = measure.Measurement{
-	Name: "capacity", Usage: "buffer cost, jobs without room and moves of the policies, against an oracle", Run: measureCapacity,
+var capacityPolicies = measure.Measurement{
+	Name: "capacity", Usage: "buffer cost, unmet demand and moves of the policies, against an oracle", Run: measureCapacity,
 }
 
-// demandOf returns the hosts that a pool needs in each second.
-func demandOf(r *rand.Rand, n int) []capacity.Hosts {
+// generateDemand returns the demand of the n-th pool in hosts for each second.
+func generateDemand(r *rand.Rand, n int) []capacity.Hosts {
 	out := make([]capacity.Hosts, 0, demandDays*daySeconds)
 	for day := range demandDays {
 		factor := 0.9 + 0.2*r.Float64()
 		jitter := 1.0
 		for s := range daySeconds {
-			at := (s + n%5*peakSeconds) % turnSeconds
+			at := (s + n%5*peakSeconds) % peakIntervalSeconds
 			if at == 0 {
 				jitter = 0.9 + 0.2*r.Float64()
 			}
-			mean := quietHosts
+			mean := offPeakHosts
 			if isBusy(day, s/3600, n) {
 				mean = busyHosts
 			}
-			d := mean * factor * lullFactor
+			d := mean * factor * troughFactor
 			if at < peakSeconds {
 				d = mean * factor * jitter * peakFactor
 			}
@@ -59,8 +61,8 @@
 	return out
 }
 
-// isBusy reports whether the pool has busy hours: two of five work overnight, the
-// others by day, and none at the weekend.
+// isBusy reports whether the pool has busy hours: two of five pools are busy overnight,
+// the others by day, and none at the weekend.
 func isBusy(day, hour, n int) bool {
 	if day%7 >= 5 {
 		return false
@@ -71,47 +73,48 @@
 	return hour >= 8 && hour < 18
 }
 
-// capacityResult sums up the counted days of all pools.
+// capacityResult sums up the measured days of all pools.
 type capacityResult struct {
-	// idle and missing are in host seconds, needed as well.
-	idle, missing, needed float64
-	moves                 int
-	trace                 heldTrace
+	// idle, shortage and demand are in host-seconds.
+	idle, shortage, demand float64
+	moves                  int
+	trace                  capacityTrace
 }
 
 func (c *capacityResult) count(held, demand capacity.Hosts) {
 	c.trace.add(held, demand)
-	c.needed += float64(demand)
+	c.demand += float64(demand)
 	c.idle += float64(max(held-demand, 0))
-	c.missing += float64(max(demand-held, 0))
+	c.shortage += float64(max(demand-held, 0))
 }
 
-// runPolicy holds what the policy wants, as late as moves allow.
-func runPolicy(p capacity.Policy, demand []capacity.Hosts, c *capacityResult) {
+// simulatePolicy changes the held hosts to the policy's target, with the delays of
+// acquiring and releasing hosts.
+func simulatePolicy(p capacity.Policy, demand []capacity.Hosts, c *capacityResult) {
 	begin := time.Date(2026, 3, 2, 0, 0, 0, 0, time.UTC)
-	held, coming := capacity.Hosts(10), []arrival(nil)
-	leaving := []arrival(nil)
+	held, acquiring := capacity.Hosts(10), []scheduledMove(nil)
+	releasing := []scheduledMove(nil)
 	peak := capacity.Hosts(0)
 	for s, d := range demand {
 		peak = max(peak, d)
-		for len(coming) > 0 && coming[0].second <= s {
-			held += coming[0].hosts
-			coming = coming[1:]
+		for len(acquiring) > 0 && acquiring[0].second <= s {
+			held += acquiring[0].hosts
+			acquiring = acquiring[1:]
 		}
-		for len(leaving) > 0 && leaving[0].second <= s {
-			leaving = leaving[1:]
+		for len(releasing) > 0 && releasing[0].second <= s {
+			releasing = releasing[1:]
 		}
 		counted := s >= warmUpDays*daySeconds
-		if s%decideEvery == 0 {
-			target := held + sum(coming)
+		if s%decisionIntervalSeconds == 0 {
+			target := held + totalHosts(acquiring)
 			want := p.TargetHosts(begin.Add(time.Duration(s)*time.Second), capacity.Observation{PeakDemand: peak, CurrentHosts: target})
 			peak = 0
 			switch {
 			case want > target:
-				coming = append(coming, arrival{s + takeSeconds, want - target})
-			case want < target && len(coming) == 0:
+				acquiring = append(acquiring, scheduledMove{s + acquireSeconds, want - target})
+			case want < target && len(acquiring) == 0:
 				held = want
-				leaving = append(leaving, arrival{s + giveSeconds, target - want})
+				releasing = append(releasing, scheduledMove{s + releaseSeconds, target - want})
 			default:
 				want = target
 			}
@@ -121,18 +124,19 @@
 		}
 		if counted {
 			c.count(held, d)
-			c.idle += float64(sum(leaving))
+			c.idle += float64(totalHosts(releasing))
 		}
 	}
 }
 
-// arrival is hosts that come, or are gone, at a second.
-type arrival struct {
+// scheduledMove is a number of hosts whose acquisition or release completes at the
+// given second.
+type scheduledMove struct {
 	second int
 	hosts  capacity.Hosts
 }
 
-func sum(all []arrival) capacity.Hosts {
+func totalHosts(all []scheduledMove) capacity.Hosts {
 	n := capacity.Hosts(0)
 	for _, a := range all {
 		n += a.hosts
@@ -140,10 +144,10 @@
 	return n
 }
 
-// runOracle knows the demand and holds, in each second, the most that is needed
-// until a host could have been given away and fetched back.
-func runOracle(demand []capacity.Hosts, c *capacityResult) {
-	const ahead = takeSeconds + giveSeconds
+// simulateOracle knows the future demand. In each second it holds the highest demand
+// within the time that releasing and reacquiring a host takes.
+func simulateOracle(demand []capacity.Hosts, c *capacityResult) {
+	const ahead = acquireSeconds + releaseSeconds
 	last := capacity.Hosts(0)
 	var window []int
 	next := 0
@@ -180,10 +184,10 @@
 	results := make([]capacityResult, len(policies))
 	oracle := capacityResult{}
 	for n := range demandPools {
-		demand := demandOf(r, n)
-		runOracle(demand, &oracle)
+		demand := generateDemand(r, n)
+		simulateOracle(demand, &oracle)
 		for i, p := range policies {
-			runPolicy(p.make(), demand, &results[i])
+			simulatePolicy(p.make(), demand, &results[i])
 		}
 	}
 	o.Plot(bufferChart(results[len(results)-1].trace, oracle.trace))
@@ -199,14 +203,14 @@
 		out = append(out,
 			f(p.name+".buffer", c.idle/3600, measure.HostHours),
 			f(p.name+".bufferToOracle", c.idle/oracle.idle, measure.Ratio),
-			f(p.name+".demandWithoutRoom", c.missing/c.needed, measure.Ratio),
+			f(p.name+".demandWithoutRoom", c.shortage/c.demand, measure.Ratio),
 			f(p.name+".moves", float64(c.moves), measure.Count),
 		)
 	}
 	return out, nil
 }
 
-// forecastConfig is what the measurement chose.
+// forecastConfig holds the parameters selected by this measurement.
 var forecastConfig = capacity.ForecastConfig{
 	Slot: time.Hour, HistoryDays: 5, Quantile: 0.5, LeadTime: 2 * time.Minute,
 	RecentWindow: 5 * time.Minute, ScaleDownDelay: 5 * time.Minute, MinScaleDown: 2,
--- a/bench/policy/fleet_chart.go
+++ b/bench/policy/fleet_chart.go
@@ -8,36 +8,37 @@
 	"github.com/godwitcross/godwitcross/fleet/inventory"
 )
 
-// chartSeconds is the width of one point of the chart of hosts held.
+// chartSeconds is the time covered by one point of the chart of held hosts.
 const chartSeconds = 60
 
-// heldTrace keeps what the first pool needed and held on its first counted day.
-type heldTrace struct {
+// capacityTrace records the demand and the held hosts of the first pool on its first
+// measured day.
+type capacityTrace struct {
 	seconds int
-	// demand and held have the largest value of each step.
+	// demand and held contain the largest value of each step.
 	demand, held []measure.Point
-	mostDemand   capacity.Hosts
-	mostHeld     capacity.Hosts
+	maxDemand    capacity.Hosts
+	maxHeld      capacity.Hosts
 }
 
-// add takes one second.
-func (t *heldTrace) add(held, demand capacity.Hosts) {
+// add records one second.
+func (t *capacityTrace) add(held, demand capacity.Hosts) {
 	if t.seconds >= daySeconds {
 		return
 	}
 	t.seconds++
-	t.mostDemand, t.mostHeld = max(t.mostDemand, demand), max(t.mostHeld, held)
+	t.maxDemand, t.maxHeld = max(t.maxDemand, demand), max(t.maxHeld, held)
 	if t.seconds%chartSeconds != 0 {
 		return
 	}
 	hour := float64(t.seconds) / 3600
-	t.demand = append(t.demand, measure.Point{X: hour, Y: float64(t.mostDemand)})
-	t.held = append(t.held, measure.Point{X: hour, Y: float64(t.mostHeld)})
-	t.mostDemand, t.mostHeld = 0, 0
+	t.demand = append(t.demand, measure.Point{X: hour, Y: float64(t.maxDemand)})
+	t.held = append(t.held, measure.Point{X: hour, Y: float64(t.maxHeld)})
+	t.maxDemand, t.maxHeld = 0, 0
 }
 
-// bufferChart sets what the policy and the oracle held beside the demand.
-func bufferChart(policy, oracle heldTrace) measure.Chart {
+// bufferChart compares the hosts held by the policy and by the oracle with the demand.
+func bufferChart(policy, oracle capacityTrace) measure.Chart {
 	return measure.Chart{
 		Name: "capacity.buffer", Title: "Buffer against demand: one pool on one day, largest value of each minute",
 		X: "hour of the day", Y: "hosts",
@@ -49,20 +50,19 @@
 	}
 }
 
-// waveTrace keeps how many hosts each wave had rebooted in its first pass.
+// waveTrace records how many hosts each wave had rebooted during its first pass.
 type waveTrace map[inventory.WaveID][]measure.Point
 
-// add takes one look at a wave.
+// add records the progress of a wave.
 func (t waveTrace) add(id inventory.WaveID, since time.Duration, rebooted int) {
 	t[id] = append(t[id], measure.Point{X: since.Hours(), Y: float64(rebooted)})
 }
 
-// waveChart sets the progress of the wave that took longest beside its lower
-// bound.
+// waveChart compares the progress of the longest wave with its lower bound.
 func (r waveResult) waveChart() measure.Chart {
-	points := r.progress[r.longest]
+	points := r.progress[r.longestWave]
 	c := measure.Chart{
-		Name: "wave.progress", Title: "Progress of a wave against its lower bound: " + string(r.longest),
+		Name: "wave.progress", Title: "Progress of a wave against its lower bound: " + string(r.longestWave),
 		X: "hours since the wave began", Y: "hosts rebooted", Lines: []measure.Line{{Name: "rebooted", Points: points, Steps: true}},
 	}
 	if len(points) > 0 {
--- a/bench/policy/fleet_failure.go
+++ b/bench/policy/fleet_failure.go
@@ -12,14 +12,14 @@
 	"github.com/godwitcross/godwitcross/fleet/pool"
 )
 
-// outage is one time in which a host is away without a grant.
+// outage is a period in which a host is unavailable without a grant.
 type outage struct {
 	host     inventory.HostID
 	from, to time.Time
 }
 
-// outagesOf draws the failures and restarts of some days.
-func outagesOf(r *rand.Rand, begin time.Time, days, hosts, failuresPerDay, restartsPerDay int) []outage {
+// generateOutages draws the failures and restarts during the given days.
+func generateOutages(r *rand.Rand, begin time.Time, days, hosts, failuresPerDay, restartsPerDay int) []outage {
 	var out []outage
 	draw := func(n int, length func() time.Duration) {
 		for range n * days {
@@ -33,30 +33,30 @@
 	return out
 }
 
-// change is a moment at which a host goes or comes back.
-type change struct {
+// availabilityChange is the start or end of an outage.
+type availabilityChange struct {
 	at   time.Time
 	host inventory.HostID
 	down bool
 }
 
-func changesOf(all []outage) []change {
-	var out []change
+func availabilityChanges(all []outage) []availabilityChange {
+	var out []availabilityChange
 	for _, o := range all {
-		out = append(out, change{o.from, o.host, true}, change{o.to, o.host, false})
+		out = append(out, availabilityChange{o.from, o.host, true}, availabilityChange{o.to, o.host, false})
 	}
-	slices.SortStableFunc(out, func(a, b change) int { return a.at.Compare(b.at) })
+	slices.SortStableFunc(out, func(a, b availabilityChange) int { return a.at.Compare(b.at) })
 	return out
 }
 
-// lowerBound returns the least time in which the budgets allow the reboots of the
-// hosts, when all durations and outages are known beforehand: for each domain,
-// the time until its free budget has carried the work of its hosts.
-func lowerBound(w *fleetWorld, v *pool.View, hosts map[inventory.HostID]struct{}, start time.Time, outages []outage) time.Duration {
+// lowerBound returns the shortest time in which the budgets allow the reboots of the
+// hosts if all durations and outages are known in advance: the longest time that any
+// domain needs to complete the reboots of its hosts within its budget.
+func lowerBound(sim *fleetSimulation, v *pool.View, hosts map[inventory.HostID]struct{}, start time.Time, outages []outage) time.Duration {
 	work := make(map[budget.Domain]time.Duration)
 	longest := time.Duration(0)
 	for id := range hosts {
-		f := w.hosts[id]
+		f := sim.hosts[id]
 		longest = max(longest, f.drain+f.restart)
 		for _, d := range v.Hosts[id].Place().Domains() {
 			work[d] += f.drain + f.restart
@@ -68,26 +68,26 @@
 			failed[d] = append(failed[d], o)
 		}
 	}
-	most := longest
+	bound := longest
 	for d, need := range work {
-		most = max(most, timeToCarry(need, v.Limit(d), failed[d], start))
+		bound = max(bound, timeToComplete(need, v.Limit(d), failed[d], start))
 	}
-	return most
+	return bound
 }
 
-// timeToCarry returns how long a limit, less the hosts that are away, takes to
-// carry the work.
-func timeToCarry(need time.Duration, limit int, away []outage, start time.Time) time.Duration {
+// timeToComplete returns how long a limit on concurrent reboots, less the unavailable
+// hosts, takes to complete the work.
+func timeToComplete(work time.Duration, limit int, outages []outage, start time.Time) time.Duration {
 	const step = 5 * time.Second
 	for t := time.Duration(0); ; t += step {
 		free := limit
-		for _, o := range away {
+		for _, o := range outages {
 			if at := start.Add(t); !at.Before(o.from) && at.Before(o.to) {
 				free--
 			}
 		}
-		need -= time.Duration(max(free, 0)) * step
-		if need <= 0 {
+		work -= time.Duration(max(free, 0)) * step
+		if work <= 0 {
 			return t + step
 		}
 	}
--- a/bench/policy/fleet_moves.go
+++ b/bench/policy/fleet_moves.go
@@ -12,78 +12,78 @@
 	"github.com/godwitcross/godwitcross/fleet/label"
 )
 
-// movesShape is a tenth of the letter's size, with pools as large.
-var movesShape = fleetShape{hosts: letterHosts / 10, pools: letterPools / 10, window: time.Hour, budget: letterShape.budget}
+// movesShape is a tenth of the target size, with pools of the same size.
+var movesShape = fleetShape{hosts: targetHosts / 10, pools: targetPools / 10, window: time.Hour, budget: targetShape.budget}
 
 const (
-	// lastingChanges hosts are wanted elsewhere for good, and flappingChanges for
-	// a few seconds only.
-	lastingChanges  = 300
-	flappingChanges = 150
-	maxFlapSeconds  = 15
-	movesTick       = 250 * time.Millisecond
-	reevaluations   = 20
+	// permanentChanges hosts are assigned to another pool permanently, flappingChanges
+	// only for a few seconds.
+	permanentChanges = 300
+	flappingChanges  = 150
+	maxFlapSeconds   = 15
+	movesTick        = 250 * time.Millisecond
+	reevaluationRuns = 20
 )
 
 var moves = measure.Measurement{
-	Name: "moves", Usage: "moves after changed labels, some of which change back, and the cost of one change", Run: measureMoves,
+	Name: "moves", Usage: "host moves after label changes, some of which are reverted, and the cost of one change", Run: measureMoves,
 }
 
-// relabelling is one change of a host's label.
-type relabelling struct {
+// labelChange assigns a host to another pool by its label.
+type labelChange struct {
 	at   time.Duration
 	host int
 	pool int
 }
 
-// relabellings draws changes between pools of one owner.
-func relabellings(r *rand.Rand) []relabelling {
+// generateLabelChanges draws changes between pools of the same owner.
+func generateLabelChanges(r *rand.Rand) []labelChange {
 	siblings := [2][]int{}
 	for i := range movesShape.pools {
 		siblings[i%2] = append(siblings[i%2], i)
 	}
-	hosts := r.Perm(movesShape.hosts)[:lastingChanges+flappingChanges]
-	var out []relabelling
+	hosts := r.Perm(movesShape.hosts)[:permanentChanges+flappingChanges]
+	var out []labelChange
 	for i, h := range hosts {
-		home := h % movesShape.pools
-		to := siblings[home%2][r.IntN(len(siblings[home%2]))]
-		if to == home {
-			to = siblings[home%2][(home/2+1)%len(siblings[home%2])]
+		current := h % movesShape.pools
+		to := siblings[current%2][r.IntN(len(siblings[current%2]))]
+		if to == current {
+			to = siblings[current%2][(current/2+1)%len(siblings[current%2])]
 		}
-		out = append(out, relabelling{0, h, to})
-		if i >= lastingChanges {
-			out = append(out, relabelling{time.Duration(1+r.IntN(maxFlapSeconds)) * time.Second, h, home})
+		out = append(out, labelChange{0, h, to})
+		if i >= permanentChanges {
+			out = append(out, labelChange{time.Duration(1+r.IntN(maxFlapSeconds)) * time.Second, h, current})
 		}
 	}
 	return out
 }
 
 func measureMoves(o measure.Options) ([]measure.Figure, error) {
-	w, err := newFleetWorld(movesShape, o.Seed)
+	sim, err := newFleetSimulation(movesShape, o.Seed)
 	if err != nil {
 		return nil, err
 	}
-	if err := w.pauseWaves(); err != nil {
+	if err := sim.pauseWaves(); err != nil {
 		return nil, err
 	}
-	changes := relabellings(rand.New(rand.NewPCG(o.Seed, 9)))
-	begin, settled := w.now, time.Duration(0)
-	bound := movesLowerBound(w, changes)
+	changes := generateLabelChanges(rand.New(rand.NewPCG(o.Seed, 9)))
+	begin, settled := sim.now, time.Duration(0)
+	bound := movesLowerBound(sim, changes)
 	for elapsed := time.Duration(0); elapsed < time.Hour; elapsed += movesTick {
-		w.now = begin.Add(elapsed)
-		w.relist()
-		if err := w.relabel(changes, elapsed); err != nil {
+		sim.now = begin.Add(elapsed)
+		sim.refreshHostList()
+		if err := sim.publishLabelChanges(changes, elapsed); err != nil {
 			return nil, err
 		}
-		if err := w.tick(); err != nil {
+		if err := sim.tick(); err != nil {
 			return nil, err
 		}
-		if elapsed > maxFlapSeconds*time.Second && len(w.reducer.View().Active) == 0 {
+		if elapsed > maxFlapSeconds*time.Second && len(sim.reducer.View().Active) == 0 {
 			settled = elapsed
 			break
 		}
 	}
-	if err := w.verify(); err != nil {
+	if err := sim.verify(); err != nil {
 		return nil, err
 	}
 	cost, err := reevaluationCost(o.Seed)
@@ -94,82 +94,82 @@
 		return measure.Figure{Name: "moves." + name, Value: v, Unit: u, Deterministic: true}
 	}
 	return []measure.Figure{
-		f("toFewest", float64(w.transfers)/lastingChanges, measure.Ratio),
-		f("toFewestFollowingEachChange", float64(len(changes))/lastingChanges, measure.Ratio),
+		f("toFewest", float64(sim.transfers)/permanentChanges, measure.Ratio),
+		f("toFewestFollowingEachChange", float64(len(changes))/permanentChanges, measure.Ratio),
 		f("rollOutToLowerBound", settled.Seconds()/bound.Seconds(), measure.Ratio),
-		f("budgetOverruns", float64(w.overruns), measure.Count),
+		f("budgetOverruns", float64(sim.overruns), measure.Count),
 		{Name: "moves.reevaluation", Value: float64(cost.Microseconds()) / 1000, Unit: measure.Milliseconds},
 	}, nil
 }
 
-func (w *fleetWorld) pauseWaves() error {
+func (sim *fleetSimulation) pauseWaves() error {
 	o := configuration.Objects{Waves: map[inventory.WaveID]configuration.Wave{}}
-	for id, v := range w.cfg.Waves {
+	for id, v := range sim.cfg.Waves {
 		v.Paused = true
 		o.Waves[id] = v
 	}
-	return w.publish(o)
+	return sim.publish(o)
 }
 
-// relabel publishes the changes that are due at this very tick.
-func (w *fleetWorld) relabel(changes []relabelling, elapsed time.Duration) error {
+// publishLabelChanges publishes the changes that are due at this tick.
+func (sim *fleetSimulation) publishLabelChanges(changes []labelChange, elapsed time.Duration) error {
 	o := configuration.Objects{Hosts: map[inventory.HostID]configuration.Host{}}
 	for _, c := range changes {
 		if c.at != elapsed {
 			continue
 		}
 		id := inventory.HostID(fmt.Sprintf("host-%04d", c.host))
-		h := w.cfg.Hosts[id]
+		h := sim.cfg.Hosts[id]
 		h.Labels = label.Set{"Pool": fmt.Sprintf("%03d", c.pool)}
 		o.Hosts[id] = h
 	}
 	if len(o.Hosts) == 0 {
 		return nil
 	}
-	return w.publish(o)
+	return sim.publish(o)
 }
 
-// movesLowerBound returns the least time in which the budgets of the pools that
-// hosts leave allow their drains.
-func movesLowerBound(w *fleetWorld, changes []relabelling) time.Duration {
-	v := w.reducer.View()
+// movesLowerBound returns the shortest time in which the budgets of the source pools
+// allow the drains.
+func movesLowerBound(sim *fleetSimulation, changes []labelChange) time.Duration {
+	v := sim.reducer.View()
 	work := make(map[budget.Domain]time.Duration)
-	most := time.Duration(0)
-	for _, c := range changes[:lastingChanges] {
+	bound := time.Duration(0)
+	for _, c := range changes[:permanentChanges] {
 		id := inventory.HostID(fmt.Sprintf("host-%04d", c.host))
-		drain := w.hosts[id].drain
-		most = max(most, drain)
+		drain := sim.hosts[id].drain
+		bound = max(bound, drain)
 		for _, d := range v.Hosts[id].Place().Domains() {
 			work[d] += drain
 		}
 	}
 	for d, need := range work {
-		most = max(most, need/time.Duration(v.Limit(d)))
+		bound = max(bound, need/time.Duration(v.Limit(d)))
 	}
-	return most
+	return bound
 }
 
-// reevaluationCost returns the least of several times that one changed selector
-// takes at the letter's size: validation, ownership, and the view for readers.
+// reevaluationCost returns the shortest of several times to apply one changed selector
+// at the target size: validation, ownership and a new read view.
 func reevaluationCost(seed uint64) (time.Duration, error) {
-	w, err := newFleetWorld(letterShape, seed)
+	sim, err := newFleetSimulation(targetShape, seed)
 	if err != nil {
 		return 0, err
 	}
-	least := time.Hour
-	for i := range reevaluations {
+	shortest := time.Hour
+	for i := range reevaluationRuns {
 		s, err := label.Parse(fmt.Sprintf("Pool in (%03d,x%d)", 7, i))
 		if err != nil {
 			return 0, err
 		}
-		p := w.cfg.Pools[fleetPoolID(7)]
+		p := sim.cfg.Pools[poolID(7)]
 		p.Hosts = s
 		began := time.Now()
-		if err := w.publish(configuration.Objects{Pools: map[inventory.PoolID]configuration.Pool{fleetPoolID(7): p}}); err != nil {
+		if err := sim.publish(configuration.Objects{Pools: map[inventory.PoolID]configuration.Pool{poolID(7): p}}); err != nil {
 			return 0, err
 		}
-		w.reducer.View()
-		least = min(least, time.Since(began))
+		sim.reducer.View()
+		shortest = min(shortest, time.Since(began))
 	}
-	return least, nil
+	return shortest, nil
 }
--- a/bench/policy/fleet_wave.go
+++ b/bench/policy/fleet_wave.go
@@ -11,53 +11,53 @@
 	"github.com/godwitcross/godwitcross/fleet/wave"
 )
 
-// The size of the letter.
+// The target size and daily rates, from the requirements.
 const (
-	letterHosts    = 8_600
-	letterPools    = 111
-	letterFailures = 95
-	letterRestarts = 520
-	letterDays     = 28
+	targetHosts     = 8_600
+	targetPools     = 111
+	failuresPerDay  = 95
+	restartsPerDay  = 520
+	maintenanceDays = 28
 )
 
-var letterShape = fleetShape{
-	hosts: letterHosts, pools: letterPools, window: 6 * time.Hour,
+var targetShape = fleetShape{
+	hosts: targetHosts, pools: targetPools, window: 6 * time.Hour,
 	budget: configuration.Budget{MaxUnavailable: 100_000, MaxPerRack: 2, MaxPerDataCentre: 300_000},
 }
 
-// baselineShape is a quarter of the letter's size, with pools as large.
+// baselineShape is a quarter of the target size, with pools of the same size.
 var baselineShape = fleetShape{
-	hosts: letterHosts / 4, pools: letterPools / 4, window: letterShape.window, budget: letterShape.budget,
+	hosts: targetHosts / 4, pools: targetPools / 4, window: targetShape.window, budget: targetShape.budget,
 }
 
-// waveResult is what a run of both owners' waves showed.
+// waveResult is the outcome of the waves of both owners.
 type waveResult struct {
-	// ratio is the roll-out time against the lower bound, the worse of both waves.
+	// ratio is the roll-out time divided by its lower bound, the larger of both waves.
 	ratio   float64
 	rollOut time.Duration
-	// late counts hosts that were not rebooted within the period.
-	late     int
-	repeated int
-	overruns int
-	// progress, longest and lowerBound are for the chart.
-	progress   waveTrace
-	longest    inventory.WaveID
-	lowerBound time.Duration
+	// notMaintained counts hosts that were not rebooted within the period.
+	notMaintained   int
+	repeatedReboots int
+	overruns        int
+	// progress, longestWave and lowerBound are for the chart.
+	progress    waveTrace
+	longestWave inventory.WaveID
+	lowerBound  time.Duration
 }
 
 var waves = measure.Measurement{
-	Name: "wave", Usage: "4 weeks of maintenance at the letter's size, against a baseline in rounds", Run: measureWave,
+	Name: "wave", Usage: "4 weeks of maintenance at the target size, against a baseline in rounds", Run: measureWave,
 }
 
-// measureWave runs the waves of 4 weeks, and their first pass under a baseline.
+// measureWave runs the waves of 4 weeks, and their first pass under the baseline.
 func measureWave(o measure.Options) ([]measure.Figure, error) {
-	ours, err := runWaves(letterShape, o.Seed, letterDays, nil)
+	product, err := runWaves(targetShape, o.Seed, maintenanceDays, nil)
 	if err != nil {
 		return nil, err
 	}
-	o.Plot(ours.waveChart())
-	o.Progress("rounds as a baseline")
-	rounds, err := runWaves(baselineShape, o.Seed, 1, permitRounds)
+	o.Plot(product.waveChart())
+	o.Progress("baseline in rounds")
+	rounds, err := runWaves(baselineShape, o.Seed, 1, filterInRounds)
 	if err != nil {
 		return nil, err
 	}
@@ -65,25 +65,26 @@
 		return measure.Figure{Name: "wave." + name, Value: v, Unit: u, Deterministic: true}
 	}
 	return []measure.Figure{
-		f("rollOutToLowerBound", ours.ratio, measure.Ratio),
+		f("rollOutToLowerBound", product.ratio, measure.Ratio),
 		f("rollOutToLowerBoundInRounds", rounds.ratio, measure.Ratio),
-		f("rollOut", ours.rollOut.Seconds()*1000, measure.Milliseconds),
-		f("hostsNotMaintainedIn4Weeks", float64(ours.late), measure.Count),
-		f("rebootsRepeated", float64(ours.repeated), measure.Count),
-		f("budgetOverruns", float64(ours.overruns), measure.Count),
+		f("rollOut", product.rollOut.Seconds()*1000, measure.Milliseconds),
+		f("hostsNotMaintainedIn4Weeks", float64(product.notMaintained), measure.Count),
+		f("rebootsRepeated", float64(product.repeatedReboots), measure.Count),
+		f("budgetOverruns", float64(product.overruns), measure.Count),
 	}, nil
 }
 
-// permitRounds lets a pool start hosts only once all of its last ones are back.
-func permitRounds(v *pool.View, g pool.Grant) pool.Grant {
+// filterInRounds lets a pool start a batch of hosts only after all hosts of the last
+// batch are back.
+func filterInRounds(v *pool.View, g pool.Grant) pool.Grant {
 	busy := make(map[inventory.PoolID]bool)
 	for id := range v.Active {
 		busy[v.Hosts[id].Pool] = true
 	}
-	return keepRequests(g, func(q pool.Request) bool { return !busy[v.Hosts[q.Host].Pool] })
+	return filterRequests(g, func(q pool.Request) bool { return !busy[v.Hosts[q.Host].Pool] })
 }
 
-func keepRequests(g pool.Grant, keep func(q pool.Request) bool) pool.Grant {
+func filterRequests(g pool.Grant, keep func(q pool.Request) bool) pool.Grant {
 	var out pool.Grant
 	for _, q := range g.Requests {
 		if keep(q) {
@@ -93,80 +94,82 @@
 	return out
 }
 
-// runWaves runs virtual days. Between the windows only the hosts' health moves on.
-func runWaves(shape fleetShape, seed uint64, days int, permit func(*pool.View, pool.Grant) pool.Grant) (waveResult, error) {
-	w, err := newFleetWorld(shape, seed)
+// runWaves runs the given number of virtual days. Outside the maintenance windows it
+// applies only changes of host health.
+func runWaves(shape fleetShape, seed uint64, days int, filterGrant func(*pool.View, pool.Grant) pool.Grant) (waveResult, error) {
+	sim, err := newFleetSimulation(shape, seed)
 	if err != nil {
 		return waveResult{}, err
 	}
-	w.permit = permit
-	begin := w.now
-	outages := outagesOf(rand.New(rand.NewPCG(seed, 3)), begin, days, shape.hosts, letterFailures*shape.hosts/letterHosts, letterRestarts*shape.hosts/letterHosts)
-	changes := changesOf(outages)
+	sim.filterGrant = filterGrant
+	begin := sim.now
+	outages := generateOutages(rand.New(rand.NewPCG(seed, 3)), begin, days, shape.hosts, failuresPerDay*shape.hosts/targetHosts, restartsPerDay*shape.hosts/targetHosts)
+	changes := availabilityChanges(outages)
 	result := waveResult{progress: make(waveTrace)}
 	measured := make(map[inventory.WaveID]bool)
-	for w.now.Before(begin.Add(time.Duration(days) * 24 * time.Hour)) {
-		for len(changes) > 0 && !changes[0].at.After(w.now) {
-			w.setDown(changes[0].host, changes[0].down)
+	for sim.now.Before(begin.Add(time.Duration(days) * 24 * time.Hour)) {
+		for len(changes) > 0 && !changes[0].at.After(sim.now) {
+			sim.setDown(changes[0].host, changes[0].down)
 			changes = changes[1:]
 		}
-		if w.list.At.Add(5 * time.Second).Before(w.now) {
-			w.relist()
+		if sim.hostList.At.Add(5 * time.Second).Before(sim.now) {
+			sim.refreshHostList()
 		}
-		if err := w.tick(); err != nil {
+		if err := sim.tick(); err != nil {
 			return result, err
 		}
-		v := w.reducer.View()
+		v := sim.reducer.View()
 		for id, p := range v.Waves {
 			if !p.Started.IsZero() && !measured[id] {
-				result.progress.add(id, w.now.Sub(p.Started), len(p.Rebooted))
+				result.progress.add(id, sim.now.Sub(p.Started), len(p.Rebooted))
 			}
 			if p.Finished.IsZero() || measured[id] {
 				continue
 			}
 			measured[id] = true
 			took := p.Finished.Sub(p.Started)
-			bound := lowerBound(w, v, p.Rebooted, p.Started, outages)
+			bound := lowerBound(sim, v, p.Rebooted, p.Started, outages)
 			result.ratio = max(result.ratio, took.Seconds()/bound.Seconds())
 			if took > result.rollOut {
-				result.rollOut, result.longest, result.lowerBound = took, id, bound
+				result.rollOut, result.longestWave, result.lowerBound = took, id, bound
 			}
 		}
-		w.now = w.now.Add(fleetTick)
-		if w.isQuiet(v) {
-			if changes, err = w.skip(changes); err != nil {
+		sim.now = sim.now.Add(fleetTick)
+		if sim.isIdle(v) {
+			if changes, err = sim.skipIdleTime(changes); err != nil {
 				return result, err
 			}
 		}
 	}
-	for id, h := range w.hosts {
-		if len(h.begun) == 0 && !w.reducer.View().Hosts[id].Failed {
-			result.late++
+	for id, h := range sim.hosts {
+		if len(h.rebootCounts) == 0 && !sim.reducer.View().Hosts[id].Failed {
+			result.notMaintained++
 		}
-		for _, n := range h.begun {
-			result.repeated += n - 1
+		for _, n := range h.rebootCounts {
+			result.repeatedReboots += n - 1
 		}
 	}
-	result.overruns = w.overruns
-	return result, w.verify()
+	result.overruns = sim.overruns
+	return result, sim.verify()
 }
 
-// setDown makes a host fail, or brings it back as it was admitted last.
-func (w *fleetWorld) setDown(id inventory.HostID, down bool) {
-	h := w.hosts[id]
-	h.down, w.relistDue = down, true
+// setDown makes a host fail, or brings it back in the admitted state.
+func (sim *fleetSimulation) setDown(id inventory.HostID, down bool) {
+	h := sim.hosts[id]
+	h.down, sim.hostListStale = down, true
 	if down {
 		h.state = pool.PlatformAdmitted
 	}
 }
 
-// isQuiet reports whether nothing is disturbed and no host waits for a wave.
-func (w *fleetWorld) isQuiet(v *pool.View) bool {
+// isIdle reports whether no host is being drained or rebooted and no wave is in
+// progress.
+func (sim *fleetSimulation) isIdle(v *pool.View) bool {
 	if len(v.Active) > 0 {
 		return false
 	}
-	for id := range w.cfg.Waves {
-		s := pool.NewWaveStatus(w.now, w.cfg, v, id)
+	for id := range sim.cfg.Waves {
+		s := pool.NewWaveStatus(sim.now, sim.cfg, v, id)
 		if s.State != pool.WaveWaiting && (s.State != pool.WaveDone || s.Finished.IsZero()) {
 			return false
 		}
@@ -174,32 +177,32 @@
 	return true
 }
 
-// skip goes on to the next start of the windows, or to the return of a host that
-// a wave has still to reboot. Health goes into the fold without a tick.
-func (w *fleetWorld) skip(changes []change) ([]change, error) {
-	window := wave.NewWindow(w.cfg.Waves[inventory.WaveID(fleetOwner(0))])
-	end := w.now.Truncate(24 * time.Hour).Add(window.Start)
-	if !end.After(w.now) {
+// skipIdleTime advances to the start of the next maintenance window, or to the return
+// of a host that a wave still has to reboot. It applies health changes without a tick.
+func (sim *fleetSimulation) skipIdleTime(changes []availabilityChange) ([]availabilityChange, error) {
+	window := wave.NewWindow(sim.cfg.Waves[inventory.WaveID(poolOwner(0))])
+	end := sim.now.Truncate(24 * time.Hour).Add(window.Start)
+	if !end.After(sim.now) {
 		end = end.Add(24 * time.Hour)
 	}
 	for len(changes) > 0 && changes[0].at.Before(end) {
 		c := changes[0]
 		changes = changes[1:]
-		w.now = c.at
-		w.setDown(c.host, c.down)
+		sim.now = c.at
+		sim.setDown(c.host, c.down)
 		b := pool.Health{Returned: []inventory.HostID{c.host}}
 		if c.down {
 			b = pool.Health{Failed: []inventory.HostID{c.host}}
 		}
-		if err := w.record(pool.Decision{Kind: pool.KindHealth, Body: b}); err != nil {
+		if err := sim.record(pool.Decision{Kind: pool.KindHealth, Body: b}); err != nil {
 			return changes, err
 		}
-		if _, open := window.Open(w.now); open && !c.down && len(w.hosts[c.host].begun) == 0 {
-			w.relist()
+		if _, open := window.Open(sim.now); open && !c.down && len(sim.hosts[c.host].rebootCounts) == 0 {
+			sim.refreshHostList()
 			return changes, nil
 		}
 	}
-	w.now = end
-	w.relist()
+	sim.now = end
+	sim.refreshHostList()
 	return changes, nil
 }
--- a/bench/policy/list.go
+++ b/bench/policy/list.go
@@ -1,10 +1,10 @@
-// Package policy measures decisions: the real packages over small fakes of
-// their neighbours, in virtual time, with fixed seeds.
+// Package policy measures decisions: it runs the production packages with simulated
+// dependencies, in virtual time and with fixed seeds.
 package policy
 
 import "github.com/godwitcross/godwitcross/bench/measure"
 
-// Measurements are all measurements of policies, in order.
+// Measurements lists all measurements of policies, in order.
 var Measurements = []measure.Measurement{
 	requests,
 	claims,
@@ -13,6 +13,6 @@
 	logRecovery,
 	waves,
 	moves,
-	capacities,
+	capacityPolicies,
 	jobPlacement,
 }
