--- a/bench/policy/placement_baseline.go
+++ b/bench/policy/placement_baseline.go
@@ -5,9 +5,9 @@
 	"github.com/godwitcross/godwitcross/fleet/placement"
 )
 
-// firstFit is the baseline: jobs in order of their acceptance, each on the first
-// worker of its pool with room for the declared size, and a queue that waits for
-// its first job.
+// firstFit is the baseline: it takes jobs in order of acceptance, starts each on the
+// first worker of its pool with room for the declared size, and blocks the queue while
+// its first job does not fit.
 type firstFit struct {
 	free  map[inventory.PoolID][]*firstFitWorker
 	queue map[inventory.PoolID][]*placement.Job
@@ -16,11 +16,11 @@
 // firstFitWorker is a worker of the baseline.
 type firstFitWorker struct {
 	free inventory.Size
-	// real is what its jobs really use.
-	real inventory.Size
+	// used is the actual usage of its jobs.
+	used inventory.Size
 }
 
-// newFirstFit returns a baseline over the same workers and queued jobs.
+// newFirstFit returns a baseline with the same workers and queued jobs.
 func newFirstFit(l placement.Layout, jobs []*placement.Job) *firstFit {
 	f := &firstFit{free: make(map[inventory.PoolID][]*firstFitWorker), queue: make(map[inventory.PoolID][]*placement.Job)}
 	for _, w := range l.Workers {
@@ -33,7 +33,7 @@
 	return f
 }
 
-// run starts jobs until each queue's first job finds no room. It returns the
+// run starts jobs until the first job of each queue does not fit, and returns the
 // started jobs.
 func (f *firstFit) run(used func(*placement.Job) inventory.Size) []*placement.Job {
 	var started []*placement.Job
@@ -54,18 +54,18 @@
 			continue
 		}
 		w.free = w.free.Sub(j.Declared)
-		w.real = w.real.Add(used)
+		w.used = w.used.Add(used)
 		return true
 	}
 	return false
 }
 
-// overfull counts workers whose jobs really use more than there is.
-func (f *firstFit) overfull() int {
+// overcommittedWorkers counts workers whose jobs use more than their capacity.
+func (f *firstFit) overcommittedWorkers() int {
 	n := 0
 	for _, workers := range f.free {
 		for _, w := range workers {
-			if !w.real.FitsIn(inventory.Size{Cores: workerCores, Memory: workerMemory}) {
+			if !w.used.FitsIn(inventory.Size{Cores: workerCores, Memory: workerMemory}) {
 				n++
 			}
 		}
