refactor(bench): plain wording of the requests measurement

The request world is a request simulation, its tally request statistics, a contender a candidate, a scene a scenario and a place a host configuration. Fields of the simulated servers name their state: crashed, slowdown, answersToDrop, generation. The scenario with partitioned data centres, whose name stands in progress lines and chart titles, is reworded; its figures keep the suffix .apart. The figures doubles, sent_to_leaving and the others keep their names.

--- a/bench/policy/requests.go
+++ b/bench/policy/requests.go
@@ -10,75 +10,75 @@
 	"github.com/godwitcross/godwitcross/fleet/dispatch"
 )
 
-// requests measures routing, admission and retries through the bursts of the brief.
+// requests measures routing, admission and retries during bursts of demand.
 var requests = measure.Measurement{
 	Name:  "requests",
-	Usage: "goodput, waits, refusals and retries through bursts, against two baselines",
-	Run:   runRequests,
+	Usage: "goodput, waits, refusals and retries during bursts, against two baselines",
+	Run:   measureRequests,
 }
 
-// contender is a policy that is measured.
-type contender struct {
-	name   string
-	make   func(p place) policyHost
-	scenes []scene
+// candidate is a measured policy.
+type candidate struct {
+	name      string
+	newHost   func(p hostConfig) entryPolicy
+	scenarios []scenario
 }
 
-// contenders are the policy of the product, the orders of its queue that were
-// weighed, and the baselines.
-var contenders = []contender{
-	{"requests", newProduct(admission.EarliestDeadlineFirst), scenes},
-	{"requests.oldest_first", newProduct(admission.OldestFirst), scenes[:1]},
-	{"requests.newest_first", newProduct(admission.NewestFirst), scenes[:1]},
-	{"requests.random", newRandomHost, scenes},
-	{"requests.least_loaded", newLeastLoadedHost, scenes},
+// candidates are the production policy, alternative orders of its queue, and the
+// baselines.
+var candidates = []candidate{
+	{"requests", newDispatcher(admission.EarliestDeadlineFirst), scenarios},
+	{"requests.oldest_first", newDispatcher(admission.OldestFirst), scenarios[:1]},
+	{"requests.newest_first", newDispatcher(admission.NewestFirst), scenarios[:1]},
+	{"requests.random", newRandomHost, scenarios},
+	{"requests.least_loaded", newLeastLoadedHost, scenarios},
 }
 
-func newProduct(order admission.Order) func(p place) policyHost {
-	return func(p place) policyHost {
+func newDispatcher(order admission.Order) func(p hostConfig) entryPolicy {
+	return func(p hostConfig) entryPolicy {
 		d := dispatch.New(dispatch.Config{Name: p.name, DataCentre: p.dataCentre, Order: order, Retries: p.retries, Random: p.random})
 		d.Configure(p.objects, p.now)
 		return d
 	}
 }
 
-// runRequests runs each policy through its scenes. The worlds share nothing, so
-// they run side by side and give the same figures in any order.
-func runRequests(o measure.Options) ([]measure.Figure, error) {
+// measureRequests runs each policy through its scenarios. The simulations share no state,
+// so they run in parallel and give the same figures in any order.
+func measureRequests(o measure.Options) ([]measure.Figure, error) {
 	type run struct {
-		world       *world
+		simulation  *requestSimulation
 		name, title string
 	}
 	var runs []run
-	for _, c := range contenders {
-		for _, scene := range c.scenes {
-			o.Progress(c.name + " " + scene.name)
-			runs = append(runs, run{world: newWorld(c, scene, o.Seed), name: c.name + scene.suffix, title: c.name + " " + scene.name})
+	for _, c := range candidates {
+		for _, s := range c.scenarios {
+			o.Progress(c.name + " " + s.name)
+			runs = append(runs, run{simulation: newRequestSimulation(c, s, o.Seed), name: c.name + s.figureSuffix, title: c.name + " " + s.name})
 		}
 	}
 	var wg sync.WaitGroup
 	for _, r := range runs {
-		wg.Go(r.world.run)
+		wg.Go(r.simulation.run)
 	}
 	wg.Wait()
 	var figures []measure.Figure
 	for _, r := range runs {
-		o.Plot(r.world.tally.latencies.chart(r.name, "Latency by class and tenant through a burst: "+r.title))
-		figures = append(figures, r.world.figures(r.name)...)
+		o.Plot(r.simulation.stats.latencies.chart(r.name, "Latency by class and tenant through a burst: "+r.title))
+		figures = append(figures, r.simulation.figures(r.name)...)
 	}
 	return figures, nil
 }
 
-// figures returns what the run showed under names that begin with the prefix.
-func (w *world) figures(prefix string) []measure.Figure {
-	t := w.tally
+// figures returns the figures of the run, with names that begin with the prefix.
+func (sim *requestSimulation) figures(prefix string) []measure.Figure {
+	t := sim.stats
 	figure := func(name string, v float64, u measure.Unit) measure.Figure {
 		return measure.Figure{Name: prefix + "." + name, Value: v, Unit: u, Deterministic: true}
 	}
 	out := []measure.Figure{
-		figure("goodput", t.goodput(w), measure.Ratio),
-		figure("retries", ratio(t.sendings-t.firstSendings, t.firstSendings), measure.Ratio),
-		figure("doubles", float64(t.doubles), measure.Count),
+		figure("goodput", t.goodput(sim), measure.Ratio),
+		figure("retries", ratio(t.attempts-t.firstAttempts, t.firstAttempts), measure.Ratio),
+		figure("doubles", float64(t.duplicates), measure.Count),
 		figure("false_not_run", float64(t.falseNotRun), measure.Count),
 		figure("sent_to_leaving", float64(t.sentToLeaving), measure.Count),
 	}
--- a/bench/policy/requests_baseline.go
+++ b/bench/policy/requests_baseline.go
@@ -12,38 +12,38 @@
 	"github.com/godwitcross/godwitcross/fleet/routing"
 )
 
-// baselineTries bounds how often a baseline sends a request.
-const baselineTries = 3
+// maxBaselineAttempts bounds the attempts of a request by a baseline.
+const maxBaselineAttempts = 3
 
-// baseline is what both baselines share: the host list, retries without a
-// budget, and the same truth about outcomes.
+// baseline is shared by both baselines: the host list, retries without a budget, and
+// the production rules for outcomes.
 type baseline struct {
 	random  *rand.Rand
 	servers map[inventory.ServiceID][]inventory.InstanceID
 	load    map[inventory.InstanceID]int
 	calls   map[admission.RequestID]*baselineCall
-	out     []dispatch.Action
-	// again sends a request that is to be tried once more.
-	again func(c *baselineCall, now time.Time)
-	// freed is told that a request left its server.
-	freed func(v inventory.ServiceID, now time.Time)
+	actions []dispatch.Action
+	// enqueue queues a new request or one to be retried, or sends it at once.
+	enqueue func(c *baselineCall, now time.Time)
+	// onRelease is called after a request released its slot.
+	onRelease func(v inventory.ServiceID, now time.Time)
 }
 
 type baselineCall struct {
 	dispatch.Request
 	attempts retry.Attempts
-	at       inventory.InstanceID
+	server   inventory.InstanceID
 }
 
-func newBaseline(p place) *baseline {
+func newBaseline(p hostConfig) *baseline {
 	return &baseline{
 		random: p.random, servers: make(map[inventory.ServiceID][]inventory.InstanceID),
 		load: make(map[inventory.InstanceID]int), calls: make(map[admission.RequestID]*baselineCall),
-		freed: func(inventory.ServiceID, time.Time) {},
+		onRelease: func(inventory.ServiceID, time.Time) {},
 	}
 }
 
-// SetHosts takes the live servers of the list.
+// SetHosts sets the live servers of each service.
 func (b *baseline) SetHosts(l inventory.HostList, _ time.Time) {
 	clear(b.servers)
 	for _, h := range l.Hosts {
@@ -53,62 +53,62 @@
 	}
 }
 
-// Tick does nothing.
+// Tick does nothing; the baselines have no timers.
 func (b *baseline) Tick(time.Time) {}
 
-// TakeActions returns what is to be done.
+// TakeActions returns the pending actions and clears them.
 func (b *baseline) TakeActions() []dispatch.Action {
-	out := b.out
-	b.out = nil
+	out := b.actions
+	b.actions = nil
 	return out
 }
 
-// Submit sends a request or lets it wait.
+// Submit sends or queues a request.
 func (b *baseline) Submit(r dispatch.Request, now time.Time) {
 	c := &baselineCall{Request: r, attempts: retry.Attempts{Idempotent: r.Idempotent}}
 	b.calls[r.ID] = c
-	b.again(c, now)
+	b.enqueue(c, now)
 }
 
 func (b *baseline) send(c *baselineCall, id inventory.InstanceID) {
-	c.at = id
+	c.server = id
 	b.load[id]++
-	b.out = append(b.out, dispatch.Action{Kind: dispatch.ActionSend, Request: c.ID, Instance: routing.Instance{ID: id}, Deadline: c.Deadline})
+	b.actions = append(b.actions, dispatch.Action{Kind: dispatch.ActionSend, Request: c.ID, Instance: routing.Instance{ID: id}, Deadline: c.Deadline})
 }
 
-// HandleResult sends again while that breaks no promise and tries are left.
+// HandleResult retries a failed request if a retry is safe and attempts are left.
 func (b *baseline) HandleResult(id admission.RequestID, r dispatch.AttemptResult, now time.Time) {
 	c := b.calls[id]
-	b.load[c.at]--
+	b.load[c.server]--
 	if r.Result == retry.ResultAnswered {
 		b.finish(c, retry.Answered)
-	} else if c.attempts.Record(r.Result); c.attempts.CanRetry() && c.attempts.Count < baselineTries {
-		b.again(c, now)
+	} else if c.attempts.Record(r.Result); c.attempts.CanRetry() && c.attempts.Count < maxBaselineAttempts {
+		b.enqueue(c, now)
 	} else {
 		b.finish(c, c.attempts.Outcome())
 	}
-	b.freed(c.Service, now)
+	b.onRelease(c.Service, now)
 }
 
 func (b *baseline) finish(c *baselineCall, o retry.Outcome) {
 	delete(b.calls, c.ID)
-	b.out = append(b.out, dispatch.Action{Kind: dispatch.ActionFinish, Request: c.ID, End: dispatch.Completion{Outcome: o}})
+	b.actions = append(b.actions, dispatch.Action{Kind: dispatch.ActionFinish, Request: c.ID, End: dispatch.Completion{Outcome: o}})
 }
 
-// newRandomHost returns the baseline without admission: each request goes to a
-// random server at once.
-func newRandomHost(p place) policyHost {
+// newRandomHost returns the baseline without admission control: each request is sent to
+// a random server immediately.
+func newRandomHost(p hostConfig) entryPolicy {
 	b := newBaseline(p)
-	b.again = func(c *baselineCall, _ time.Time) {
+	b.enqueue = func(c *baselineCall, _ time.Time) {
 		servers := b.servers[c.Service]
 		b.send(c, servers[b.random.IntN(len(servers))])
 	}
 	return b
 }
 
-// newLeastLoadedHost returns the baseline with the least loaded server by the
-// local view and a plain queue, first in, first out.
-func newLeastLoadedHost(p place) policyHost {
+// newLeastLoadedHost returns the baseline that sends to the server with the lowest load
+// in the host's local view and has a first-in, first-out queue.
+func newLeastLoadedHost(p hostConfig) entryPolicy {
 	b := newBaseline(p)
 	waiting := make(map[inventory.ServiceID][]*baselineCall)
 	next := func(v inventory.ServiceID) {
@@ -117,17 +117,17 @@
 			offset := b.random.IntN(len(servers))
 			rotated := append(slices.Clone(servers[offset:]), servers[:offset]...)
 			id := slices.MinFunc(rotated, func(a, c inventory.InstanceID) int { return b.load[a] - b.load[c] })
-			if b.load[id] >= slotsEach {
+			if b.load[id] >= slotsPerServer {
 				return
 			}
 			b.send(waiting[v][0], id)
 			waiting[v] = waiting[v][1:]
 		}
 	}
-	b.again = func(c *baselineCall, _ time.Time) {
+	b.enqueue = func(c *baselineCall, _ time.Time) {
 		waiting[c.Service] = append(waiting[c.Service], c)
 		next(c.Service)
 	}
-	b.freed = func(v inventory.ServiceID, _ time.Time) { next(v) }
+	b.onRelease = func(v inventory.ServiceID, _ time.Time) { next(v) }
 	return b
 }
--- a/bench/policy/requests_server.go
+++ b/bench/policy/requests_server.go
@@ -10,44 +10,46 @@
 	"github.com/godwitcross/godwitcross/fleet/routing"
 )
 
-// fakeServer is a backend server with slots.
+// fakeServer is a simulated backend server with a limited number of slots.
 type fakeServer struct {
 	id         inventory.InstanceID
 	service    inventory.ServiceID
 	dataCentre inventory.DataCentreID
-	busy       int
-	dead       bool
+	busySlots  int
+	crashed    bool
 	leaving    bool
-	// leavingSeen is when an entry host first saw a sign of leaving.
-	leavingSeen time.Time
-	// slow multiplies the time of each request from slowSince on.
-	slow      time.Duration
+	// leavingSeenAt is when an entry host first received a sign that the server is
+	// leaving.
+	leavingSeenAt time.Time
+	// slowdown multiplies the service time of each request; it changes at slowSince.
+	slowdown  time.Duration
 	slowSince time.Time
-	// lost counts down answers that are lost after the work was done.
-	lost int
-	// gone is when the server died or took no more work.
-	gone time.Time
-	// life grows with each death; work of an earlier life gets no answer.
-	life int
+	// answersToDrop is the number of answers still to be dropped after the work is
+	// done.
+	answersToDrop int
+	// unavailableSince is when the server crashed or began to refuse work.
+	unavailableSince time.Time
+	// generation counts crashes; work of an earlier generation is not answered.
+	generation int
 }
 
-func (w *world) addServer(v inventory.ServiceID, i int) {
-	s := &fakeServer{id: inventory.InstanceID(fmt.Sprintf("%s-%02d", v, i)), service: v, dataCentre: dataCentre(i), slow: 1}
-	w.servers[s.id] = s
-	w.list = append(w.list, inventory.ListedHost{
+func (sim *requestSimulation) addServer(v inventory.ServiceID, i int) {
+	s := &fakeServer{id: inventory.InstanceID(fmt.Sprintf("%s-%02d", v, i)), service: v, dataCentre: dataCentre(i), slowdown: 1}
+	sim.servers[s.id] = s
+	sim.hostList = append(sim.hostList, inventory.ListedHost{
 		ID: inventory.HostID(s.id), Role: inventory.RoleBackend, State: inventory.HostLive,
 		DataCentre: s.dataCentre, Service: v, Address: string(s.id),
 	})
 }
 
-// setState changes what the platform's list says of a server.
-func (w *world) setState(id inventory.InstanceID, state inventory.HostState) {
-	for i := range w.list {
-		if w.list[i].ID == inventory.HostID(id) {
-			w.list[i].State = state
+// setState changes a server's state in the platform's host list.
+func (sim *requestSimulation) setState(id inventory.InstanceID, state inventory.HostState) {
+	for i := range sim.hostList {
+		if sim.hostList[i].ID == inventory.HostID(id) {
+			sim.hostList[i].State = state
 		}
 	}
-	w.publish()
+	sim.publish()
 }
 
 func latency(a, b inventory.DataCentreID) time.Duration {
@@ -57,125 +59,125 @@
 	return remoteLatency
 }
 
-// send carries a request to its server and the result back.
-func (w *world) send(h *fakeHost, c *fakeCall, a dispatch.Action) {
-	s := w.servers[a.Instance.ID]
-	w.tally.sendings++
-	if c.sendings == 0 {
-		w.tally.firstSendings++
-		c.firstSent = w.now
+// send delivers a request to its server and the result back to the host.
+func (sim *requestSimulation) send(h *fakeHost, c *fakeCall, a dispatch.Action) {
+	s := sim.servers[a.Instance.ID]
+	sim.stats.attempts++
+	if c.attempts == 0 {
+		sim.stats.firstAttempts++
+		c.firstSent = sim.now
 	}
-	c.sendings++
-	if !s.leavingSeen.IsZero() && w.now.Sub(s.leavingSeen) >= leavingGrace {
-		w.tally.sentToLeaving++
+	c.attempts++
+	if !s.leavingSeenAt.IsZero() && sim.now.Sub(s.leavingSeenAt) >= leavingGrace {
+		sim.stats.sentToLeaving++
 	}
-	if w.apart && h.dataCentre != s.dataCentre {
-		w.after(connectTime, func() {
-			h.HandleResult(c.ID, dispatch.AttemptResult{Result: retry.ResultNotSent}, w.now)
-			w.act(h)
+	if sim.partitioned && h.dataCentre != s.dataCentre {
+		sim.after(connectTimeout, func() {
+			h.HandleResult(c.ID, dispatch.AttemptResult{Result: retry.ResultNotSent}, sim.now)
+			sim.perform(h)
 		})
 		return
 	}
-	way := latency(h.dataCentre, s.dataCentre)
-	back := func(r dispatch.AttemptResult) {
-		wait := way
-		if w.apart && h.dataCentre != s.dataCentre {
-			r, wait = dispatch.AttemptResult{Result: retry.ResultNoAnswer}, max(a.Deadline.Sub(w.now), 0)
+	delay := latency(h.dataCentre, s.dataCentre)
+	respond := func(r dispatch.AttemptResult) {
+		wait := delay
+		if sim.partitioned && h.dataCentre != s.dataCentre {
+			r, wait = dispatch.AttemptResult{Result: retry.ResultNoAnswer}, max(a.Deadline.Sub(sim.now), 0)
 		}
-		w.after(wait, func() {
-			if r.LeavingSign != routing.NoLeavingSign && s.leavingSeen.IsZero() {
-				s.leavingSeen = w.now
+		sim.after(wait, func() {
+			if r.LeavingSign != routing.NoLeavingSign && s.leavingSeenAt.IsZero() {
+				s.leavingSeenAt = sim.now
 			}
-			h.HandleResult(c.ID, r, w.now)
-			w.act(h)
+			h.HandleResult(c.ID, r, sim.now)
+			sim.perform(h)
 		})
 	}
-	w.after(way, func() { w.serve(s, c, back) })
+	sim.after(delay, func() { sim.serve(s, c, respond) })
 }
 
-func (w *world) serve(s *fakeServer, c *fakeCall, back func(dispatch.AttemptResult)) {
+func (sim *requestSimulation) serve(s *fakeServer, c *fakeCall, respond func(dispatch.AttemptResult)) {
 	switch {
-	case s.dead:
-		back(dispatch.AttemptResult{Result: retry.ResultNotSent})
+	case s.crashed:
+		respond(dispatch.AttemptResult{Result: retry.ResultNotSent})
 		return
 	case s.leaving:
-		back(dispatch.AttemptResult{Result: retry.ResultRefused, LeavingSign: routing.LeavingSignRefusal})
+		respond(dispatch.AttemptResult{Result: retry.ResultRefused, LeavingSign: routing.LeavingSignRefusal})
 		return
-	case s.busy >= slotsEach:
-		back(dispatch.AttemptResult{Result: retry.ResultRefused})
+	case s.busySlots >= slotsPerServer:
+		respond(dispatch.AttemptResult{Result: retry.ResultRefused})
 		return
 	}
-	s.busy++
-	life := s.life
-	c.executed++
-	if c.executed > 1 && !c.Idempotent {
-		w.tally.doubles++
+	s.busySlots++
+	generation := s.generation
+	c.executions++
+	if c.executions > 1 && !c.Idempotent {
+		sim.stats.duplicates++
 	}
-	began := w.now
-	w.after(c.work*s.slow, func() {
-		if s.life != life {
-			back(dispatch.AttemptResult{Result: retry.ResultNoAnswer})
+	began := sim.now
+	sim.after(c.work*s.slowdown, func() {
+		if s.generation != generation {
+			respond(dispatch.AttemptResult{Result: retry.ResultNoAnswer})
 			return
 		}
-		s.busy--
-		w.tally.work(w, s, c, began, w.now)
-		if s.lost > 0 {
-			s.lost--
-			back(dispatch.AttemptResult{Result: retry.ResultNoAnswer})
+		s.busySlots--
+		sim.stats.addWork(sim, s, c, began, sim.now)
+		if s.answersToDrop > 0 {
+			s.answersToDrop--
+			respond(dispatch.AttemptResult{Result: retry.ResultNoAnswer})
 			return
 		}
 		sign := routing.NoLeavingSign
 		if s.leaving {
 			sign = routing.LeavingSignHeader
 		}
-		back(dispatch.AttemptResult{Result: retry.ResultAnswered, LeavingSign: sign})
+		respond(dispatch.AttemptResult{Result: retry.ResultAnswered, LeavingSign: sign})
 	})
 }
 
-func (s *fakeServer) die(now time.Time) {
-	s.dead, s.busy, s.gone = true, 0, now
-	s.life++
+func (s *fakeServer) crash(now time.Time) {
+	s.crashed, s.busySlots, s.unavailableSince = true, 0, now
+	s.generation++
 }
 
-// slowFactor is how much slower than usual the slow server of a scene is.
+// slowFactor is the slowdown of the slow server of a scenario.
 const slowFactor = 10
 
-// scene is what happens to the servers during a run.
-type scene struct {
-	name, suffix string
-	play         func(w *world)
+// scenario defines the faults during a run.
+type scenario struct {
+	name, figureSuffix string
+	injectFaults       func(sim *requestSimulation)
 }
 
-// scenes are the runs of each policy.
-var scenes = []scene{
-	{"bursts", "", func(*world) {}},
-	{"bursts with faults", ".faults", playFaults},
-	{"bursts with data centres apart", ".apart", playApart},
+// scenarios are the runs of each policy.
+var scenarios = []scenario{
+	{"bursts", "", func(*requestSimulation) {}},
+	{"bursts with faults", ".faults", injectServerFaults},
+	{"bursts with partitioned data centres", ".apart", injectPartition},
 }
 
-// connectTime is how long a host waits for a connection across a cut.
-const connectTime = 300 * time.Millisecond
+// connectTimeout is the time after which a connection across a partition fails.
+const connectTimeout = 300 * time.Millisecond
 
-// playApart cuts all data centres off from each other for the second cycle.
-// Each goes on with its own hosts and servers.
-func playApart(w *world) {
-	w.after(cycle, func() { w.apart = true })
+// injectPartition isolates all data centres from each other during the second cycle.
+// Each continues with its own hosts and servers.
+func injectPartition(sim *requestSimulation) {
+	sim.after(cycle, func() { sim.partitioned = true })
 }
 
-// playFaults brings the failures of the brief into the second burst of each
-// service: a server leaves, one dies, one becomes slow and one loses answers.
-func playFaults(w *world) {
-	for v := range servicesCount {
+// injectServerFaults injects the required faults during the second burst of each
+// service: one server leaves, one crashes, one becomes slow and one drops answers.
+func injectServerFaults(sim *requestSimulation) {
+	for v := range serviceCount {
 		id := func(i int) inventory.InstanceID {
 			return inventory.InstanceID(fmt.Sprintf("%s-%02d", service(v), i))
 		}
-		burst := cycle - time.Duration(v)*cycle/servicesCount
-		w.after(burst+500*time.Millisecond, func() {
-			w.servers[id(0)].leaving, w.servers[id(0)].gone = true, w.now
-			w.setState(id(0), inventory.HostLeaving)
+		burst := cycle - time.Duration(v)*cycle/serviceCount
+		sim.after(burst+500*time.Millisecond, func() {
+			sim.servers[id(0)].leaving, sim.servers[id(0)].unavailableSince = true, sim.now
+			sim.setState(id(0), inventory.HostLeaving)
 		})
-		w.after(burst+800*time.Millisecond, func() { w.servers[id(1)].die(w.now) })
-		w.after(burst+time.Second, func() { w.servers[id(2)].slow, w.servers[id(2)].slowSince = slowFactor, w.now })
-		w.after(burst+1200*time.Millisecond, func() { w.servers[id(3)].lost = 5 })
+		sim.after(burst+800*time.Millisecond, func() { sim.servers[id(1)].crash(sim.now) })
+		sim.after(burst+time.Second, func() { sim.servers[id(2)].slowdown, sim.servers[id(2)].slowSince = slowFactor, sim.now })
+		sim.after(burst+1200*time.Millisecond, func() { sim.servers[id(3)].answersToDrop = 5 })
 	}
 }
