refactor(bench): plain wording of the check of the whole product

The check judged promises, had looks at hosts and let things go away. It now verifies guarantees, takes samples and names its faults: stopLog, isolate, healPartition, silenceServer.

--- a/bench/whole/balancer.go
+++ b/bench/whole/balancer.go
@@ -10,36 +10,37 @@
 	"github.com/godwitcross/godwitcross/standin/deployment"
 )
 
-// probeEvery is the time between two looks at the readiness of all hosts.
-const probeEvery = 50 * time.Millisecond
+// probeInterval is the time between two readiness probes of all hosts.
+const probeInterval = 50 * time.Millisecond
 
-// ReadyHosts is a balancer that asks each entry host whether it is ready.
-type ReadyHosts struct {
+// ReadyBalancer is a balancer that probes the readiness of each entry host.
+type ReadyBalancer struct {
 	http *fasthttp.Client
 	mu   sync.Mutex
-	// hosts are those that are asked.
+	// hosts are the probed hosts.
 	hosts []*deployment.Entry
-	// ready are the callers' addresses of hosts that were ready when last asked.
+	// ready are the caller addresses of the hosts that were ready at the last probe.
 	ready []string
 }
 
-// NewReadyHosts returns a balancer over the hosts; none counts as ready yet.
-func NewReadyHosts(hosts []*deployment.Entry) *ReadyHosts {
-	return &ReadyHosts{
+// NewReadyBalancer returns a balancer over the hosts; none of them is ready until the
+// first probe.
+func NewReadyBalancer(hosts []*deployment.Entry) *ReadyBalancer {
+	return &ReadyBalancer{
 		hosts: append([]*deployment.Entry(nil), hosts...),
 		http:  &fasthttp.Client{MaxIdemponentCallAttempts: 1, ReadTimeout: time.Second, NoDefaultUserAgentHeader: true},
 	}
 }
 
-// Add makes the balancer ask one more host.
-func (b *ReadyHosts) Add(e *deployment.Entry) {
+// Add adds a host to be probed.
+func (b *ReadyBalancer) Add(e *deployment.Entry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.hosts = append(b.hosts, e)
 }
 
-// Pick returns the address of a ready host.
-func (b *ReadyHosts) Pick(n int) string {
+// Pick returns the address of a ready host, or an empty string if there is none.
+func (b *ReadyBalancer) Pick(n int) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.ready) == 0 {
@@ -48,22 +49,22 @@
 	return b.ready[n%len(b.ready)]
 }
 
-// Ready returns how many hosts were ready when last asked.
-func (b *ReadyHosts) Ready() int {
+// Ready returns the number of hosts that were ready at the last probe.
+func (b *ReadyBalancer) Ready() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return len(b.ready)
 }
 
-// Run asks until the context ends.
-func (b *ReadyHosts) Run(ctx context.Context) {
+// Run probes the hosts until the context ends.
+func (b *ReadyBalancer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		b.probe()
-		time.Sleep(probeEvery)
+		time.Sleep(probeInterval)
 	}
 }
 
-func (b *ReadyHosts) probe() {
+func (b *ReadyBalancer) probe() {
 	b.mu.Lock()
 	hosts := append([]*deployment.Entry(nil), b.hosts...)
 	b.mu.Unlock()
--- a/bench/whole/bill.go
+++ b/bench/whole/bill.go
@@ -9,14 +9,14 @@
 	"github.com/godwitcross/godwitcross/standin/deployment"
 )
 
-// readBill returns the open bill of the data centre that operators use, beside
-// what there was to share: its hosts times the length of the bill.
+// readBill returns the open bill of the operator's data centre and the total to be
+// shared: the number of its hosts times the billed period.
 func (r *Run) readBill() (*Bill, error) {
 	var a usage.BillResponse
 	if err := r.operator.Get("/bill", &a); err != nil {
 		return nil, eris.Wrap(err, "reading the bill")
 	}
-	here := r.entries()[operatedHost].Settings.DataCentre
+	here := r.entries()[operatorHost].Settings.DataCentre
 	hosts := int64(0)
 	for _, h := range deployment.Sample().Hosts {
 		if h.DataCentre == here {
--- a/bench/whole/callers.go
+++ b/bench/whole/callers.go
@@ -16,72 +16,71 @@
 	"github.com/godwitcross/godwitcross/standin/backend"
 )
 
-// Behaviour of callers.
+// Parameters of the callers.
 const (
-	// maxAttempts bounds how often a caller sends one request.
+	// maxAttempts bounds the attempts of a request.
 	maxAttempts = 3
 	// attemptTimeout bounds one attempt.
 	attemptTimeout = 8 * time.Second
-	// answerSize is the size of each answer, in bytes.
+	// answerSize is the size of each answer in bytes.
 	answerSize = 4096
-	// workMilliseconds is the service time of each request.
-	workMilliseconds = 40
+	// serviceMilliseconds is the service time of each request.
+	serviceMilliseconds = 40
 	// idempotentShare is the share of requests that are idempotent.
 	idempotentShare = 0.3
-	// maxOutstanding bounds requests on their way at once.
-	maxOutstanding = 4000
+	// maxInFlight bounds the concurrent requests.
+	maxInFlight = 4000
 )
 
-// traffic is one kind of request.
-type traffic struct {
+// trafficType is a tenant and the service that it calls.
+type trafficType struct {
 	tenant  inventory.TenantID
 	service inventory.ServiceID
 }
 
-// Balancer names the entry hosts that are ready, as the platform's balancer
-// knows them: late.
+// Balancer selects ready entry hosts. Like the platform's balancer, it learns of
+// changes with a delay.
 type Balancer interface {
-	// Pick returns the callers' address of a ready host, or an empty text. The
-	// number spreads requests.
+	// Pick returns the caller address of a ready host, or an empty string if there is
+	// none. The number n spreads the requests over the hosts.
 	Pick(n int) string
 }
 
-// Callers send requests and note what they see.
+// Callers send requests and record the outcomes.
 type Callers struct {
-	balancer Balancer
-	traffic  []traffic
-	http     *fasthttp.Client
-	random   *rand.Rand
-	mu       sync.Mutex
-	done     []Request
-	// dropped counts requests that were never sent because too many were on
-	// their way.
-	dropped int
-	slots   chan struct{}
-	pending sync.WaitGroup
+	balancer     Balancer
+	trafficTypes []trafficType
+	http         *fasthttp.Client
+	random       *rand.Rand
+	mu           sync.Mutex
+	completed    []Request
+	// dropped counts requests that were not sent because maxInFlight was reached.
+	dropped  int
+	inFlight chan struct{}
+	pending  sync.WaitGroup
 }
 
-// NewCallers returns callers that have sent nothing.
-func NewCallers(b Balancer, seed uint64, t []traffic) *Callers {
+// NewCallers returns callers that choose among the given traffic types at random.
+func NewCallers(b Balancer, seed uint64, t []trafficType) *Callers {
 	return &Callers{
-		balancer: b, traffic: t,
-		random: rand.New(rand.NewPCG(seed, 0)),
-		slots:  make(chan struct{}, maxOutstanding),
+		balancer: b, trafficTypes: t,
+		random:   rand.New(rand.NewPCG(seed, 0)),
+		inFlight: make(chan struct{}, maxInFlight),
 		http: &fasthttp.Client{
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			MaxConnsPerHost:           maxOutstanding,
+			MaxConnsPerHost:           maxInFlight,
 			NoDefaultUserAgentHeader:  true,
 		},
 	}
 }
 
-// Send sends the n-th request without waiting for its end.
+// Send sends the n-th request without waiting for its completion.
 func (c *Callers) Send(n int) {
-	t := c.traffic[c.random.IntN(len(c.traffic))]
+	t := c.trafficTypes[c.random.IntN(len(c.trafficTypes))]
 	r := Request{Key: fmt.Sprintf("request-%d", n), Idempotent: c.random.Float64() < idempotentShare}
 	select {
-	case c.slots <- struct{}{}:
+	case c.inFlight <- struct{}{}:
 	default:
 		c.dropped++
 		return
@@ -89,17 +88,18 @@
 	c.pending.Add(1)
 	go func() {
 		defer c.pending.Done()
-		defer func() { <-c.slots }()
+		defer func() { <-c.inFlight }()
 		c.run(n, t, &r)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.done = append(c.done, r)
+		c.completed = append(c.completed, r)
 	}()
 }
 
-// run sends a request until it is answered, is unknown for good, or has had its
-// attempts. A repeat goes through another entry host under the same key.
-func (c *Callers) run(n int, t traffic, r *Request) {
+// run sends a request until it is answered, is rejected with a permanent error or has
+// used up its attempts. Each retry goes through another entry host with the same
+// idempotency key.
+func (c *Callers) run(n int, t trafficType, r *Request) {
 	for try := range maxAttempts {
 		address := c.balancer.Pick(n + try)
 		if address == "" {
@@ -118,8 +118,8 @@
 	}
 }
 
-// attempt sends the request once and returns how long the caller was told to wait.
-func (c *Callers) attempt(address string, t traffic, r *Request) (Attempt, time.Duration) {
+// attempt sends the request once and returns the retry delay from the response.
+func (c *Callers) attempt(address string, t trafficType, r *Request) (Attempt, time.Duration) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -130,18 +130,19 @@
 	req.SetRequestURI("http://" + address + "/services/" + string(t.service) + "/whole")
 	req.Header.Set(caller.HeaderTenant, string(t.tenant))
 	req.Header.Set(backend.HeaderKey, r.Key)
-	req.Header.Set(backend.HeaderWork, strconv.Itoa(workMilliseconds))
+	req.Header.Set(backend.HeaderWork, strconv.Itoa(serviceMilliseconds))
 	req.Header.Set(backend.HeaderSize, strconv.Itoa(answerSize))
 	if err := c.http.DoTimeout(req, resp, attemptTimeout); err != nil {
 		return Attempt{}, 0
 	}
 	a := Attempt{Outcome: retry.Outcome(resp.Header.Peek(caller.HeaderOutcome)), Status: resp.StatusCode()}
-	a.Whole = len(resp.Body()) == answerSize
-	a.Own = string(resp.Body()) == backend.Body(r.Key, answerSize)
+	a.Complete = len(resp.Body()) == answerSize
+	a.MatchesRequest = string(resp.Body()) == backend.Body(r.Key, answerSize)
 	return a, retryAfter(resp)
 }
 
-// retryAfter returns what the answer says, at most a second, so that a run ends.
+// retryAfter returns the Retry-After delay of the response, limited to a second so that
+// a run ends in time.
 func retryAfter(resp *fasthttp.Response) time.Duration {
 	text := strings.TrimSpace(string(resp.Header.Peek(fasthttp.HeaderRetryAfter)))
 	s, err := strconv.Atoi(text)
@@ -151,10 +152,10 @@
 	return min(time.Duration(s)*time.Second, time.Second)
 }
 
-// Wait returns all requests once the last has ended.
+// Wait waits for all requests and returns them with the number of dropped requests.
 func (c *Callers) Wait() ([]Request, int) {
 	c.pending.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.done, c.dropped
+	return c.completed, c.dropped
 }
--- a/bench/whole/events.go
+++ b/bench/whole/events.go
@@ -14,102 +14,102 @@
 	"github.com/godwitcross/godwitcross/standin/network"
 )
 
-// event is something that happens at a share of the run's length.
+// event is a fault or change that is triggered at a fraction of the run's duration.
 type event struct {
 	at   float64
 	name string
 	run  func(r *Run) error
 }
 
-// events are in order of time.
+// events are ordered by time.
 var events = []event{
-	{0.10, "the wave begins", (*Run).startWave},
+	{0.10, "the wave starts", (*Run).startWave},
 	{0.20, "the host that drives the wave is killed and replaced", (*Run).killAndReplace},
-	{0.25, "the log goes away", (*Run).logAway},
-	{0.35, "the log returns, some of its answers are lost", (*Run).logBack},
-	{0.40, "a data centre is cut off", (*Run).cutOff},
-	{0.50, "the data centre is joined again", (*Run).join},
-	{0.55, "an entry host is stopped and replaced", (*Run).replace},
-	{0.75, "connections to a backend server go silent", (*Run).silence},
-	{0.80, "a backend server leaves", (*Run).leave},
+	{0.25, "the log becomes unavailable", (*Run).stopLog},
+	{0.35, "the log is available again, some of its answers are lost", (*Run).restoreLog},
+	{0.40, "a data centre is isolated", (*Run).isolate},
+	{0.50, "the data centre is reconnected", (*Run).healPartition},
+	{0.55, "an entry host is stopped and replaced", (*Run).replaceEntry},
+	{0.75, "connections to a backend server hang", (*Run).silenceServer},
+	{0.80, "a backend server starts to leave", (*Run).startLeaving},
 }
 
-// cutDataCentre is the one that is cut off.
-const cutDataCentre = inventory.DataCentreID("Messina")
+// isolatedDataCentre is the data centre that is isolated from all others.
+const isolatedDataCentre = inventory.DataCentreID("Messina")
 
 func (r *Run) startWave() error {
-	w := deployment.Sample().Waves[wave]
+	w := deployment.Sample().Waves[waveID]
 	w.Paused = false
-	w.Pools = []inventory.PoolID{watchedPool}
+	w.Pools = []inventory.PoolID{observedPool}
 	w.Start = 0
 	w.Window = configuration.Duration(24 * time.Hour)
 	w.RebootTime = configuration.Duration(time.Second)
-	return r.publish("wave", configuration.Objects{Waves: map[inventory.WaveID]configuration.Wave{wave: w}})
+	return r.publish("wave", configuration.Objects{Waves: map[inventory.WaveID]configuration.Wave{waveID: w}})
 }
 
-func (r *Run) logAway() error {
-	r.d.Platform.Faults.Set(fault.Fault{Kind: fault.Down, Target: "log", Count: fault.Forever})
+func (r *Run) stopLog() error {
+	r.deployment.Platform.Faults.Set(fault.Fault{Kind: fault.Down, Target: "log", Count: fault.Forever})
 	return nil
 }
 
-func (r *Run) logBack() error {
-	r.d.Platform.Faults.Set(fault.Fault{Kind: fault.Down, Target: "log", Count: 0})
-	r.d.Platform.Faults.Set(fault.Fault{Kind: fault.AnswerLost, Target: "log", Count: 5})
+func (r *Run) restoreLog() error {
+	r.deployment.Platform.Faults.Set(fault.Fault{Kind: fault.Down, Target: "log", Count: 0})
+	r.deployment.Platform.Faults.Set(fault.Fault{Kind: fault.AnswerLost, Target: "log", Count: 5})
 	return nil
 }
 
-// zones are all parts of the network other than the one that is cut off.
-func (r *Run) zones() []network.Zone {
+// otherZones returns all network zones except the isolated data centre.
+func (r *Run) otherZones() []network.Zone {
 	zones := []network.Zone{deployment.ZonePlatform}
 	for dc := range deployment.Sample().DataCentres {
-		if dc != cutDataCentre {
+		if dc != isolatedDataCentre {
 			zones = append(zones, network.Zone(dc))
 		}
 	}
 	return zones
 }
 
-func (r *Run) cutOff() error {
-	for _, z := range r.zones() {
-		r.d.Network.Cut(network.Zone(cutDataCentre), z)
-		r.d.Network.Cut(z, network.Zone(cutDataCentre))
+func (r *Run) isolate() error {
+	for _, z := range r.otherZones() {
+		r.deployment.Network.Cut(network.Zone(isolatedDataCentre), z)
+		r.deployment.Network.Cut(z, network.Zone(isolatedDataCentre))
 	}
 	return nil
 }
 
-func (r *Run) join() error {
-	for _, z := range r.zones() {
-		r.d.Network.Heal(network.Zone(cutDataCentre), z)
-		r.d.Network.Heal(z, network.Zone(cutDataCentre))
+func (r *Run) healPartition() error {
+	for _, z := range r.otherZones() {
+		r.deployment.Network.Heal(network.Zone(isolatedDataCentre), z)
+		r.deployment.Network.Heal(z, network.Zone(isolatedDataCentre))
 	}
 	return nil
 }
 
-func (r *Run) replace() error {
+func (r *Run) replaceEntry() error {
 	e := r.entries()[0]
-	r.observer.Forget(e.Settings.Name)
+	r.observer.Exclude(e.Settings.Name)
 	if err := r.startEntry("replacement-1", e.Settings.DataCentre); err != nil {
 		return err
 	}
 	go func() {
 		if err := e.Stop(); err != nil {
-			r.o.Progress(fmt.Sprintf("stopping %s: %s", e.Settings.Name, err))
+			r.options.Progress(fmt.Sprintf("stopping %s: %s", e.Settings.Name, err))
 		}
 	}()
 	return nil
 }
 
-// killAndReplace kills the host that drives the wave, or another one if that is
-// the one operators use.
+// killAndReplace kills the host that drives the wave, or another one if that host is
+// the operator's or is to be stopped by a later event.
 func (r *Run) killAndReplace() error {
-	e := r.victim()
-	r.o.Progress("killing " + string(e.Settings.Name))
-	r.observer.Forget(e.Settings.Name)
+	e := r.entryToKill()
+	r.options.Progress("killing " + string(e.Settings.Name))
+	r.observer.Exclude(e.Settings.Name)
 	e.Kill()
 	return r.startEntry("replacement-2", e.Settings.DataCentre)
 }
 
-func (r *Run) victim() *deployment.Entry {
+func (r *Run) entryToKill() *deployment.Entry {
 	entries := r.entries()
 	var duties []operation.Duty
 	if err := r.operator.Get("/duties", &duties); err != nil {
@@ -117,7 +117,7 @@
 	}
 	for _, d := range duties {
 		for i, e := range entries {
-			if d.Duty == pool.DutyKeeper && d.Holder == e.Settings.Name && i != operatedHost && i != 0 {
+			if d.Duty == pool.DutyKeeper && d.Holder == e.Settings.Name && i != operatorHost && i != 0 {
 				return e
 			}
 		}
@@ -125,24 +125,25 @@
 	return entries[1]
 }
 
-func (r *Run) silence() error {
-	r.d.Network.Silence(r.d.Addresses[inventory.InstanceID(string(callTraffic[0].service)+"-server-01")])
+func (r *Run) silenceServer() error {
+	r.deployment.Network.Silence(r.deployment.Addresses[inventory.InstanceID(string(trafficTypes[0].service)+"-server-01")])
 	return nil
 }
 
-func (r *Run) leave() error {
-	id := inventory.InstanceID(string(callTraffic[0].service) + "-server-02")
-	for _, s := range r.d.Backends {
+func (r *Run) startLeaving() error {
+	id := inventory.InstanceID(string(trafficTypes[0].service) + "-server-02")
+	for _, s := range r.deployment.Backends {
 		if s.ID() == id {
 			s.Leave()
 		}
 	}
-	r.d.Platform.Hosts.SetState(time.Now(), inventory.HostID(id), inventory.HostLeaving)
+	r.deployment.Platform.Hosts.SetState(time.Now(), inventory.HostID(id), inventory.HostLeaving)
 	return nil
 }
 
-// change publishes a small change of configuration; refused ones are no fault.
-func (r *Run) change(n int) {
+// publishChange publishes a small configuration change. Errors are ignored, as changes
+// may fail during a fault.
+func (r *Run) publishChange(n int) {
 	team := configuration.Team{Owner: "Campanella", Weight: n%100 + 1}
 	_ = r.publish(journal.RecordID(fmt.Sprintf("change-%d", n)), configuration.Objects{
 		Teams: map[inventory.TeamID]configuration.Team{inventory.TeamID(fmt.Sprintf("Team-%d", n%5)): team},
--- a/bench/whole/jobs.go
+++ b/bench/whole/jobs.go
@@ -12,16 +12,16 @@
 	"github.com/godwitcross/godwitcross/fleet/journal"
 	"github.com/godwitcross/godwitcross/fleet/label"
 	"github.com/godwitcross/godwitcross/fleet/operation"
-	core "github.com/godwitcross/godwitcross/fleet/placement"
+	"github.com/godwitcross/godwitcross/fleet/placement"
 )
 
-// jobEvery is the time between two submissions.
-const jobEvery = 400 * time.Millisecond
+// jobInterval is the time between two submissions.
+const jobInterval = 400 * time.Millisecond
 
-// jobRunTime is the command of each job, in the stand-in's words.
-const jobRunTime = "run 700ms"
+// jobCommand is the command of each job, in the syntax of the simulated workers.
+const jobCommand = "run 700ms"
 
-// Submitter submits jobs to one data centre and remembers those that were accepted.
+// Submitter submits jobs to one data centre and records the accepted ones.
 type Submitter struct {
 	http     *client.Client
 	mu       sync.Mutex
@@ -29,7 +29,7 @@
 	accepted []inventory.JobID
 }
 
-// NewSubmitter returns a submitter that asks one entry host.
+// NewSubmitter returns a submitter that uses the client of one entry host.
 func NewSubmitter(c *client.Client) *Submitter {
 	return &Submitter{http: c}
 }
@@ -42,7 +42,7 @@
 		id := inventory.JobID(fmt.Sprintf("job-%d", n))
 		job := configuration.Job{
 			ID: id, Owner: "Campanella", Team: "Rendering", Labels: label.Set{"Pool": "Recordings"}, Template: "render",
-			Declared: inventory.Size{Cores: inventory.MillicoresPerCore, Memory: inventory.Gibibyte}, Command: jobRunTime,
+			Declared: inventory.Size{Cores: inventory.MillicoresPerCore, Memory: inventory.Gibibyte}, Command: jobCommand,
 		}
 		var v journal.Result
 		if err := s.http.Post("/jobs", operation.Submission{ID: journal.RecordID("submit-" + string(id)), Jobs: []configuration.Job{job}}, &v); err != nil {
@@ -54,9 +54,9 @@
 	}()
 }
 
-// Samples waits for the accepted jobs' ends, at most until the moment, and
-// returns how each is. Starts maps tasks to executions by workers.
-func (s *Submitter) Samples(until time.Time, starts func() map[string]int) []JobSample {
+// AwaitEnds waits until the accepted jobs have ended or the deadline has passed and
+// returns their states. The function starts returns the number of executions by task.
+func (s *Submitter) AwaitEnds(until time.Time, starts func() map[string]int) []JobSample {
 	s.pending.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,21 +78,21 @@
 func (s *Submitter) awaitEnd(id inventory.JobID, until time.Time) JobSample {
 	sample := JobSample{Job: id}
 	for {
-		var e core.Explanation
+		var e placement.Explanation
 		err := s.http.Get("/jobs/explain?ID="+string(id), &e)
-		sample.Known, sample.Done = err == nil, e.State == core.Done
+		sample.Known, sample.Done = err == nil, e.State == placement.Done
 		sample.State = string(e.State)
 		if sample.Done || time.Now().After(until) {
 			return sample
 		}
-		time.Sleep(observeEvery)
+		time.Sleep(observeInterval)
 	}
 }
 
-// taskStarts returns how often each task was executed by any worker.
+// taskStarts returns the number of executions of each task by any worker.
 func (r *Run) taskStarts() map[string]int {
 	starts := make(map[string]int)
-	for _, w := range r.d.Platform.Fleet.Workers(time.Now()) {
+	for _, w := range r.deployment.Platform.Fleet.Workers(time.Now()) {
 		for id, t := range w.Tasks {
 			starts[id] += t.Starts
 		}
--- a/bench/whole/observation.go
+++ b/bench/whole/observation.go
@@ -1,5 +1,5 @@
-// Package whole checks the whole product over real sockets in one process while
-// everything around it fails. Its verdict is by counts, never by speed.
+// Package whole checks the whole product in one process over real sockets while faults
+// are injected into everything around it. The result depends on counts, never on speed.
 package whole
 
 import (
@@ -8,18 +8,19 @@
 	"github.com/godwitcross/godwitcross/fleet/retry"
 )
 
-// Attempt is one sending of a request by a caller.
+// Attempt is an attempt of a caller to send a request.
 type Attempt struct {
-	// Outcome is what the entry host said; empty if the connection broke.
+	// Outcome is the outcome reported by the entry host; empty if the connection
+	// failed.
 	Outcome retry.Outcome
 	Status  int
-	// Whole is whether an answered body has its full length.
-	Whole bool
-	// Own is whether an answered body is that of this request.
-	Own bool
+	// Complete is whether the body of an answer has its full length.
+	Complete bool
+	// MatchesRequest is whether the body of an answer belongs to this request.
+	MatchesRequest bool
 }
 
-// Request is what a caller saw of one request.
+// Request is a request as observed by its caller.
 type Request struct {
 	Key string
 	// Idempotent requests may be executed more than once.
@@ -28,16 +29,17 @@
 	Attempts []Attempt
 }
 
-// PoolSample is how many hosts of a pool were unavailable at a moment.
+// PoolSample is the number of unavailable hosts of a pool at one time.
 type PoolSample struct {
 	Pool inventory.PoolID
 	// Unavailable counts hosts that were draining, drained or rebooting.
 	Unavailable int
-	// Allowed is what the pool's budget allows.
-	Allowed int
+	// Limit is the number of unavailable hosts that the pool's budget allows.
+	Limit int
 }
 
-// OwnershipSample is how often a host stood in the pools of one entry host's view.
+// OwnershipSample is the number of pools that contain a host according to one entry
+// host.
 type OwnershipSample struct {
 	Entry inventory.EntryID
 	Host  inventory.HostID
@@ -45,48 +47,48 @@
 	Pools int
 }
 
-// VersionSample is the version that an entry host had in force. Samples of one
-// host are in order of time.
+// VersionSample is the configuration version in force on an entry host. Samples of one
+// host are in chronological order.
 type VersionSample struct {
 	Entry   inventory.EntryID
 	Version configuration.Version
 }
 
-// JobSample is a job at the end.
+// JobSample is the state of a job at the end of the run.
 type JobSample struct {
 	Job inventory.JobID
-	// Known is whether the system still tells of the job.
+	// Known is whether the system still has a record of the job.
 	Known bool
 	// Starts counts executions by workers.
 	Starts int
-	// Done is whether it ran to its end, State what the system says of it.
+	// Done is whether the job was completed, State the state that the system reports.
 	Done  bool
 	State string
 }
 
-// Bill is what the entry hosts computed and what was there to be shared.
+// Bill is the bill computed by the entry hosts and the total to be shared.
 type Bill struct {
-	// Shares are the owners' parts in host-milliseconds.
+	// Shares are the host-milliseconds by owner.
 	Shares map[inventory.OwnerID]int64
-	// Total is the whole in host-milliseconds.
+	// Total is the host-milliseconds of all hosts.
 	Total int64
 }
 
-// Observation is all that was seen during a run.
+// Observation contains everything that was observed during a run.
 type Observation struct {
 	Requests []Request
-	// Executions counts by key what backend servers executed.
+	// Executions counts executions by backend servers by request key.
 	Executions map[string]int
 	Pools      []PoolSample
-	// Ownership has the hosts that were seen in no pool or in several; HostLooks
-	// counts all looks at hosts.
-	Ownership []OwnershipSample
-	HostLooks int
-	Versions  []VersionSample
-	// Accepted are the versions of the changes that were accepted.
+	// Ownership contains the hosts that were in no pool or in several pools;
+	// HostSamples counts all checked hosts.
+	Ownership   []OwnershipSample
+	HostSamples int
+	Versions    []VersionSample
+	// Accepted are the versions of the accepted changes.
 	Accepted []configuration.Version
 	Jobs     []JobSample
-	// Reboots counts by host of the wave; each must be 1 when the wave is done.
+	// Reboots counts reboots by host of the wave; each must be 1 once the wave is done.
 	Reboots map[inventory.HostID]int
 	Bill    *Bill
 }
--- a/bench/whole/observer.go
+++ b/bench/whole/observer.go
@@ -13,31 +13,31 @@
 	"github.com/godwitcross/godwitcross/standin/platform"
 )
 
-// observeEvery is the time between two looks.
-const observeEvery = 100 * time.Millisecond
+// observeInterval is the time between two observations.
+const observeInterval = 100 * time.Millisecond
 
-// Observer looks at the entry hosts and at the platform while a run goes on.
+// Observer samples the state of the entry hosts and the platform during a run.
 type Observer struct {
-	d       *deployment.Deployment
-	pool    inventory.PoolID
-	members map[inventory.HostID]bool
-	allowed int
-	mu      sync.Mutex
-	// stopped are hosts that are not asked any more.
-	stopped map[inventory.EntryID]bool
-	// clients has one for each host that was asked.
+	deployment *deployment.Deployment
+	pool       inventory.PoolID
+	members    map[inventory.HostID]bool
+	limit      int
+	mu         sync.Mutex
+	// excluded are hosts that are no longer queried.
+	excluded map[inventory.EntryID]bool
+	// clients contains a client for each host that was queried.
 	clients  map[inventory.EntryID]*client.Client
 	versions []VersionSample
 	pools    []PoolSample
-	// ownership holds the breaks only; hostLooks counts all looks at hosts.
-	ownership []OwnershipSample
-	hostLooks int
+	// ownership contains violations only; hostSamples counts all checked hosts.
+	ownership   []OwnershipSample
+	hostSamples int
 }
 
-// NewObserver returns an observer that watches the budget of one pool.
+// NewObserver returns an observer of all entry hosts and of the budget of one pool.
 func NewObserver(d *deployment.Deployment, pool inventory.PoolID) *Observer {
 	sample := deployment.Sample()
-	o := &Observer{d: d, pool: pool, members: make(map[inventory.HostID]bool), stopped: make(map[inventory.EntryID]bool), clients: make(map[inventory.EntryID]*client.Client)}
+	o := &Observer{deployment: d, pool: pool, members: make(map[inventory.HostID]bool), excluded: make(map[inventory.EntryID]bool), clients: make(map[inventory.EntryID]*client.Client)}
 	for id := range sample.Hosts {
 		o.members[id] = sample.PoolOf(id) == pool
 	}
@@ -47,44 +47,44 @@
 			size++
 		}
 	}
-	o.allowed = max(1, int(sample.Pools[pool].Budget.MaxUnavailable.Of(int64(size))))
+	o.limit = max(1, int(sample.Pools[pool].Budget.MaxUnavailable.Of(int64(size))))
 	return o
 }
 
-// Forget stops asking a host that is stopped or killed.
-func (o *Observer) Forget(id inventory.EntryID) {
+// Exclude stops querying a host that is being stopped or killed.
+func (o *Observer) Exclude(id inventory.EntryID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.stopped[id] = true
+	o.excluded[id] = true
 }
 
-// Run looks until the context ends.
+// Run takes samples until the context ends.
 func (o *Observer) Run(ctx context.Context, entries func() []*deployment.Entry) {
 	for ctx.Err() == nil {
-		o.look(entries())
-		time.Sleep(observeEvery)
+		o.sample(entries())
+		time.Sleep(observeInterval)
 	}
 }
 
-func (o *Observer) look(entries []*deployment.Entry) {
+func (o *Observer) sample(entries []*deployment.Entry) {
 	unavailable := 0
-	for _, w := range o.d.Platform.Fleet.Workers(time.Now()) {
+	for _, w := range o.deployment.Platform.Fleet.Workers(time.Now()) {
 		if o.members[w.Facts.ID.Host()] && w.State != platform.Admitted {
 			unavailable++
 		}
 	}
 	o.mu.Lock()
-	o.pools = append(o.pools, PoolSample{Pool: o.pool, Unavailable: unavailable, Allowed: o.allowed})
+	o.pools = append(o.pools, PoolSample{Pool: o.pool, Unavailable: unavailable, Limit: o.limit})
 	o.mu.Unlock()
 	for _, e := range entries {
-		o.lookAt(e)
+		o.sampleEntry(e)
 	}
 }
 
-func (o *Observer) lookAt(e *deployment.Entry) {
+func (o *Observer) sampleEntry(e *deployment.Entry) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.stopped[e.Settings.Name] {
+	if o.excluded[e.Settings.Name] {
 		return
 	}
 	var s operation.Status
@@ -99,13 +99,13 @@
 	o.versions = append(o.versions, VersionSample{Entry: s.Name, Version: s.Version})
 	var hosts []pool.HostStatus
 	if err := c.Get("/hosts", &hosts); err == nil {
-		o.lookAtHosts(s.Name, hosts)
+		o.sampleHosts(s.Name, hosts)
 	}
 }
 
-// lookAtHosts notes every host that is not in exactly one pool, and how many
-// hosts were looked at.
-func (o *Observer) lookAtHosts(entry inventory.EntryID, hosts []pool.HostStatus) {
+// sampleHosts records every host that is not in exactly one pool, and counts the
+// checked hosts.
+func (o *Observer) sampleHosts(entry inventory.EntryID, hosts []pool.HostStatus) {
 	pools := make(map[inventory.HostID]int, len(o.members))
 	for _, h := range hosts {
 		if h.Pool != "" {
@@ -113,35 +113,35 @@
 		}
 	}
 	for id := range o.members {
-		o.hostLooks++
+		o.hostSamples++
 		if n := pools[id]; n != 1 {
 			o.ownership = append(o.ownership, OwnershipSample{Entry: entry, Host: id, Pools: n})
 		}
 	}
 }
 
-// Versions returns what was seen of versions. Those of hosts that were stopped
-// end where they were stopped and are left out.
+// Versions returns the version samples. Excluded hosts are left out, as they do not
+// receive later versions.
 func (o *Observer) Versions() []VersionSample {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var live []VersionSample
 	for _, v := range o.versions {
-		if !o.stopped[v.Entry] {
+		if !o.excluded[v.Entry] {
 			live = append(live, v)
 		}
 	}
 	return live
 }
 
-// Fill adds everything that was seen to an observation.
+// Fill adds all samples to an observation.
 func (o *Observer) Fill(to *Observation) {
 	to.Versions = o.Versions()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	to.Pools, to.Ownership, to.HostLooks = o.pools, o.ownership, o.hostLooks
+	to.Pools, to.Ownership, to.HostSamples = o.pools, o.ownership, o.hostSamples
 	to.Reboots = make(map[inventory.HostID]int)
-	for _, w := range o.d.Platform.Fleet.Workers(time.Now()) {
+	for _, w := range o.deployment.Platform.Fleet.Workers(time.Now()) {
 		if o.members[w.Facts.ID.Host()] {
 			to.Reboots[w.Facts.ID.Host()] = w.Reboots
 		}
--- a/bench/whole/run.go
+++ b/bench/whole/run.go
@@ -23,64 +23,66 @@
 // ErrViolation is returned if a run violated a guarantee.
 var ErrViolation = eris.New("a guarantee was violated")
 
-// Shape of a run.
+// Parameters of a run.
 const (
 	entryHostsPerDataCentre = 3
-	// operatedHost is the entry host that operators use; it stays to the end.
-	operatedHost = 2
+	// operatorHost is the index of the entry host that operators use; it runs to the
+	// end.
+	operatorHost = 2
 	meanRate     = 200.0
 	burstFactor  = 5.0
 	quietFactor  = 0.05
-	// settleTime bounds the wait for everything to end after the last request.
-	settleTime  = 25 * time.Second
-	changeEvery = 500 * time.Millisecond
-	noticeTime  = 300 * time.Millisecond
-	stopTime    = 10 * time.Second
-	readyTime   = 10 * time.Second
+	// convergenceTimeout bounds the wait for convergence after the last request.
+	convergenceTimeout = 25 * time.Second
+	changeInterval     = 500 * time.Millisecond
+	noticeTime         = 300 * time.Millisecond
+	stopTime           = 10 * time.Second
+	readyTimeout       = 10 * time.Second
 )
 
-// What a run looks at.
+// Observed objects.
 const (
-	wave        = inventory.WaveID("Campanella-monthly")
-	watchedPool = inventory.PoolID("Schedules")
+	waveID       = inventory.WaveID("Campanella-monthly")
+	observedPool = inventory.PoolID("Schedules")
 )
 
-// callTraffic is what callers ask for.
-var callTraffic = []traffic{
+// trafficTypes are the requests that the callers send.
+var trafficTypes = []trafficType{
 	{tenant: "Secretaries", service: "Announcements"},
 	{tenant: "Editors", service: "Announcements"},
 }
 
-// Run is one run of the check.
+// Run is a run of the check.
 type Run struct {
-	o        measure.Options
-	d        *deployment.Deployment
-	balancer *ReadyHosts
-	observer *Observer
-	jobs     *Submitter
-	operator *client.Client
-	mu       sync.Mutex
+	options    measure.Options
+	deployment *deployment.Deployment
+	balancer   *ReadyBalancer
+	observer   *Observer
+	jobs       *Submitter
+	operator   *client.Client
+	mu         sync.Mutex
 	// accepted are the versions of accepted changes; guarded by mu.
 	accepted []configuration.Version
 }
 
 // Report is the outcome of a run.
 type Report struct {
-	Requests, Answered, NotRun, Unknown, Broken int
+	Requests, Answered, NotRun, Unknown, ConnectionBroken int
 	// Dropped requests were never sent.
 	Dropped int
 	Changes int
-	// Samples, HostLooks and PoolLooks count looks at versions, at hosts' pools and
-	// at the watched pool's budget.
-	Samples, HostLooks, PoolLooks int
-	// Jobs were accepted; Rebooted hosts are those of the wave.
+	// VersionSamples, HostSamples and PoolSamples count samples of versions, of the
+	// pools of hosts and of the observed pool's budget.
+	VersionSamples, HostSamples, PoolSamples int
+	// Jobs counts accepted jobs, Rebooted the rebooted hosts of the wave.
 	Jobs, Rebooted int
-	// Billed is the whole of the bill that was looked at, in host-milliseconds.
+	// Billed is the total of the bill in host-milliseconds.
 	Billed     int64
 	Violations []Violation
 }
 
-// Check runs the whole product for the options' duration and judges it.
+// Check runs the whole product for the options' duration and reports the violated
+// guarantees.
 func Check(log logrus.FieldLogger, o measure.Options) (Report, error) {
 	d, err := deployment.Start(deployment.Options{
 		Log: log, EntryHosts: entryHostsPerDataCentre, Owner: "Campanella", NoticeTime: noticeTime, StopTime: stopTime,
@@ -90,13 +92,13 @@
 	}
 	defer d.Stop()
 	r := &Run{
-		o: o, d: d, operator: newOperator(d), balancer: NewReadyHosts(d.Entries), observer: NewObserver(d, watchedPool),
+		options: o, deployment: d, operator: newOperator(d), balancer: NewReadyBalancer(d.Entries), observer: NewObserver(d, observedPool),
 		jobs: NewSubmitter(newOperator(d)),
 	}
-	return r.check()
+	return r.run()
 }
 
-func (r *Run) check() (Report, error) {
+func (r *Run) run() (Report, error) {
 	if err := r.publish("sample", deployment.Sample()); err != nil {
 		return Report{}, err
 	}
@@ -107,58 +109,58 @@
 		return Report{}, err
 	}
 	go r.observer.Run(ctx, r.entries)
-	requests, dropped, err := r.drive()
+	requests, dropped, err := r.generateLoad()
 	if err != nil {
 		return Report{}, err
 	}
-	r.settle()
-	jobs := r.jobs.Samples(time.Now().Add(settleTime), r.taskStarts)
+	r.awaitConvergence()
+	jobs := r.jobs.AwaitEnds(time.Now().Add(convergenceTimeout), r.taskStarts)
 	bill, err := r.readBill()
 	if err != nil {
 		return Report{}, err
 	}
 	stop()
-	return r.report(requests, dropped, jobs, bill), nil
+	return r.newReport(requests, dropped, jobs, bill), nil
 }
 
 func (r *Run) awaitReady() error {
-	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(probeEvery) {
-		if r.balancer.Ready() == len(r.d.Entries) {
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(probeInterval) {
+		if r.balancer.Ready() == len(r.deployment.Entries) {
 			return nil
 		}
 	}
-	return eris.Errorf("%d of %d entry hosts are ready after %s", r.balancer.Ready(), len(r.d.Entries), readyTime)
+	return eris.Errorf("%d of %d entry hosts are ready after %s", r.balancer.Ready(), len(r.deployment.Entries), readyTimeout)
 }
 
-// drive sends requests and brings the events about.
-func (r *Run) drive() ([]Request, int, error) {
-	callers := NewCallers(r.balancer, r.o.Seed, callTraffic)
+// generateLoad sends requests and triggers the events.
+func (r *Run) generateLoad() ([]Request, int, error) {
+	callers := NewCallers(r.balancer, r.options.Seed, trafficTypes)
 	began := time.Now()
 	next, sent, changed, submitted := 0, 0, 0, 0
 	due := 0.0
 	last := began
 	for {
 		now := time.Now()
-		share := float64(now.Sub(began)) / float64(r.o.Duration)
+		share := float64(now.Sub(began)) / float64(r.options.Duration)
 		if share >= 1 {
 			break
 		}
 		for next < len(events) && share >= events[next].at {
-			r.o.Progress(events[next].name)
+			r.options.Progress(events[next].name)
 			if err := events[next].run(r); err != nil {
 				return nil, 0, eris.Wrap(err, events[next].name)
 			}
 			next++
 		}
-		if int(now.Sub(began)/changeEvery) > changed {
+		if int(now.Sub(began)/changeInterval) > changed {
 			changed++
-			go r.change(changed)
+			go r.publishChange(changed)
 		}
-		if int(now.Sub(began)/jobEvery) > submitted {
+		if int(now.Sub(began)/jobInterval) > submitted {
 			submitted++
 			r.jobs.Submit(submitted)
 		}
-		due += rate(share) * now.Sub(last).Seconds()
+		due += requestRate(share) * now.Sub(last).Seconds()
 		last = now
 		for ; due >= 1; due-- {
 			callers.Send(sent)
@@ -166,14 +168,14 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
-	r.o.Progress("waiting for the last answers")
+	r.options.Progress("waiting for the last answers")
 	requests, dropped := callers.Wait()
 	return requests, dropped, nil
 }
 
-// rate returns the requests a second at a share of the run: twice a burst, and
-// quiet after each.
-func rate(share float64) float64 {
+// requestRate returns the requests per second at a fraction of the run: two bursts,
+// each followed by a quiet period.
+func requestRate(share float64) float64 {
 	switch {
 	case share > 0.15 && share < 0.25, share > 0.55 && share < 0.65:
 		return meanRate * burstFactor
@@ -183,14 +185,14 @@
 	return meanRate
 }
 
-// settle waits until all live hosts have the newest accepted version and the
+// awaitConvergence waits until all live hosts have the newest accepted version and the
 // wave has rebooted its hosts.
-func (r *Run) settle() {
-	r.o.Progress("waiting for all hosts to agree and for the wave's end")
-	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(observeEvery) {
+func (r *Run) awaitConvergence() {
+	r.options.Progress("waiting for all hosts to converge and for the wave to finish")
+	for end := time.Now().Add(convergenceTimeout); time.Now().Before(end); time.Sleep(observeInterval) {
 		o := Observation{Accepted: r.acceptedVersions()}
 		r.observer.Fill(&o)
-		if len(judgeVersions(o)) == 0 && len(judgeReboots(o)) == 0 {
+		if len(verifyVersions(o)) == 0 && len(verifyReboots(o)) == 0 {
 			return
 		}
 	}
@@ -199,13 +201,13 @@
 func (r *Run) entries() []*deployment.Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Clone(r.d.Entries)
+	return slices.Clone(r.deployment.Entries)
 }
 
 func (r *Run) startEntry(name inventory.EntryID, dc inventory.DataCentreID) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e, err := r.d.StartEntry(name, dc)
+	e, err := r.deployment.StartEntry(name, dc)
 	if err != nil {
 		return err
 	}
@@ -219,13 +221,13 @@
 	return slices.Clone(r.accepted)
 }
 
-// newOperator returns the client of an operator of Campanella.
+// newOperator returns a client of an operator of Campanella.
 func newOperator(d *deployment.Deployment) *client.Client {
-	return client.New(d.Entries[operatedHost].Settings.OperatorAddress, "campanella-operator")
+	return client.New(d.Entries[operatorHost].Settings.OperatorAddress, "campanella-operator")
 }
 
-// publish makes a change through the last host, which is never cut off or stopped
-// before its end.
+// publish publishes a change through the operator's host, which is neither isolated nor
+// stopped before the end of the run.
 func (r *Run) publish(id journal.RecordID, set configuration.Objects) error {
 	c := r.operator
 	var cfg configuration.Configuration
@@ -242,12 +244,12 @@
 	return nil
 }
 
-func (r *Run) report(requests []Request, dropped int, jobs []JobSample, bill *Bill) Report {
-	o := Observation{Requests: requests, Executions: r.d.Executions(), Accepted: r.acceptedVersions(), Jobs: jobs, Bill: bill}
+func (r *Run) newReport(requests []Request, dropped int, jobs []JobSample, bill *Bill) Report {
+	o := Observation{Requests: requests, Executions: r.deployment.Executions(), Accepted: r.acceptedVersions(), Jobs: jobs, Bill: bill}
 	r.observer.Fill(&o)
 	out := Report{
-		Requests: len(requests), Dropped: dropped, Changes: len(o.Accepted), Samples: len(o.Versions),
-		HostLooks: o.HostLooks, PoolLooks: len(o.Pools), Jobs: len(jobs), Rebooted: len(o.Reboots), Billed: bill.Total, Violations: Judge(o),
+		Requests: len(requests), Dropped: dropped, Changes: len(o.Accepted), VersionSamples: len(o.Versions),
+		HostSamples: o.HostSamples, PoolSamples: len(o.Pools), Jobs: len(jobs), Rebooted: len(o.Reboots), Billed: bill.Total, Violations: Verify(o),
 	}
 	for _, q := range requests {
 		switch q.Attempts[len(q.Attempts)-1].Outcome {
@@ -258,7 +260,7 @@
 		case retry.Unknown:
 			out.Unknown++
 		default:
-			out.Broken++
+			out.ConnectionBroken++
 		}
 	}
 	return out
@@ -267,13 +269,13 @@
 // Lines returns the report as text.
 func (p Report) Lines() []string {
 	lines := []string{
-		fmt.Sprintf("requests %d: answered %d, not run %d, unknown %d, connection broken %d; never sent %d", p.Requests, p.Answered, p.NotRun, p.Unknown, p.Broken, p.Dropped),
-		fmt.Sprintf("configuration changes accepted %d, looks at versions %d", p.Changes, p.Samples),
-		fmt.Sprintf("hosts of the wave %d, looks at its pool's budget %d, looks at hosts' pools %d", p.Rebooted, p.PoolLooks, p.HostLooks),
+		fmt.Sprintf("requests %d: answered %d, not run %d, unknown %d, connection broken %d; never sent %d", p.Requests, p.Answered, p.NotRun, p.Unknown, p.ConnectionBroken, p.Dropped),
+		fmt.Sprintf("configuration changes accepted %d, version samples %d", p.Changes, p.VersionSamples),
+		fmt.Sprintf("hosts of the wave %d, samples of its pool's budget %d, samples of the pools of hosts %d", p.Rebooted, p.PoolSamples, p.HostSamples),
 		fmt.Sprintf("jobs accepted %d, host-milliseconds billed %d", p.Jobs, p.Billed),
 	}
 	for _, v := range p.Violations {
-		lines = append(lines, fmt.Sprintf("BROKEN %s: %s", v.Rule, v.What))
+		lines = append(lines, fmt.Sprintf("BROKEN %s: %s", v.Rule, v.Details))
 	}
 	return lines
 }
