fix(leader): count the waiting jobs after a slow read too

A read to the stream's end that began after the lookup makes the number as new as the lookup itself, however long the read took. The lookup failed all the same when the read took more than 1.5 s, and its caller's host asked again. The new case of TestWaitingIsNotCountedFromAnOldView failed before.

--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -31,9 +31,6 @@
 // callers can contain the text, so it keeps the word owner.
 var ErrStopped = eris.New("the owner has stopped")
 
-// errOldView means that the leader could not read the work stream to its end in time.
-var errOldView = eris.New("the leader lags behind the accepted jobs")
-
 const (
 	// producer is the producer name, fenced by epoch, under which leaders append progress.
 	producer = "Progress"
@@ -53,13 +50,14 @@
 	listInterval = time.Second
 	// maxQueuedEvents bounds the events queued for the scheduler.
 	maxQueuedEvents = 4096
-	// slowRound is the duration from which a round of the scheduler is logged. What it decides
-	// rests on the state at its begin.
+	// slowRound is the duration from which a round of the scheduler is logged. Its decisions
+	// are as old as its start.
 	slowRound = 500 * time.Millisecond
 	// gaugeInterval is how often the gauges are updated.
 	gaugeInterval = time.Second
 	// maxCountAge is how old the view of the work stream may be from which waiting jobs are
-	// counted. Callers are told that the number may be 2 s old; the rest is for the way.
+	// counted. Callers are told that the number may be 2 s old; the rest is for the calls
+	// between hosts.
 	maxCountAge = 1500 * time.Millisecond
 	// forgetInterval is how often the records of ended jobs are dropped.
 	forgetInterval = 2 * time.Second
@@ -449,7 +447,7 @@
 }
 
 // Waiting returns the number of waiting jobs in a queue. It fails unless the leader knows all
-// jobs that were accepted more than maxCountAge ago.
+// jobs that were accepted up to the call, or up to maxCountAge ago.
 func (l *Leader) Waiting(ctx context.Context, queue string) (relay.WaitingAnswer, error) {
 	if err := l.ensureCurrent(ctx, maxCountAge); err != nil {
 		return relay.WaitingAnswer{}, eris.Wrap(relay.ErrNoLeader, err.Error())
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -532,6 +532,12 @@
 			interrupt: func(_ *testing.T, m *memoryStore) { m.set(func() { m.stalled = true }) },
 			waiting:   1,
 		},
+		"store is slow": {
+			interrupt: func(_ *testing.T, m *memoryStore) {
+				m.set(func() { m.stalled, m.latency = true, maxCountAge+100*time.Millisecond })
+			},
+			waiting: 1,
+		},
 		"store is unreachable": {
 			interrupt: func(_ *testing.T, m *memoryStore) { m.set(func() { m.unreachable = true }) },
 			err:       relay.ErrNoLeader,
--- a/entry/leader/load.go
+++ b/entry/leader/load.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -309,13 +308,7 @@
 	if l.view.age(l.cfg.Now()) <= maxAge {
 		return nil
 	}
-	if err := l.catchUps.do(ctx); err != nil {
-		return err
-	}
-	if age := l.view.age(l.cfg.Now()); age > maxAge {
-		return eris.Wrapf(errOldView, "read %s ago, %d records behind", age.Round(time.Millisecond), l.view.behind())
-	}
-	return nil
+	return l.catchUps.do(ctx)
 }
 
 // isLaterLeader reports whether a record is the marker of a later leader.
--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -97,8 +97,8 @@
 	placementGapPerStep = 25 * time.Microsecond
 	maxPlacementGap     = 30 * time.Millisecond
 	// placementRest times the duration of a placement round, at most maxPlacementRest, is the
-	// rest after it. A leader has one processor: rounds without a rest delay its reads of the
-	// streams and the reports of workers.
+	// pause after it. A leader has one processor: rounds without a pause delay its reads of
+	// the streams and the reports of workers.
 	placementRest    = 2
 	maxPlacementRest = 500 * time.Millisecond
 	// maxKeptFailures bounds the failed runs that are recorded for a long-running task,
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -184,10 +184,10 @@
 	}
 }
 
-// SetViewLag tells how much older the view of accepted jobs, workers and publications is than
-// the last confirmation of leadership. Both age together while the store is away, when nothing can be
-// cancelled either. If only the view ages, what it lacks may forbid a start or a move, so none
-// is ordered until it is current again.
+// SetViewLag sets how much older the view of accepted jobs, workers and publications is than
+// the last confirmation of leadership. Both age together while the store is unavailable, when
+// nothing can be cancelled either. If only the view ages, a record that it lacks may forbid a
+// start or a move, so none is ordered until it is current again.
 func (s *Scheduler) SetViewLag(lag time.Duration) {
 	wasCurrent := s.isViewCurrent()
 	s.viewLag = lag
@@ -339,7 +339,7 @@
 	return s.dirty && !now.Before(s.placedAt.Add(s.placementGap())) || !now.Before(s.placedAt.Add(placementInterval))
 }
 
-// EndTick tells when the work of the last Tick ended. A placement round is followed by a rest
+// EndTick records when the work of the last Tick ended. A placement round is followed by a rest
 // in proportion to its duration.
 func (s *Scheduler) EndTick(now time.Time) {
 	if !s.isPlacing {
