--- a/fleet/scheduling/scheduler_test.go
+++ b/fleet/scheduling/scheduler_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/godwitcross/godwitcross/fleet/job"
+	"github.com/godwitcross/godwitcross/fleet/queue"
 )
 
 // A cancellation that arrives before its job, and once more after it, must not be taken off
@@ -95,3 +96,62 @@
 		require.NotEmpty(t, firstMoves(s, now.Add(4*time.Second), 4*time.Second))
 	})
 }
+
+// A queue that a configuration drops keeps its number of attempts for the jobs that it had:
+// they ended as failed after the first failed run.
+func TestDroppedQueueKeepsItsAttempts(t *testing.T) {
+	s, now := readyScheduler(t)
+	h := &harness{s: s, now: now, commits: 1, ends: make(map[WorkerID]int64)}
+	id := h.job(1, "")
+	ordered := h.tick()
+	require.Len(t, ordered, 1)
+	s.Configure(queue.New(2, nil, []queue.Pool{{Name: "p", AdmissionControl: true}}, queue.Limits{}))
+	h.end(ordered[0], EndFailed)
+	storeAll(s)
+	state, _, _ := s.State(id)
+	require.NotEqual(t, job.Failed, state)
+}
+
+// A new leader orders no host within the lease of an order that its predecessor may have sent
+// after its last heartbeat, as stored commits confirm a leadership too.
+func TestHostLeaseCountsFromTheLastConfirmation(t *testing.T) {
+	cfg := testConfig()
+	previous := New(testStart, cfg)
+	heartbeatAt := testStart.Add(10 * time.Second)
+	previous.ConfirmLeadership(heartbeatAt)
+	cfg.PreviousHeartbeatAge = 1650 * time.Millisecond
+	takeover := heartbeatAt.Add(cfg.PreviousHeartbeatAge)
+	previous.ConfirmLeadership(takeover.Add(-50 * time.Millisecond)) // a commit before the fence
+	next := New(takeover, cfg)
+	lastOrder := previous.leaderConfirmedAt.Add(maxHostProofAge)
+	require.GreaterOrEqual(t, next.inheritedHostsFrom().Sub(lastOrder), cfg.HostLease)
+}
+
+// A host that a single list lacks hasn't left its wave, which was reported as completed.
+func TestWaveWaitsForAHostThatOneListLacks(t *testing.T) {
+	s, now := readyScheduler(t)
+	hosts := []Host{
+		{ID: "m-1", Pool: "spare", State: HostUp, Capacity: job.Resources{CPU: 64000, MemMB: 1000}},
+		{ID: "m-2", Pool: "spare", State: HostUp, Capacity: job.Resources{CPU: 64000, MemMB: 1000}},
+	}
+	s.cfg.Term = 0
+	s.HostsListed(now, now, hosts)
+	s.RequestWave(now, 0, Wave{Number: 1, Hosts: []HostID{"m-2"}, Duration: 20 * time.Second, MaxCount: 1})
+	s.HostsListed(now, now, hosts[:1])
+	s.Tick(now, 0)
+	for _, r := range actionsOf[ReportWave](s.TakeActions()) {
+		require.False(t, r.Completed)
+	}
+}
+
+// The record of a submission that is repeated after its job's records were dropped is dropped
+// again: after the retention a next leader took it for a new job and ran it a second time.
+func TestRepeatedSubmissionIsForgottenAgain(t *testing.T) {
+	s, now := readyScheduler(t)
+	s.Accept(now, 0, testJob(1))
+	s.finish(now, 0, s.jobs[testID], job.Completed, "test")
+	storeAll(s)
+	require.Equal(t, []job.ID{testID}, s.Forget(now))
+	s.Accept(now, 0, testJob(1))
+	require.Equal(t, []job.ID{testID}, s.Forget(now.Add(time.Second)))
+}
