fix(standin): give each process a port of its own

A free port was found by listening and closing, and the kernel may pick it again before its user listens. Addresses are now returned once.

--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,6 +22,9 @@
 // queueHost is the Host header of requests to the stand-in's queues.
 const queueHost = "jobs.example"
 
+// maxPortTries bounds the search for a port that hasn't been returned before.
+const maxPortTries = 1000
+
 // requestTimeout bounds a request to an entry host.
 const requestTimeout = 5 * time.Second
 
@@ -48,14 +52,27 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, 1+pid&0x7f)
 }()
 
-// FreeAddress returns a loopback address and port that are free.
+// usedAddresses are the addresses that FreeAddress has returned. The kernel may pick a free
+// port again before its first user listens there.
+var usedAddresses sync.Map
+
+// FreeAddress returns a loopback address and port that are free and that no earlier call
+// returned.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", loopbackIP+":0")
-	if err != nil {
-		return "", eris.Wrap(err, "finding a free port")
+	for range maxPortTries {
+		l, err := net.Listen("tcp", loopbackIP+":0")
+		if err != nil {
+			return "", eris.Wrap(err, "finding a free port")
+		}
+		a := l.Addr().String()
+		if err := l.Close(); err != nil {
+			return "", eris.Wrap(err, "releasing a free port")
+		}
+		if _, isUsed := usedAddresses.LoadOrStore(a, true); !isUsed {
+			return a, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", eris.Errorf("no unused port after %d tries", maxPortTries)
 }
 
 // Settings returns the settings of an entry host that listens to the other entry hosts at
