feat(scheduling): log why tasks wait after a takeover

A long-running task had no run for 14 s beside free capacity, and no line said why: a task that isn't started left no trace, and the line pool counted waiting tasks without the reason.

A worker of an earlier leader that keeps tasks waiting is now named when the wait begins and when it ends, with the time that is left and the reason. The line pool has the number of such workers and of the steps for which no worker was found, which tells the wait for a lease from a pool without eligible workers.

--- a/fleet/scheduling/demand.go
+++ b/fleet/scheduling/demand.go
@@ -173,6 +173,7 @@
 	s.nextPoolLog = now.Add(poolLogInterval)
 	s.logDecision("placement", "", "Looks", s.evaluations, "TookMs", s.placementTook.Milliseconds())
 	s.evaluations, s.placementTook = 0, 0
+	starved := s.starvedSteps()
 	for _, p := range pools {
 		hosts, idle, free := 0, 0, job.Resources{}
 		for _, w := range s.workers.all() {
@@ -186,10 +187,28 @@
 			free = free.Add(w.free())
 		}
 		s.logDecision("pool", "", "Pool", p.name, "Workers", hosts, "Idle", idle, "Coming", p.arrivingHosts, "Need", p.need,
-			"Arriving", p.arrivalRate, "WaitingTasks", p.tasks, "WaitingCPU", p.resources.CPU, "FreeCPU", free.CPU)
+			"Arriving", p.arrivalRate, "WaitingTasks", p.tasks, "WaitingCPU", p.resources.CPU, "FreeCPU", free.CPU,
+			"StarvedSteps", starved[p.name], "Unaccounted", s.unaccountedIn(p.name))
 	}
 }
 
+// starvedSteps counts for each pool the steps for which the last placement round found no
+// worker.
+func (s *Scheduler) starvedSteps() map[string]int {
+	counts := make(map[string]int)
+	for _, list := range s.waiting.all() {
+		for _, st := range list {
+			if len(st.waiting) == 0 || st.starvedAt.IsZero() {
+				continue
+			}
+			if pool, ok := s.poolOf(st.occ.job); ok {
+				counts[pool]++
+			}
+		}
+	}
+	return counts
+}
+
 // longWaitThreshold is how long a pool's tasks may wait before hosts are moved to the
 // pool even though its free capacity seems sufficient.
 const longWaitThreshold = 250 * time.Millisecond
--- a/fleet/scheduling/leadership_test.go
+++ b/fleet/scheduling/leadership_test.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -324,3 +325,25 @@
 	require.True(t, mayInterrupt(now, second), "no stop takes that long")
 	require.True(t, s.workers.get("w2").mayTakeDown(now))
 }
+
+// A task that waits for the lease of a worker that doesn't answer leaves a line with the
+// worker, and another one at the end of the wait.
+func TestWaitForALeaseIsLogged(t *testing.T) {
+	s := New(testStart, testConfig())
+	s.Configure(testConfiguration())
+	w1, w2 := testWorker("w1"), testWorker("w2")
+	s.Restore(testStart, 0, Restored{Jobs: []job.Job{testJob(1)}, Registry: []Entry{w1, w2}})
+	s.Register(testStart, w1)
+	s.Held(testStart, 0, w1.Incarnation, 0, testStart, accepted, Report{StartedAt: 1, ClockMs: 10})
+	s.Tick(testStart, 0)
+	decisions := actionsOf[Decision](s.TakeActions())
+	i := slices.IndexFunc(decisions, func(d Decision) bool { return d.Event == "tasks wait for a lease" })
+	require.GreaterOrEqual(t, i, 0)
+	require.Subset(t, decisions[i].Fields, []any{"Worker", "w2", "Pool", "p"})
+	s.Register(testStart, w2)
+	s.Held(testStart, 0, w2.Incarnation, 0, testStart, accepted, Report{StartedAt: 1, ClockMs: 10})
+	decisions = actionsOf[Decision](s.TakeActions())
+	i = slices.IndexFunc(decisions, func(d Decision) bool { return d.Event == "tasks no longer wait for a lease" })
+	require.GreaterOrEqual(t, i, 0)
+	require.Subset(t, decisions[i].Fields, []any{"Worker", "w2", "Reason", "answered"})
+}
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -138,12 +138,7 @@
 	if t.step.Speculative && now.Sub(s.startedAt) > speculativePause {
 		return true
 	}
-	for _, e := range s.unaccounted {
-		if e.Pool == pool && t.job().mayRunIn(e.DataCentre) {
-			return false
-		}
-	}
-	return true
+	return !s.waitsForLease(now, pool, t)
 }
 
 // placeStep assigns as many waiting tasks of a step as fit.
--- a/fleet/scheduling/report.go
+++ b/fleet/scheduling/report.go
@@ -117,10 +117,7 @@
 		}
 		s.adopt(now, w, t, row)
 	}
-	if _, ok := s.unaccounted[w.ID]; ok {
-		delete(s.unaccounted, w.ID)
-		s.dirty = true
-	}
+	s.accountFor(now, w.ID, "answered")
 	s.dirty = s.dirty || len(previous) > len(w.orphans)
 }
 
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -53,7 +53,7 @@
 	hosts        *table[HostID, *host]
 	waves        map[int64]*wave
 	// unaccounted workers may run tasks of an earlier leader and have not answered yet.
-	unaccounted map[WorkerID]Entry
+	unaccounted map[WorkerID]*unaccountedWorker
 	// inheritedUntil is when all leases that an earlier leader extended have lapsed.
 	inheritedUntil time.Time
 	// leaderConfirmedAt is when the leadership of this host was last confirmed.
@@ -130,7 +130,7 @@
 		workers:           newTable[WorkerID, *worker](),
 		hosts:             newTable[HostID, *host](),
 		waves:             make(map[int64]*wave),
-		unaccounted:       make(map[WorkerID]Entry),
+		unaccounted:       make(map[WorkerID]*unaccountedWorker),
 		unstoredEnds:      make(map[WorkerID]int64),
 		inheritedHosts:    make(map[HostID]bool),
 		pendingCommits:    make(map[int64]*pendingCommit),
--- /dev/null
+++ b/fleet/scheduling/unaccounted.go
@@ -0,0 +1,63 @@
+package scheduling
+
+import "time"
+
+// unaccountedWorker is a worker that earlier leaders registered and that hasn't answered this
+// one. Tasks that they started may still run on it.
+type unaccountedWorker struct {
+	Entry
+	// delaysTasks is set once a task has waited for the worker.
+	delaysTasks bool
+}
+
+// addUnaccounted adds a worker of the stored registry.
+func (s *Scheduler) addUnaccounted(e Entry) {
+	s.unaccounted[e.ID] = &unaccountedWorker{Entry: e}
+}
+
+// isUnaccounted reports whether a worker may run tasks that this leader doesn't know.
+func (s *Scheduler) isUnaccounted(id WorkerID) bool {
+	return s.unaccounted[id] != nil
+}
+
+// accountFor removes a worker from the unaccounted ones, if it is one.
+func (s *Scheduler) accountFor(now time.Time, id WorkerID, reason string) {
+	u := s.unaccounted[id]
+	if u == nil {
+		return
+	}
+	delete(s.unaccounted, id)
+	s.dirty = true
+	if u.delaysTasks {
+		s.logDecision("tasks no longer wait for a lease", "", "Worker", string(id), "Pool", u.Pool, "Reason", reason,
+			"SinceTakeoverMs", now.Sub(s.startedAt).Milliseconds())
+	}
+}
+
+// waitsForLease reports whether a task may still run on an unaccounted worker of its pool and
+// data centres.
+func (s *Scheduler) waitsForLease(now time.Time, pool string, t *task) bool {
+	for id, u := range s.unaccounted {
+		if u.Pool != pool || !t.job().mayRunIn(u.DataCentre) {
+			continue
+		}
+		if !u.delaysTasks {
+			u.delaysTasks = true
+			s.logDecision("tasks wait for a lease", t.job().ID, "Task", t.id().String(), "Worker", string(id), "Pool", pool,
+				"UntilMs", s.inheritedUntil.Sub(now).Milliseconds())
+		}
+		return true
+	}
+	return false
+}
+
+// unaccountedIn returns the number of unaccounted workers of a pool.
+func (s *Scheduler) unaccountedIn(pool string) int {
+	n := 0
+	for _, u := range s.unaccounted {
+		if u.Pool == pool {
+			n++
+		}
+	}
+	return n
+}
--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -177,7 +177,7 @@
 		}
 		return s.maintain(now, v, h)
 	}
-	if _, ok := s.unaccounted[w.ID]; ok || (!w.contacted && w.unreachableSince.IsZero()) {
+	if s.isUnaccounted(w.ID) || (!w.contacted && w.unreachableSince.IsZero()) {
 		return false // its runs aren't known yet
 	}
 	if _, ok := v.drainStartedAt[h.ID]; !ok {
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -209,7 +209,7 @@
 		s.markLost(now, r)
 	}
 	s.workers.drop(w.ID)
-	delete(s.unaccounted, w.ID)
+	s.accountFor(now, w.ID, reason)
 	delete(s.unstoredEnds, w.ID)
 	s.records = append(s.records, Record{Key: RegistryPrefix + string(w.ID)})
 	s.dirty = true
@@ -364,12 +364,11 @@
 		}
 		return
 	}
-	if _, ok := s.unaccounted[w.ID]; ok {
+	if s.isUnaccounted(w.ID) {
 		if now.Before(s.inheritedUntil) {
 			return
 		}
-		delete(s.unaccounted, w.ID)
-		s.dirty = true
+		s.accountFor(now, w.ID, "lapsed")
 	}
 	for _, r := range w.runs.all() {
 		s.markLost(now, r)
