--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -76,6 +76,7 @@
 		}
 	}
 	s.removeReplaced()
+	s.removeMoved(now)
 	s.updateHostClasses()
 }
 
@@ -97,6 +98,21 @@
 	}
 }
 
+// removeMoved removes unreachable workers whose host is being moved or maintained, or was moved
+// to a spare pool. That ends all runs on the host, and an earlier leader may have ordered it.
+func (s *Scheduler) removeMoved(now time.Time) {
+	for _, w := range s.workers.all() {
+		h := s.hosts.get(w.Host)
+		if h == nil || w.unreachableSince.IsZero() || h.order.kind != noOrder {
+			continue
+		}
+		isAway := h.State == HostMoving || h.State == HostMaintenance
+		if isAway || h.Pool != w.Pool && s.isSpare(h.Pool) {
+			s.removeWorker(now, w, "its host is being moved or maintained")
+		}
+	}
+}
+
 // tickHosts advances waves and balances pools.
 func (s *Scheduler) tickHosts(now time.Time) {
 	if now.Before(s.nextBalance) || s.hostsListedAt.IsZero() || now.Sub(s.hostsListedAt) > maxHostListAge {
