fix(scheduling): bound an adopted run's lease by the worker's first answer

A long-running task whose worker was lost 0.5 s after a takeover had no run for more than 9 s. The new leader took all leases of earlier leaders to last until 11 s after its takeover, also the lease of a worker that had answered it. But a worker that has answered knows the new token and refuses extensions by earlier leaders, so its lease ends at most one lease after that answer.

--- a/fleet/scheduling/report.go
+++ b/fleet/scheduling/report.go
@@ -83,6 +83,10 @@
 	}
 	w.contacted = true
 	s.dirty = true
+	if len(rep.Running) > 0 {
+		// An earlier leader may have extended the lease, but not after this answer.
+		w.extendLeaseUntil(now.Add(lapseTime(s.cfg.Lease)))
+	}
 	s.logDecision("worker contacted", "", "Worker", string(w.ID), "Runs", len(rep.Running), "Ends", len(rep.Ended),
 		"SinceTakeoverMs", now.Sub(s.startedAt).Milliseconds())
 }
@@ -137,9 +141,6 @@
 
 // adopt assigns a run that an earlier leader started to its task.
 func (s *Scheduler) adopt(now time.Time, w *worker, t *task, row RunRow) {
-	if s.inheritedUntil.After(w.leaseUntil) {
-		w.leaseUntil = s.inheritedUntil // an earlier leader may have extended the lease until then
-	}
 	r := &run{task: t, number: row.Run, phase: running, orderedAt: now, lastSeenAt: now, reportedPace: row.Percent, reportedLoad: row.Load, checkpoint: row.Checkpoint, orderedPace: 100}
 	r.reportsValidFrom = now.Add(s.cfg.StopTime + leaseMargin)
 	s.unqueue(t)
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -290,13 +290,18 @@
 	if lease <= 0 || w.clockAt.IsZero() {
 		return 0, false
 	}
-	if until := now.Add(lapseTime(lease)); until.After(w.leaseUntil) {
-		w.leaseUntil = until
-	}
+	w.extendLeaseUntil(now.Add(lapseTime(lease)))
 	w.deadlineMs = max(w.deadlineMs, w.clockMs+now.Sub(w.clockAt).Milliseconds()+lease.Milliseconds())
 	return w.deadlineMs, true
 }
 
+// extendLeaseUntil records that the worker's lease may last until a time.
+func (w *worker) extendLeaseUntil(until time.Time) {
+	if until.After(w.leaseUntil) {
+		w.leaseUntil = until
+	}
+}
+
 // setClock records the worker's clock as given in an answer.
 func (w *worker) setClock(now time.Time, ms int64) {
 	if ms > 0 {
