fix(leader): pass on the ends of leases to the next leader

A long-running task whose worker had gone had no run for 14 s beside free capacity, as each of the leaders that followed each other took all earlier leases to last for another 11 s: grace and lease, counted from its own takeover.

Heartbeats now pass on until when leases may last that no leader extends any more. A leader gives up the lease of a worker that has not answered for 0.5 s, lists it with the time left and the number of the worker's stored record, and extends it again only once a record with another number is stored. The successor loads the records after it has fenced the previous leader, so a matching number proves that the lease was not extended since. A leader that has released its leadership extends nothing after it, so then the other leases end one lease after the takeover. Durations count from the reading of a heartbeat; no clocks are compared. Heartbeats of earlier versions carry no leases and keep the longest wait. A lease that an earlier leader extended now also counts as lapsed only with a confirmation of leadership after its end, as all others did.

--- a/entry/election/candidate.go
+++ b/entry/election/candidate.go
@@ -14,6 +14,7 @@
 	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/relay"
 	"github.com/godwitcross/godwitcross/entry/store"
+	"github.com/godwitcross/godwitcross/fleet/scheduling"
 )
 
 const (
@@ -44,10 +45,17 @@
 	firstElectionTimeout = 50 * time.Millisecond
 )
 
-// LeadFunc performs the leader's tasks and returns when the leadership ends. heartbeatAge is
-// the time since the previous leader's last heartbeat, or negative if that leader has
-// certainly ended.
-type LeadFunc func(ctx context.Context, epoch int64, claim Claim, heartbeatAge time.Duration) error
+// LeadFunc performs the leader's tasks and returns when the leadership ends.
+type LeadFunc func(ctx context.Context, epoch int64, claim Claim, previous Previous) error
+
+// Previous is what the claim of a leader shows about the previous one.
+type Previous struct {
+	// HeartbeatAge is the time since its last heartbeat, or negative if it has certainly ended
+	// and sends no more orders.
+	HeartbeatAge time.Duration
+	// Leases is what is known about the leases that it and earlier leaders extended.
+	Leases scheduling.PreviousLeases
+}
 
 // Config holds a candidate's settings and dependencies.
 type Config struct {
@@ -71,8 +79,8 @@
 	nonce string
 	// nonces are all nonces of this process.
 	nonces map[string]bool
-	// previousHeartbeatAge is the heartbeatAge that the next call of Lead gets.
-	previousHeartbeatAge time.Duration
+	// previous is passed to the next call of Lead.
+	previous Previous
 
 	mu sync.Mutex
 	// state is guarded by mu.
@@ -273,11 +281,7 @@
 		c.cfg.Log.WithField("Error", err.Error()).Error("encoding the leadership claim failed")
 		return
 	}
-	c.previousHeartbeatAge = c.cfg.Now().Sub(st.HeartbeatAt)
-	if st.Stopping || c.isPreviousIncarnation(st) {
-		// The previous leader has certainly ended and sends no more orders.
-		c.previousHeartbeatAge = -1
-	}
+	c.previous = c.previousLeader(st)
 	at := st.Next
 	_, err = c.cfg.Direct.Append(ctx, store.Append{Stream: store.Leader, At: &at, Records: []store.Record{{Key: keyClaim, Value: b}}})
 	entry := c.cfg.Log.WithFields(logrus.Fields{
@@ -294,11 +298,25 @@
 	entry.Info("leadership claimed")
 }
 
+// previousLeader returns what is known about the leader in whose place this host claims.
+func (c *Candidate) previousLeader(st State) Previous {
+	p := Previous{
+		HeartbeatAge: c.cfg.Now().Sub(st.HeartbeatAt),
+		// A leader releases its leadership after its last order.
+		Leases: scheduling.PreviousLeases{Ended: st.Released || c.isPreviousIncarnation(st), Leases: st.Leases},
+	}
+	if st.Stopping || c.isPreviousIncarnation(st) {
+		// The previous leader has certainly ended and sends no more orders.
+		p.HeartbeatAge = -1
+	}
+	return p
+}
+
 // lead calls Lead until the leadership ends, then blocks claims for stepDownBackoff.
 func (c *Candidate) lead(ctx context.Context, st State) {
 	log := c.cfg.Log.WithFields(logrus.Fields{"Epoch": st.Epoch, "Term": st.Claim.Term})
 	log.Info("leadership started")
-	err := c.cfg.Lead(ctx, st.Epoch, st.Claim, c.previousHeartbeatAge)
+	err := c.cfg.Lead(ctx, st.Epoch, st.Claim, c.previous)
 	fields := logrus.Fields{}
 	if err != nil {
 		fields["Error"] = err.Error()
--- a/entry/election/heartbeater.go
+++ b/entry/election/heartbeater.go
@@ -13,6 +13,7 @@
 	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/relay"
 	"github.com/godwitcross/godwitcross/entry/store"
+	"github.com/godwitcross/godwitcross/fleet/scheduling"
 )
 
 // Producer is the producer name, fenced by epoch, under which leaders append heartbeats.
@@ -33,6 +34,9 @@
 	Now func() time.Time
 	// Peers returns the hosts to list in each heartbeat.
 	Peers func() []relay.Peer
+	// Leases returns what the next leader has to know about leases, or nil before the takeover
+	// is complete.
+	Leases func() *scheduling.Leases
 	// Confirmed is called with the send time of each heartbeat that the store accepted.
 	Confirmed func(sentAt time.Time)
 
@@ -83,7 +87,9 @@
 }
 
 func (h *Heartbeater) send(ctx context.Context, released, stopping bool) error {
-	b, err := json.Marshal(Heartbeat{Epoch: h.Epoch, Host: h.Self, Peers: h.Peers(), Released: released, Stopping: stopping})
+	b, err := json.Marshal(Heartbeat{
+		Epoch: h.Epoch, Host: h.Self, Peers: h.Peers(), Released: released, Stopping: stopping, Leases: encodeLeases(h.Now(), h.Leases()),
+	})
 	if err != nil {
 		return err
 	}
--- a/entry/election/record.go
+++ b/entry/election/record.go
@@ -9,6 +9,7 @@
 
 	"github.com/godwitcross/godwitcross/entry/relay"
 	"github.com/godwitcross/godwitcross/entry/store"
+	"github.com/godwitcross/godwitcross/fleet/scheduling"
 )
 
 // Keys of the records in the leader stream. Heartbeats are stored under Sign, an older word
@@ -41,6 +42,58 @@
 	Released bool
 	// Stopping is set when the leader steps down because its host stops.
 	Stopping bool
+	// Leases is what the next leader has to know about leases. It is nil until the leader has
+	// taken over.
+	Leases *Leases `json:",omitempty"`
+}
+
+// Leases are scheduling.Leases with times as durations from the heartbeat on. Their reader
+// counts them from the time of reading, which is later, so that no clock is compared.
+type Leases struct {
+	EarlierMs int64
+	GivenUp   []GivenUpLease `json:",omitempty"`
+}
+
+// GivenUpLease is a scheduling.GivenUpLease.
+type GivenUpLease struct {
+	Worker       scheduling.WorkerID
+	Registration int64
+	LapsesMs     int64
+}
+
+// encodeLeases returns the leases of a heartbeat that is sent at now.
+func encodeLeases(now time.Time, l *scheduling.Leases) *Leases {
+	if l == nil {
+		return nil
+	}
+	out := &Leases{EarlierMs: msUntil(now, l.EarlierLapseAt)}
+	for _, g := range l.GivenUp {
+		out.GivenUp = append(out.GivenUp, GivenUpLease{Worker: g.Worker, Registration: g.Registration, LapsesMs: msUntil(now, g.LapsesAt)})
+	}
+	return out
+}
+
+// decode returns the leases of a heartbeat that was read at now.
+func (l *Leases) decode(now time.Time) *scheduling.Leases {
+	if l == nil {
+		return nil
+	}
+	out := &scheduling.Leases{EarlierLapseAt: now.Add(time.Duration(l.EarlierMs) * time.Millisecond)}
+	for _, g := range l.GivenUp {
+		out.GivenUp = append(out.GivenUp, scheduling.GivenUpLease{
+			Worker: g.Worker, Registration: g.Registration, LapsesAt: now.Add(time.Duration(g.LapsesMs) * time.Millisecond),
+		})
+	}
+	return out
+}
+
+// msUntil returns the time from now until at in milliseconds, rounded up, and 0 if at has
+// passed.
+func msUntil(now, at time.Time) int64 {
+	if !at.After(now) {
+		return 0
+	}
+	return (at.Sub(now) + time.Millisecond - 1).Milliseconds()
 }
 
 // State is what a host has read about the leader.
@@ -58,6 +111,8 @@
 	// claim, after a failed read, after a claim that failed without a conflict, and when its
 	// own leadership ends.
 	HeartbeatAt time.Time
+	// Leases are those of the epoch's last heartbeat, or nil.
+	Leases *scheduling.Leases
 	// Next is the offset from which to read on.
 	Next int64
 }
@@ -74,7 +129,7 @@
 		if r.Offset+1 <= s.Epoch {
 			return false, nil
 		}
-		s.Epoch, s.Claim, s.HeartbeatAt, s.Released, s.Stopping = r.Offset+1, c, now, false, false
+		s.Epoch, s.Claim, s.HeartbeatAt, s.Released, s.Stopping, s.Leases = r.Offset+1, c, now, false, false, nil
 		return true, nil
 	case keyHeartbeat:
 		var hb Heartbeat
@@ -85,6 +140,7 @@
 			return false, nil
 		}
 		s.HeartbeatAt, s.Peers, s.Released, s.Stopping = now, hb.Peers, hb.Released, hb.Stopping
+		s.Leases = hb.Leases.decode(now)
 	}
 	return false, nil
 }
--- a/entry/election/record_test.go
+++ b/entry/election/record_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/godwitcross/godwitcross/entry/relay"
 	"github.com/godwitcross/godwitcross/entry/store"
+	"github.com/godwitcross/godwitcross/fleet/scheduling"
 )
 
 var start = time.Unix(1000, 0)
@@ -82,7 +83,7 @@
 	log, _ := test.NewNullLogger()
 	return &Heartbeater{
 		Epoch: 5, Self: relay.Peer{Name: "a", Share: 0.4}, Store: s, Log: log, Now: time.Now,
-		Peers: func() []relay.Peer { return peers }, Confirmed: func(time.Time) { *confirmed++ },
+		Peers: func() []relay.Peer { return peers }, Leases: func() *scheduling.Leases { return nil }, Confirmed: func(time.Time) { *confirmed++ },
 	}
 }
 
@@ -151,7 +152,7 @@
 		c.claim(context.Background(), State{Epoch: 5, Next: 9, HeartbeatAt: start.Add(-2 * time.Second)})
 		require.Len(t, s.appends, 1)
 		require.EqualValues(t, 9, *s.appends[0].At)
-		require.Equal(t, 2*time.Second, c.previousHeartbeatAge)
+		require.Equal(t, 2*time.Second, c.previous.HeartbeatAge)
 		require.False(t, errors.Is(err, store.ErrFenced))
 	}
 }
@@ -163,7 +164,7 @@
 	now := start
 	c := NewCandidate(Config{
 		Self: relay.Peer{Name: "a"}, Direct: s, Log: log, Now: func() time.Time { return now },
-		Lead: func(context.Context, int64, Claim, time.Duration) error { return store.ErrFenced },
+		Lead: func(context.Context, int64, Claim, Previous) error { return store.ErrFenced },
 	})
 	c.lead(context.Background(), State{Epoch: 5})
 	c.state = State{Epoch: 5, HeartbeatAt: now.Add(-time.Minute)}
@@ -194,7 +195,7 @@
 			s := &scriptedStore{answers: []error{nil}}
 			c := NewCandidate(Config{
 				Self: self, Direct: s, Log: log, Now: func() time.Time { return start },
-				Lead: func(context.Context, int64, Claim, time.Duration) error { return store.ErrFenced },
+				Lead: func(context.Context, int64, Claim, Previous) error { return store.ErrFenced },
 			})
 			if tt.nonce == "" {
 				tt.nonce = c.nonce
@@ -204,7 +205,7 @@
 			c.state = State{Epoch: 5, Next: 6, HeartbeatAt: start, Claim: Claim{Host: tt.host, Nonce: tt.nonce}}
 			c.campaign(context.Background(), true)
 			require.Len(t, s.appends, map[bool]int{true: 1, false: 0}[tt.want])
-			require.Equal(t, tt.want, c.previousHeartbeatAge < 0, "orders for hosts ended with the previous process")
+			require.Equal(t, tt.want, c.previous.HeartbeatAge < 0, "orders for hosts ended with the previous process")
 		})
 	}
 }
@@ -229,3 +230,54 @@
 	}
 	require.Equal(t, maxRestarts, claims)
 }
+
+// Leases pass from a heartbeat to its reader as durations, counted from the reading, and a new
+// claim makes them unknown.
+func TestHeartbeatPassesOnLeases(t *testing.T) {
+	sent := &scheduling.Leases{EarlierLapseAt: start.Add(1500 * time.Microsecond), GivenUp: []scheduling.GivenUpLease{
+		{Worker: "w1", Registration: 7, LapsesAt: start.Add(3 * time.Second)}, {Worker: "w2", Registration: 8, LapsesAt: start.Add(-time.Second)},
+	}}
+	var s State
+	_, err := s.Apply(start, claimRecord(t, 4, "a"))
+	require.NoError(t, err)
+	require.Nil(t, s.Leases)
+	readAt := start.Add(time.Hour)
+	_, err = s.Apply(readAt, heartbeatRecord(t, Heartbeat{Epoch: 5, Leases: encodeLeases(start, sent)}))
+	require.NoError(t, err)
+	require.Equal(t, &scheduling.Leases{EarlierLapseAt: readAt.Add(2 * time.Millisecond), GivenUp: []scheduling.GivenUpLease{
+		{Worker: "w1", Registration: 7, LapsesAt: readAt.Add(3 * time.Second)}, {Worker: "w2", Registration: 8, LapsesAt: readAt},
+	}}, s.Leases)
+
+	_, err = s.Apply(readAt, heartbeatRecord(t, Heartbeat{Epoch: 5, Leases: encodeLeases(start, nil)}))
+	require.NoError(t, err)
+	require.Nil(t, s.Leases, "a leader that has not loaded its state, or one of an earlier version")
+	_, err = s.Apply(readAt, heartbeatRecord(t, Heartbeat{Epoch: 5, Leases: encodeLeases(start, sent)}))
+	require.NoError(t, err)
+	_, err = s.Apply(readAt, claimRecord(t, 9, "b"))
+	require.NoError(t, err)
+	require.Nil(t, s.Leases, "a new leader")
+}
+
+// A leader learns whether the previous one has ended, as its leases then last no longer than
+// one lease.
+func TestWhichLeadersHaveEnded(t *testing.T) {
+	self := relay.Peer{Name: "a", Address: "10.0.0.1:7000"}
+	tests := map[string]struct {
+		st   State
+		want bool
+	}{
+		"one without heartbeats":       {State{Epoch: 5}, false},
+		"one that has released":        {State{Epoch: 5, Released: true}, true},
+		"one that stops":               {State{Epoch: 5, Released: true, Stopping: true}, true},
+		"an earlier process of a host": {State{Epoch: 5, Claim: Claim{Host: self, Nonce: "previous"}}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := NewCandidate(Config{Self: self, Now: func() time.Time { return start }})
+			tt.st.Leases = &scheduling.Leases{EarlierLapseAt: start}
+			p := c.previousLeader(tt.st)
+			require.Equal(t, tt.want, p.Leases.Ended)
+			require.Equal(t, tt.st.Leases, p.Leases.Leases)
+		})
+	}
+}
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -59,6 +59,8 @@
 	// counted. Callers are told that the number may be 2 s old; the rest is for the calls
 	// between hosts.
 	maxCountAge = 1500 * time.Millisecond
+	// leasesInterval is how often the leases that heartbeats pass on are updated.
+	leasesInterval = 100 * time.Millisecond
 	// forgetInterval is how often the records of ended jobs are dropped.
 	forgetInterval = 2 * time.Second
 	// maxForgetBatch bounds the jobs whose records are dropped in one append.
@@ -118,6 +120,8 @@
 	workersView, operatorView streamView
 	// confirmedAt is the send time of the latest heartbeat that the store accepted.
 	confirmedAt atomic.Pointer[time.Time]
+	// leases is what the next leader has to know about leases, nil until the state is loaded.
+	leases atomic.Pointer[scheduling.Leases]
 	// isSuperseded is set once a later leader's marker was read.
 	isSuperseded atomic.Bool
 }
@@ -137,6 +141,7 @@
 	l.catchUps = newSharedCall(l.catchUp)
 	l.heartbeater = &election.Heartbeater{
 		Epoch: epoch, Term: term, Self: cfg.Self, Store: cfg.Store, Log: l.log, Now: cfg.Now, Peers: cfg.Peers,
+		Leases: l.leases.Load,
 		Confirmed: func(sentAt time.Time) {
 			l.confirmedAt.Store(&sentAt)
 			l.enqueue(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.ConfirmLeadership(sentAt) })
@@ -257,7 +262,7 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	forgetAt := l.cfg.Now().Add(forgetInterval)
-	gaugesAt := l.cfg.Now()
+	gaugesAt, leasesAt := l.cfg.Now(), l.cfg.Now()
 	defer l.clearGauges()
 	defer l.closeEvents()
 	for {
@@ -289,6 +294,10 @@
 			gaugesAt = now.Add(gaugeInterval)
 			l.updateGauges(now)
 		}
+		if !now.Before(leasesAt) {
+			leasesAt = now.Add(leasesInterval)
+			l.leases.Store(sch.Leases(now))
+		}
 		l.flush(now, sch)
 		l.dispatch(ctx, sch.TakeActions())
 		l.observeRound(l.cfg.Now().Sub(beganAt), now.Sub(beganAt), events)
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -159,11 +159,11 @@
 	}
 }
 
-// lead runs the scheduler while this host leads in the given epoch. heartbeatAge is the
-// time since the previous leader's last heartbeat, or negative if that leader has ended.
-func (n *Node) lead(ctx context.Context, epoch int64, claim election.Claim, heartbeatAge time.Duration) error {
+// lead runs the scheduler while this host leads in the given epoch.
+func (n *Node) lead(ctx context.Context, epoch int64, claim election.Claim, previous election.Previous) error {
 	cfg := n.cfg.Scheduling
-	cfg.PreviousHeartbeatAge = heartbeatAge
+	cfg.PreviousHeartbeatAge = previous.HeartbeatAge
+	cfg.Previous = previous.Leases
 	l := leader.New(leader.Config{
 		Self: n.cfg.Self, Store: n.store, Workers: n.cfg.Workers, Hosts: n.cfg.Hosts, Adviser: n.cfg.Adviser,
 		Decoder: n.cfg.Decoder, Log: n.cfg.Log, Metrics: n.cfg.Metrics, Now: n.cfg.Now, Wall: n.cfg.Wall,
--- a/fleet/scheduling/commit.go
+++ b/fleet/scheduling/commit.go
@@ -111,6 +111,7 @@
 	for _, w := range pending.registered {
 		if w.registration == registrationSent {
 			w.registration = registrationStored
+			w.leaseGivenUp = false
 			s.dirty = true
 		}
 	}
--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Config holds the scheduler's parameters. They come from the deployment's settings,
-// except Epoch, Term and PreviousHeartbeatAge, which describe the leadership.
+// except Epoch, Term, PreviousHeartbeatAge and Previous, which describe the leadership.
 type Config struct {
 	// Epoch is the leader's fencing token for orders to workers; it rises with each leader. It
 	// is an offset in the log and has gaps.
@@ -26,6 +26,8 @@
 	// last heartbeat. It is negative if that leader has certainly ended and sends no more
 	// orders.
 	PreviousHeartbeatAge time.Duration
+	// Previous is what is known about the leases that earlier leaders extended.
+	Previous PreviousLeases
 	// StopTime is how long a run goes on at most after it was told to stop.
 	StopTime time.Duration
 	// MoveTime and MaintenanceTime are how long a host is out of service for a move or for
@@ -43,6 +45,9 @@
 	// runsPerTerm is the distance between the run numbers of two terms. No task starts
 	// that often in one term.
 	runsPerTerm = 1000
+	// registrationsPerEpoch is the distance between the numbers of two epochs' records of
+	// workers.
+	registrationsPerEpoch = 1_000_000
 	// clockDrift bounds how much slower a worker's clock may run than the leader's: 2%,
 	// plus 1% for rounding.
 	clockDrift = 1.03
--- a/fleet/scheduling/days_test.go
+++ b/fleet/scheduling/days_test.go
@@ -47,6 +47,8 @@
 	switch f.Kind {
 	case "leader killed":
 		l.isUp = false
+	case "leader hands over":
+		w.handOver()
 	case "leader paused":
 		l.pausedUntil = w.now.Add(d)
 	case "leader cut off from the store":
--- /dev/null
+++ b/fleet/scheduling/handover.go
@@ -0,0 +1,99 @@
+package scheduling
+
+import "time"
+
+// Leases is what a leader passes on about leases. With each heartbeat it tells the next leader
+// until when leases may last that no leader extends any more, so that waits for them don't start
+// anew with each takeover. Times are those of the clock of the host that holds the value.
+type Leases struct {
+	// EarlierLapseAt is when the leases that earlier leaders extended have lapsed, except those
+	// of workers that the leader has reached.
+	EarlierLapseAt time.Time
+	// GivenUp are the workers whose leases the leader doesn't extend.
+	GivenUp []GivenUpLease
+}
+
+// GivenUpLease is the lease of a worker that doesn't answer. It isn't extended before a new
+// record of the worker is stored, so it is valid as long as the stored record has the number
+// Registration.
+type GivenUpLease struct {
+	Worker       WorkerID
+	Registration int64
+	LapsesAt     time.Time
+}
+
+// PreviousLeases is what a leader knows about the leases that earlier leaders extended.
+type PreviousLeases struct {
+	// Ended is set if the previous leader has certainly ended or has released its leadership:
+	// it extends no lease after the takeover.
+	Ended bool
+	// Leases are those of the previous leader's last heartbeat, or nil if it had none.
+	Leases *Leases
+}
+
+// lapseAt returns when all leases of earlier leaders have lapsed. The previous leader is fenced
+// before now, so unless it has ended it goes on extending leases for less than the grace.
+func (p PreviousLeases) lapseAt(now time.Time, cfg Config) time.Time {
+	longest := now.Add(lapseTime(cfg.Grace + cfg.Lease))
+	if !p.Ended || p.Leases == nil {
+		return longest
+	}
+	at := now.Add(lapseTime(cfg.Lease))
+	if p.Leases.EarlierLapseAt.After(at) {
+		at = p.Leases.EarlierLapseAt
+	}
+	if at.After(longest) {
+		return longest
+	}
+	return at
+}
+
+// givenUp returns the lease of a worker's stored record if no leader extends it, and false if
+// one may.
+func (p PreviousLeases) givenUp(e Entry) (GivenUpLease, bool) {
+	if p.Leases == nil || e.Registration == 0 {
+		return GivenUpLease{}, false
+	}
+	for _, l := range p.Leases.GivenUp {
+		if l.Worker == e.ID && l.Registration == e.Registration {
+			return l, true
+		}
+	}
+	return GivenUpLease{}, false
+}
+
+// Leases returns what the next leader has to know about leases. It gives up the leases of
+// workers that have not answered for extendWhileUnreachable: they are extended again only once
+// a new record of the worker is stored, which the next leader sees.
+func (s *Scheduler) Leases(now time.Time) *Leases {
+	out := &Leases{EarlierLapseAt: s.inheritedUntil}
+	for _, w := range s.workers.all() {
+		if w.registration != registrationStored {
+			continue
+		}
+		if w.unreachableFor(now) > extendWhileUnreachable {
+			w.leaseGivenUp = true
+		}
+		if w.leaseGivenUp {
+			out.GivenUp = append(out.GivenUp, GivenUpLease{Worker: w.ID, Registration: w.Registration, LapsesAt: s.lapsesAt(w)})
+		}
+	}
+	return out
+}
+
+// lapsesAt returns when the lease of a worker that doesn't answer has lapsed, whichever leader
+// extended it.
+func (s *Scheduler) lapsesAt(w *worker) time.Time {
+	if u := s.unaccounted[w.ID]; u != nil && u.lapsesAt.After(w.leaseUntil) {
+		return u.lapsesAt
+	}
+	return w.leaseUntil
+}
+
+// resumeLease stores a new record of a worker that answers again, after which its lease may be
+// extended.
+func (s *Scheduler) resumeLease(w *worker) {
+	if w.leaseGivenUp && w.registration == registrationStored {
+		s.storeRegistration(w)
+	}
+}
--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/godwitcross/godwitcross/fleet/job"
 )
@@ -19,9 +20,16 @@
 )
 
 // handOver ends the leader in an orderly way: it stores no more commits and sends no more
-// orders, and the next leader takes over at once.
+// orders, and the next leader takes over at once. A leader that can't act or doesn't reach the
+// store ends without a release.
 func (w *world) handOver() {
-	w.leaders[len(w.leaders)-1].isUp = false
+	l := w.leaders[len(w.leaders)-1]
+	mayRelease := l.isUp && !l.s.Fenced() && !w.now.Before(l.pausedUntil) && w.storeUp && !l.cutFromStore
+	l.isUp = false
+	if !mayRelease {
+		return
+	}
+	w.released, w.leases = true, l.s.Leases(w.now)
 	w.after(simHandover, func() { w.takeOver() })
 }
 
@@ -66,6 +74,8 @@
 		"handovers every 2 s, before the loss too": {[]time.Duration{
 			-5 * time.Second, -3 * time.Second, -time.Second, time.Second, 3 * time.Second, 5 * time.Second, 7 * time.Second, 9 * time.Second,
 		}, handOver},
+		"the leader is killed 2.5 s after the loss":       {[]time.Duration{2500 * time.Millisecond}, kill},
+		"leaders are killed 2.5 s and 5 s after the loss": {[]time.Duration{2500 * time.Millisecond, 5 * time.Second}, kill},
 		"the leader is killed 1.5 s after the loss":       {[]time.Duration{1500 * time.Millisecond}, kill},
 		"leaders are killed 1.5 s and 4 s after the loss": {[]time.Duration{1500 * time.Millisecond, 4 * time.Second}, kill},
 	}
@@ -130,3 +140,84 @@
 		})
 	}
 }
+
+// A given-up lease is extended again only once a new record of the worker is stored, so that
+// the next leader may rely on its end until it sees that record.
+func TestGivenUpLeaseIsExtendedOnceItsRecordIsStored(t *testing.T) {
+	s, now := readyScheduler(t)
+	o := startOne(t, s, now, testJob(1))
+	w := s.workers.get("w1")
+	deadline, registration := w.deadlineMs, w.Registration
+	require.Empty(t, s.Leases(now).GivenUp)
+	s.Held(now, 0, o.Worker, 0, now, Answer{Outcome: Unknown}, Report{})
+	now = now.Add(extendWhileUnreachable + time.Millisecond)
+	s.ConfirmLeadership(now)
+	require.Equal(t, []GivenUpLease{{Worker: "w1", Registration: registration, LapsesAt: w.leaseUntil}}, s.Leases(now).GivenUp)
+
+	hold := func() Hold {
+		now = now.Add(storeWait)
+		rep := Report{StartedAt: 1, ClockMs: now.Sub(testStart).Milliseconds() + 10, Running: []RunRow{{Task: o.Task, Run: o.Run, Percent: 100}}}
+		s.Held(now, 0, o.Worker, 0, now, accepted, rep)
+		now = now.Add(holdGap)
+		s.TakeActions()
+		s.Tick(now, 0)
+		holds := actionsOf[Hold](s.TakeActions())
+		require.Len(t, holds, 1)
+		return holds[0]
+	}
+	require.Equal(t, deadline, hold().DeadlineMs, "the new record isn't stored yet")
+	require.Empty(t, s.Leases(now).GivenUp, "the next leader may see either record")
+	require.Greater(t, w.Registration, registration)
+	storeAll(s)
+	require.Greater(t, hold().DeadlineMs, deadline)
+	require.Empty(t, s.Leases(now).GivenUp)
+}
+
+// The next leader relies on the end of a given-up lease only if the worker's stored record is
+// the one that the lease was given up under.
+func TestWhichLeasesOfEarlierLeadersCount(t *testing.T) {
+	cfg := testConfig()
+	longest, lease := testStart.Add(lapseTime(cfg.Grace+cfg.Lease)), testStart.Add(lapseTime(cfg.Lease))
+	earlier, given := testStart.Add(6*time.Second), testStart.Add(time.Second)
+	leases := &Leases{EarlierLapseAt: earlier, GivenUp: []GivenUpLease{{Worker: "w1", Registration: 5, LapsesAt: given}}}
+	tests := map[string]struct {
+		previous     PreviousLeases
+		registration int64
+		want         time.Time
+	}{
+		"nothing is known":                         {PreviousLeases{}, 5, longest},
+		"the previous leader may go on":            {PreviousLeases{Leases: leases}, 4, longest},
+		"it has ended without a heartbeat":         {PreviousLeases{Ended: true}, 5, longest},
+		"it has ended, earlier leases last longer": {PreviousLeases{Ended: true, Leases: leases}, 4, earlier},
+		"it has ended, its own leases last longer": {PreviousLeases{Ended: true, Leases: &Leases{EarlierLapseAt: given}}, 5, lease},
+		"given up":                                   {PreviousLeases{Leases: leases}, 5, given},
+		"given up, and the leader has ended":         {PreviousLeases{Ended: true, Leases: leases}, 5, given},
+		"a record of an earlier version":             {PreviousLeases{Leases: &Leases{GivenUp: []GivenUpLease{{Worker: "w1", LapsesAt: given}}}}, 0, longest},
+		"extended again since, by the stored record": {PreviousLeases{Leases: leases}, 6, longest},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			cfg := cfg
+			cfg.Previous = tt.previous
+			s := New(testStart, cfg)
+			w := testWorker("w1")
+			w.Registration = tt.registration
+			s.Restore(testStart, 0, Restored{Registry: []Entry{w}})
+			require.Equal(t, tt.want, s.lapsesAt(s.workers.get("w1")))
+		})
+	}
+}
+
+// Simulated days on which leaders hand over to each other amid other faults keep all rules: no
+// task runs twice because a lease was taken to have ended.
+func TestSimulatedHandoversKeepRules(t *testing.T) {
+	kinds := []string{
+		"leader hands over", "leader hands over", "leader killed", "leader paused", "leader cut off from the store", "leader cut off from workers",
+		"store down", "worker crashes", "worker cut off", "worker cut off", "rack cut off", "calls delayed", "answers lost", "worker deregistered",
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		w := simulateDay(rapid.Int64Range(0, 1<<40).Draw(t, "seed"), drawFaults(t, kinds, 10, 150))
+		w.checkEnd()
+		require.Empty(t, w.violations)
+	})
+}
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -122,7 +122,7 @@
 // After a takeover, a task of an inherited job, one restored from the store, may still run
 // on an unaccounted worker, one that earlier leaders registered and that hasn't reported
 // yet. It waits while there is such a worker in its pool and data centres, at most until
-// inheritedUntil, when all leases of earlier leaders have lapsed. Tasks of jobs accepted
+// its lease has lapsed. Tasks of jobs accepted
 // since the takeover don't wait. Apart from that, isSchedulable lets only contacted workers
 // get tasks: they know this leader's token and start nothing that an earlier one ordered.
 func (s *Scheduler) mayStart(now time.Time, pool string, t *task) bool {
@@ -132,7 +132,7 @@
 	if !t.lostAt.IsZero() && s.leaderConfirmedAt.Before(t.lostAt) {
 		return false // a later leader may have stored that the run ended as done
 	}
-	if !t.job().inherited || now.After(s.inheritedUntil) {
+	if !t.job().inherited {
 		return true
 	}
 	if t.step.Speculative && now.Sub(s.startedAt) > speculativePause {
--- a/fleet/scheduling/report.go
+++ b/fleet/scheduling/report.go
@@ -36,6 +36,7 @@
 	w.setClock(now, rep.ClockMs)
 	w.acknowledgedEnd = max(w.acknowledgedEnd, acknowledged)
 	s.markContacted(now, w, rep)
+	s.resumeLease(w)
 	s.reconcileRunning(now, w, rep)
 	s.countEnds(now, wall, w, rep)
 	if !rep.Partial {
--- a/fleet/scheduling/restore.go
+++ b/fleet/scheduling/restore.go
@@ -33,7 +33,7 @@
 		w.registration = registrationStored
 		w.registered = false
 		s.workers.put(e.ID, w)
-		s.addUnaccounted(e)
+		s.addUnaccounted(w)
 	}
 	for id, p := range r.Progress {
 		if !p.State.Final() {
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -54,7 +54,8 @@
 	waves        map[int64]*wave
 	// unaccounted workers may run tasks of an earlier leader and have not answered yet.
 	unaccounted map[WorkerID]*unaccountedWorker
-	// inheritedUntil is when all leases that an earlier leader extended have lapsed.
+	// inheritedUntil is when all leases that an earlier leader extended have lapsed, except those
+	// of workers that have answered this leader.
 	inheritedUntil time.Time
 	// leaderConfirmedAt is when the leadership of this host was last confirmed.
 	leaderConfirmedAt time.Time
@@ -86,6 +87,8 @@
 	nextWorkerTick time.Time
 	// nextPoolLog is when the state of the pools is next logged.
 	nextPoolLog time.Time
+	// registrations counts the records of workers that this leader has stored.
+	registrations int64
 	// hostOrderSeq makes the token of each order for a host higher than all earlier ones.
 	hostOrderSeq int64
 
@@ -134,7 +137,7 @@
 		unstoredEnds:      make(map[WorkerID]int64),
 		inheritedHosts:    make(map[HostID]bool),
 		pendingCommits:    make(map[int64]*pendingCommit),
-		inheritedUntil:    now.Add(lapseTime(cfg.Grace + cfg.Lease)),
+		inheritedUntil:    cfg.Previous.lapseAt(now, cfg),
 		leaderConfirmedAt: now,
 		startedAt:         now,
 	}
--- a/fleet/scheduling/types.go
+++ b/fleet/scheduling/types.go
@@ -40,6 +40,9 @@
 	Draining bool
 	// LeavesIn is the minimum time until a draining worker leaves.
 	LeavesIn time.Duration `json:"Leaving"`
+	// Registration numbers the stored records of workers. It rises with each record of a worker,
+	// and is 0 in entries of the registry and in records of earlier versions.
+	Registration int64 `json:",omitempty"`
 }
 
 // RunRow is one run in a worker's report.
--- a/fleet/scheduling/unaccounted.go
+++ b/fleet/scheduling/unaccounted.go
@@ -6,13 +6,22 @@
 // one. Tasks that they started may still run on it.
 type unaccountedWorker struct {
 	Entry
+	// lapsesAt is when the leases that earlier leaders extended have lapsed.
+	lapsesAt time.Time
 	// delaysTasks is set once a task has waited for the worker.
 	delaysTasks bool
 }
 
 // addUnaccounted adds a worker of the stored registry.
-func (s *Scheduler) addUnaccounted(e Entry) {
-	s.unaccounted[e.ID] = &unaccountedWorker{Entry: e}
+func (s *Scheduler) addUnaccounted(w *worker) {
+	u := &unaccountedWorker{Entry: w.Entry, lapsesAt: s.inheritedUntil}
+	if l, ok := s.cfg.Previous.givenUp(w.Entry); ok {
+		w.leaseGivenUp = true
+		if l.LapsesAt.Before(u.lapsesAt) {
+			u.lapsesAt = l.LapsesAt
+		}
+	}
+	s.unaccounted[w.ID] = u
 }
 
 // isUnaccounted reports whether a worker may run tasks that this leader doesn't know.
@@ -35,16 +44,17 @@
 }
 
 // waitsForLease reports whether a task may still run on an unaccounted worker of its pool and
-// data centres.
+// data centres. Leadership must have been confirmed after the worker's lease lapsed, as a later
+// leader may have extended it.
 func (s *Scheduler) waitsForLease(now time.Time, pool string, t *task) bool {
 	for id, u := range s.unaccounted {
-		if u.Pool != pool || !t.job().mayRunIn(u.DataCentre) {
+		if u.Pool != pool || !t.job().mayRunIn(u.DataCentre) || !s.leaderConfirmedAt.Before(u.lapsesAt) {
 			continue
 		}
 		if !u.delaysTasks {
 			u.delaysTasks = true
 			s.logDecision("tasks wait for a lease", t.job().ID, "Task", t.id().String(), "Worker", string(id), "Pool", pool,
-				"UntilMs", s.inheritedUntil.Sub(now).Milliseconds())
+				"UntilMs", u.lapsesAt.Sub(now).Milliseconds())
 		}
 		return true
 	}
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -41,6 +41,9 @@
 	deadlineMs int64
 	// leaseUntil is when the longest lease that was sent has certainly lapsed.
 	leaseUntil time.Time
+	// leaseGivenUp is set if the next leader may rely on the end of the lease: it isn't
+	// extended until a new record of the worker is stored.
+	leaseGivenUp bool
 	// holdPending is set while a hold is unanswered.
 	holdPending bool
 	// nextHold is when the next hold is due.
@@ -121,6 +124,7 @@
 	if e.Host == "" {
 		e.Host = w.Host
 	}
+	e.Registration = w.Registration
 	w.Entry = e
 	s.dirty = true
 }
@@ -148,6 +152,8 @@
 // storeRegistration makes the worker's record, which lets it run tasks, part of the next
 // commit.
 func (s *Scheduler) storeRegistration(w *worker) {
+	s.registrations++
+	w.Registration = s.cfg.Epoch*registrationsPerEpoch + s.registrations
 	b, err := json.Marshal(w.Entry)
 	if err != nil {
 		s.logDecision("registration not stored", "", "Worker", string(w.ID), "Error", err.Error())
@@ -280,10 +286,10 @@
 
 // extendLease extends a worker's lease. It returns the end of the lease that may be sent
 // now, on the worker's clock, and false if none may be. The lease isn't extended any more
-// once the worker has been unreachable for extendWhileUnreachable: its tasks start
-// elsewhere when the lease has lapsed.
+// once the worker has been unreachable for extendWhileUnreachable, or while it is given up: its
+// tasks start elsewhere when the lease has lapsed.
 func (s *Scheduler) extendLease(now time.Time, w *worker) (int64, bool) {
-	if !w.unreachableSince.IsZero() && now.Sub(w.unreachableSince) > extendWhileUnreachable {
+	if w.leaseGivenUp || w.unreachableFor(now) > extendWhileUnreachable {
 		return w.deadlineMs, now.Before(w.leaseUntil)
 	}
 	lease := min(s.cfg.Lease, s.leaderConfirmedAt.Add(s.cfg.Grace+s.cfg.Lease).Sub(now))
@@ -344,9 +350,10 @@
 }
 
 // awaitsOnlyEnds reports whether the worker may delay its answer to a hold until a run
-// ends: neither a stopped nor an orphaned run is expected to leave its report.
+// ends: neither a stopped nor an orphaned run is expected to leave its report, and its lease
+// needn't be extended as soon as that is possible again.
 func (w *worker) awaitsOnlyEnds() bool {
-	if len(w.orphans) > 0 {
+	if w.leaseGivenUp || len(w.orphans) > 0 {
 		return false
 	}
 	for _, r := range w.runs.all() {
@@ -370,7 +377,7 @@
 		return
 	}
 	if s.isUnaccounted(w.ID) {
-		if now.Before(s.inheritedUntil) {
+		if s.leaderConfirmedAt.Before(s.lapsesAt(w)) {
 			return
 		}
 		s.accountFor(now, w.ID, "lapsed")
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -33,8 +33,12 @@
 	stored  map[string][]byte
 	epoch   int64
 	leaders []*simLeader
-	storeUp bool
-	faults  faults
+	// released is set once the leader has released its leadership, and leases are those of its
+	// last heartbeat.
+	released bool
+	leases   *Leases
+	storeUp  bool
+	faults   faults
 
 	jobs map[job.ID]*simJob
 	// violations lists the broken rules, each with its time and cause.
@@ -720,6 +724,8 @@
 	}
 	cfg := w.cfg
 	cfg.Epoch, cfg.Term = w.epoch, w.epoch-1
+	cfg.Previous = PreviousLeases{Ended: w.released, Leases: w.leases}
+	w.released, w.leases = false, nil
 	l.s = New(w.now, cfg)
 	l.s.Configure(w.configuration)
 	r := Restored{Progress: make(map[job.ID]job.Progress), Waves: make(map[int64]WaveProgress)}
@@ -911,6 +917,7 @@
 	}
 	if l.w.now.Sub(l.heartbeatAt) >= 500*time.Millisecond {
 		l.heartbeatAt = l.w.now
+		l.w.leases = l.s.Leases(l.w.now)
 		l.s.ConfirmLeadership(l.w.now)
 	}
 }
