test(scheduling): failing test of a wave's end that wasn't reported

The end of a wave is recorded and reported in two appends. If the leader ends between the two, the next one skips the completed wave, and its status stays "running" for the operators.

--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -61,3 +61,16 @@
 	hosts := []Host{{ID: "m-1", Pool: "p", State: HostUp}, {ID: "m-2", Pool: "p", State: HostUp}}
 	require.NotEqual(t, HostID("m-2"), firstMaintenance(s, now, hosts, maxOrderDelay))
 }
+
+// A wave whose end was recorded but not reported before a takeover stayed "running" for its
+// operators for ever.
+func TestRecordedEndOfWaveIsReportedAfterTakeover(t *testing.T) {
+	waves := openWave()
+	p := waves[1]
+	p.Begun, p.Completed = p.Hosts, true
+	s, now := successor(Restored{Waves: map[int64]WaveProgress{1: p}})
+	s.RequestWave(now, 0, p.Wave)
+	s.HostsListed(now, now, []Host{{ID: "m-1", Pool: "p", State: HostUp}, {ID: "m-2", Pool: "p", State: HostUp}})
+	s.Tick(now, 0)
+	require.Equal(t, []ReportWave{{Wave: 1, Completed: true}}, actionsOf[ReportWave](s.TakeActions()))
+}
