test(scheduling): failing tests of the pace of an adopted run

A new leader takes each run that it adopts for one at full pace, although the worker's report has the pace. A backfill task that the last leader had paused thus stays paused until a task beside it nears its target again, for ever if there is none, and one that was slowed far down is sped up beside a task over its target.

--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
 )
 
 // successor returns a scheduler whose predecessor's host stopped in an orderly way, so that
@@ -74,3 +76,42 @@
 	s.Tick(now, 0)
 	require.Equal(t, []ReportWave{{Wave: 1, Completed: true}}, actionsOf[ReportWave](s.TakeActions()))
 }
+
+// A backfill task that the last leader had paused stayed paused for ever, as the next leader
+// took it for one at full pace.
+func TestPausedTaskResumesAfterTakeover(t *testing.T) {
+	w := testWorker("w1")
+	j := testJob(1)
+	j.Steps[0].Backfill = true
+	s, now := successor(Restored{Jobs: []job.Job{j}, Registry: []Entry{w}})
+	s.Register(now, w)
+	paused := Report{StartedAt: 1, ClockMs: 5, Running: []RunRow{{Task: job.Task{Job: testID}, Run: 1, Percent: 0}}}
+	for range 10 {
+		now = now.Add(paceInterval)
+		s.Held(now, 0, w.Incarnation, 0, now, accepted, paused)
+	}
+	paces := actionsOf[Pace](s.TakeActions())
+	require.NotEmpty(t, paces, "no task beside it has a target")
+	require.Equal(t, 100, paces[len(paces)-1].Percent)
+}
+
+// A task that the last leader had slowed down beside one over its target was sped up by the
+// next leader, which took it for one at full pace (HARM).
+func TestTakeoverSpeedsUpNoSlowedTask(t *testing.T) {
+	w := testWorker("w1")
+	j := testJob(1)
+	j.Steps[0].LongRunning, j.Steps[0].Target = true, 100*time.Millisecond
+	backfill := j.Steps[0]
+	backfill.Target, backfill.Backfill = 0, true
+	j.Steps = append(j.Steps, backfill)
+	s, now := successor(Restored{Jobs: []job.Job{j}, Registry: []Entry{w}})
+	s.Register(now, w)
+	const pace = 20
+	s.Held(now, 0, w.Incarnation, 0, now, accepted, Report{StartedAt: 1, ClockMs: 5, Running: []RunRow{
+		{Task: job.Task{Job: testID}, Run: 1, Percent: 100, Load: 150},
+		{Task: job.Task{Job: testID, Step: 1}, Run: 1, Percent: pace},
+	}})
+	for _, p := range actionsOf[Pace](s.TakeActions()) {
+		require.Less(t, p.Percent, pace)
+	}
+}
