test(scheduling): failing test of a late start at a restarted worker

A worker that restarts under its ID has seen no token, so that an unanswered start of the last leader may still begin there. That leader kept the task waiting for it; the next one drops the worker from those to wait for, and starts the task elsewhere (TWICE).

--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -115,3 +115,18 @@
 		require.Less(t, p.Percent, pace)
 	}
 }
+
+// An unanswered start of the last leader may still arrive at a worker that has restarted under
+// its ID and hasn't seen the new token: the task also started on another worker (TWICE).
+func TestTaskWaitsForRestartedWorkerAfterTakeover(t *testing.T) {
+	w1, w2 := testWorker("w1"), testWorker("w2")
+	s, now := successor(Restored{Jobs: []job.Job{testJob(1)}, Registry: []Entry{w1, w2}})
+	w1.StartedAt = 2
+	s.Register(now, w1)
+	s.Register(now, w2)
+	s.Held(now, 0, w2.Incarnation, 0, now, accepted, Report{StartedAt: 1, ClockMs: 5})
+	s.Held(now, 0, w1.Incarnation, 0, now, Answer{Outcome: Unknown}, Report{})
+	now = now.Add(placementInterval)
+	s.Tick(now, 0)
+	require.Empty(t, starts(s.TakeActions()))
+}
