--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -58,6 +58,8 @@
 	// an order has ended it since.
 	lastAvailableAt map[job.Task]time.Time
 	interrupted     map[job.Task]bool
+	// disturbedUntil is when the last unplanned fault ends.
+	disturbedUntil time.Time
 	// forgetInterval is how often leaders drop the records of ended jobs, or 0 for never.
 	forgetInterval time.Duration
 }
