fix(scheduling): pass on earlier leases only of workers that were not reached

After a handover soon after an earlier takeover, tasks still waited for up to 11 s: a leader passed on its own bound for the leases of earlier leaders, also once every worker had answered it. A worker that has answered takes extensions from this leader alone, so the bound now covers only the workers that haven't, and is zero if there are none.

--- a/fleet/scheduling/handover.go
+++ b/fleet/scheduling/handover.go
@@ -7,7 +7,8 @@
 // anew with each takeover. Times are those of the clock of the host that holds the value.
 type Leases struct {
 	// EarlierLapseAt is when the leases that earlier leaders extended have lapsed, except those
-	// of workers that the leader has reached.
+	// of workers that the leader has reached or whose leases it has given up. It is zero if there
+	// are none.
 	EarlierLapseAt time.Time
 	// GivenUp are the workers whose leases the leader doesn't extend.
 	GivenUp []GivenUpLease
@@ -66,7 +67,7 @@
 // workers that have not answered for extendWhileUnreachable: they are extended again only once
 // a new record of the worker is stored, which the next leader sees.
 func (s *Scheduler) Leases(now time.Time) *Leases {
-	out := &Leases{EarlierLapseAt: s.inheritedUntil}
+	out := &Leases{}
 	for _, w := range s.workers.all() {
 		if w.registration != registrationStored {
 			continue
@@ -74,8 +75,11 @@
 		if w.unreachableFor(now) > extendWhileUnreachable {
 			w.leaseGivenUp = true
 		}
-		if w.leaseGivenUp {
-			out.GivenUp = append(out.GivenUp, GivenUpLease{Worker: w.ID, Registration: w.Registration, LapsesAt: s.lapsesAt(w)})
+		switch lapsesAt := s.lapsesAt(w); {
+		case w.leaseGivenUp:
+			out.GivenUp = append(out.GivenUp, GivenUpLease{Worker: w.ID, Registration: w.Registration, LapsesAt: lapsesAt})
+		case s.isUnaccounted(w.ID) && lapsesAt.After(out.EarlierLapseAt):
+			out.EarlierLapseAt = lapsesAt
 		}
 	}
 	return out
