fix(scheduling): wait for a worker that restarts after a takeover

A worker that restarts under its ID has seen no token, so a start that the last leader sent without an answer may still begin there. The next leader dropped the earlier incarnation from the workers to wait for, and started the task elsewhere too (TWICE). It now waits for the new incarnation's first answer, as it did for the earlier one, until the leases of earlier leaders have lapsed at most.

Found by looking for evidence that is lost at a takeover.

--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -179,9 +179,14 @@
 	for _, r := range unconfirmed {
 		s.detach(r)
 	}
+	earlier := s.unaccounted[w.ID]
 	s.removeWorker(now, w, "restarted")
 	next := newWorker(now, e)
 	s.workers.put(e.ID, next)
+	if earlier != nil {
+		// It hasn't seen this leader's token, so starts of earlier leaders may still arrive.
+		s.unaccounted[e.ID] = &unaccountedWorker{Entry: e, lapsesAt: earlier.lapsesAt}
+	}
 	s.storeRegistration(next)
 	for _, r := range unconfirmed {
 		r.phase = stopping
