fix(scheduling): count a wave's hosts that an earlier leader ordered as down

After a takeover a second host of a wave could go down beside the first with MaxCount 1 (LIMIT): only hosts counted as down whose maintenance was recorded as begun. The last leader may have ended between its order and that record, or its order may have had no answer and be executed late.

A host that the list shows in maintenance now counts whether or not that is recorded. A host that an earlier leader reserved may have an order in progress: it counts too, and is ordered first, as an order with a higher token fences the earlier one.

--- a/fleet/scheduling/reservation.go
+++ b/fleet/scheduling/reservation.go
@@ -92,6 +92,12 @@
 	h.reservation = reservation{state: reserved, keptUntil: s.startedAt.Add(maxOrderDelay)}
 }
 
+// mayBeOrderedByEarlierLeader reports whether an unanswered order of an earlier leader may still
+// be executed for a host. An order of this leader fences it.
+func (h *host) mayBeOrderedByEarlierLeader(now time.Time) bool {
+	return h.inherited && h.reservation.state == reserved && h.order.kind == noOrder && now.Before(h.reservation.keptUntil)
+}
+
 // mayOrderHost reports whether no order of an earlier leader can be in progress for a
 // host.
 func (s *Scheduler) mayOrderHost(now time.Time, h *host) bool {
--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -106,7 +106,7 @@
 }
 
 func (s *Scheduler) tickWave(now time.Time, v *wave) {
-	open, down := s.openHosts(v)
+	open, down := s.openHosts(now, v)
 	s.reportWave(v, len(open) == 0)
 	if v.Completed {
 		return
@@ -115,15 +115,16 @@
 		if down >= v.MaxCount {
 			return
 		}
-		if s.drainAndMaintain(now, v, h) {
+		if s.drainAndMaintain(now, v, h) || h.mayBeOrderedByEarlierLeader(now) {
 			down++
 		}
 	}
 }
 
-// openHosts returns the wave's hosts whose maintenance hasn't begun, ordered by rising
+// openHosts returns the wave's hosts whose maintenance hasn't begun. First are those that an
+// earlier leader may have ordered, as the next order fences that one; then they are ordered by rising
 // interruption cost, and how many hosts are down, or may be, because of the wave.
-func (s *Scheduler) openHosts(v *wave) ([]*host, int) {
+func (s *Scheduler) openHosts(now time.Time, v *wave) ([]*host, int) {
 	var open []*host
 	down := 0
 	for _, id := range v.Hosts {
@@ -131,14 +132,16 @@
 		if h == nil {
 			continue // the host has left the fleet
 		}
-		if h.order.kind == maintainOrder || (v.begun[id] && h.State == HostMaintenance) {
+		if h.order.kind == maintainOrder || h.State == HostMaintenance {
 			down++
 		}
 		if !v.begun[id] {
 			open = append(open, h)
 		}
 	}
-	slices.SortStableFunc(open, func(a, b *host) int { return cmp.Compare(s.interruptionCost(a), s.interruptionCost(b)) })
+	slices.SortStableFunc(open, func(a, b *host) int {
+		return cmp.Or(compareBool(b.mayBeOrderedByEarlierLeader(now), a.mayBeOrderedByEarlierLeader(now)), cmp.Compare(s.interruptionCost(a), s.interruptionCost(b)))
+	})
 	return open, down
 }
 
