fix(scheduling): report a completed wave after a takeover

The end of a wave is recorded and reported in two appends. If the leader ended between them, the next one skipped the completed wave, and its status stayed 'running' for the operators for ever. A leader now reports each completed wave once.

--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -99,7 +99,11 @@
 	}
 	slices.Sort(numbers)
 	for _, n := range numbers {
-		if v := s.waves[n]; !v.Completed && !v.firstSeenAt.IsZero() {
+		switch v := s.waves[n]; {
+		case v.firstSeenAt.IsZero():
+		case v.Completed:
+			s.reportWave(v, true) // an earlier leader may have ended before its report
+		default:
 			s.tickWave(now, v)
 		}
 	}
