fix(scheduling): take the pace of an adopted backfill task from the report

A new leader took each run that it adopted for one at full pace. A backfill task that the last leader had paused stayed paused for ever if no task beside it had a target, and one that was slowed far down was sped up beside a task over its target (towards HARM). The worker's report has the pace.

--- a/fleet/scheduling/report.go
+++ b/fleet/scheduling/report.go
@@ -144,6 +144,9 @@
 func (s *Scheduler) adopt(now time.Time, w *worker, t *task, row RunRow) {
 	r := &run{task: t, number: row.Run, phase: running, orderedAt: now, lastSeenAt: now, reportedPace: row.Percent, reportedLoad: row.Load, checkpoint: row.Checkpoint, orderedPace: 100}
 	r.reportsValidFrom = now.Add(s.cfg.StopTime + leaseMargin)
+	if t.step.Backfill {
+		r.orderedPace = row.Percent
+	}
 	s.unqueue(t)
 	s.attach(w, r)
 	w.idleSince = time.Time{}
