fix(election): remember an earlier leader that may still run

A leader that follows one whose host stopped ordered all hosts at once, although the stopped one may itself have taken over a moment before from a leader that runs on, for example one that had stepped down for it. The candidate now keeps when the latest leader that isn't known to have ended was last heard of. A host that starts anew sees only the newest claim and doesn't know of the one before; that remains.

--- a/entry/election/candidate.go
+++ b/entry/election/candidate.go
@@ -50,8 +50,8 @@
 
 // Previous is what the claim of a leader shows about the previous one.
 type Previous struct {
-	// HeartbeatAge is the time since its last heartbeat, or negative if it has certainly ended
-	// and sends no more orders.
+	// HeartbeatAge is the time since the last heartbeat of a leader that may still send orders,
+	// the previous one or one before it. It is negative if none is known.
 	HeartbeatAge time.Duration
 	// Leases is what is known about the leases that it and earlier leaders extended.
 	Leases scheduling.PreviousLeases
@@ -305,9 +305,14 @@
 		// A leader releases its leadership after its last order.
 		Leases: scheduling.PreviousLeases{Ended: st.Released || c.isPreviousIncarnation(st), Leases: st.Leases},
 	}
-	if st.Stopping || c.isPreviousIncarnation(st) {
-		// The previous leader has certainly ended and sends no more orders.
-		p.HeartbeatAge = -1
+	if !st.Stopping && !c.isPreviousIncarnation(st) {
+		return p
+	}
+	// The previous leader has certainly ended and sends no more orders, but the one before may go
+	// on.
+	p.HeartbeatAge = -1
+	if !st.UnendedAt.IsZero() {
+		p.HeartbeatAge = c.cfg.Now().Sub(st.UnendedAt)
 	}
 	return p
 }
--- a/entry/election/record.go
+++ b/entry/election/record.go
@@ -111,6 +111,9 @@
 	// claim, after a failed read, after a claim that failed without a conflict, and when its
 	// own leadership ends.
 	HeartbeatAt time.Time
+	// UnendedAt is when the last leader before this epoch's that isn't known to have ended was
+	// last heard of, or zero.
+	UnendedAt time.Time
 	// Leases are those of the epoch's last heartbeat, or nil.
 	Leases *scheduling.Leases
 	// Next is the offset from which to read on.
@@ -129,6 +132,9 @@
 		if r.Offset+1 <= s.Epoch {
 			return false, nil
 		}
+		if s.Epoch > 0 && !s.Stopping {
+			s.UnendedAt = s.HeartbeatAt
+		}
 		s.Epoch, s.Claim, s.HeartbeatAt, s.Released, s.Stopping, s.Leases = r.Offset+1, c, now, false, false, nil
 		return true, nil
 	case keyHeartbeat:
