--- a/fleet/scheduling/days_test.go
+++ b/fleet/scheduling/days_test.go
@@ -268,6 +268,8 @@
 	}{
 		// A new leader ordered the maintenance of hosts whose workers it did not know yet.
 		"a rack is cut off during a failover and a wave": {0, []plannedFault{{"leader killed", 10, 30, 11}, {"rack cut off", 14, 78, 63}}},
+		// An order for hosts that was decided before a pause is sent after it.
+		"a leader is paused while it orders hosts": {0, []plannedFault{{"leader paused", 11, 61, 745}, {"leader paused", 8, 6, 78}}},
 		// An unanswered start arrived at the worker's next incarnation under the same ID.
 		"a delayed start arrives at a restarted worker": {32, []plannedFault{
 			{"worker restarted", 6, 74, 435},
