test(scheduling): failing tests of tasks that crash their workers, tests of shrinking capacity

A worker that crashes reports no end, so its runs are lost and start again, and nothing counts the losses: a task that crashes each worker is started every three seconds, and with a second attempt twice as often.

The tests let tasks crash their workers, which return under their ID or a new one: plain tasks, gangs, hedged, long-running and scheduled ones, with leaders that are killed after each crash, with other ends in between, and several at once.

Capacity that shrinks and grows is tested too. One test fails: a worker that a hold shows to have started again is used by the capacity of its earlier entry.

--- a/fleet/scheduling/days_test.go
+++ b/fleet/scheduling/days_test.go
@@ -125,6 +125,18 @@
 		w.addJob(j, time.Second, false)
 		w.cancel(j.ID)
 		w.after(d/10, func() { w.log = append(w.log, simRecord{accepted: &j}) })
+	case "deadly jobs":
+		for range 1 + f.Selector%2 {
+			w.submitDeadly(w.newJob("a", 4000, 3), 300*time.Millisecond, f.Selector)
+		}
+	case "capacity shrinks":
+		for i, id := range ids {
+			if o := w.workers[id]; i%3 == f.Selector%3 && o.isUp {
+				full := o.Capacity
+				o.setCapacity(job.Resources{CPU: full.CPU * int64(1+f.Selector%4) / 5, MemMB: full.MemMB * int64(1+f.Selector%3) / 3})
+				w.after(d, func() { o.setCapacity(full) })
+			}
+		}
 	case "worker deregistered":
 		delete(w.entries, sw.ID)
 		w.after(d, func() {
@@ -163,6 +175,7 @@
 	if !sw.isUp {
 		return
 	}
+	sw.countCrash()
 	sw.isUp = false
 	e := sw.Entry
 	e.StartedAt = w.wall()
@@ -247,6 +260,64 @@
 	})
 }
 
+// deadlyFaultKinds are the faults that come beside deadly jobs. Runs fail for no other reason,
+// so that a job that is reported as failed can be told from one that had to fail.
+var deadlyFaultKinds = []string{
+	"deadly jobs", "deadly jobs", "leader killed", "leader paused", "leader cut off from the store", "store down", "worker crashes",
+	"worker restarted", "worker cut off", "rack cut off", "answers lost", "jobs cancelled", "worker deregistered",
+}
+
+// disturbsLeaders reports whether a fault takes leaders out of touch, so that for its time and
+// the window after it the bound on starts doesn't hold for them.
+func (f plannedFault) disturbsLeaders() bool {
+	switch f.Kind {
+	case "leader paused", "leader cut off from the store", "store down", "rack cut off", "worker cut off", "answers lost":
+		return true
+	default:
+		return false
+	}
+}
+
+// Random days on which tasks crash the workers that start them: such a task isn't started any
+// more after a few crashes, and no other job is reported as failed.
+func TestSimulatedDaysWithDeadlyJobsKeepRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		planned := drawFaults(t, deadlyFaultKinds, 6, 150)
+		planned = append(planned, plannedFault{Kind: "deadly jobs", At: rapid.IntRange(0, 150).Draw(t, "at"), Selector: rapid.IntRange(0, 999).Draw(t, "which")})
+		w := newDay(rapid.Int64Range(0, 1<<40).Draw(t, "seed"), planned)
+		w.crashOnDeadlyStarts(rapid.Bool().Draw(t, "same ID"))
+		for _, f := range planned {
+			if f.disturbsLeaders() {
+				w.after(time.Duration(2000+f.At*100)*time.Millisecond, func() {
+					w.disturbFor(time.Duration(f.For)*100*time.Millisecond + simStableWindow)
+				})
+			}
+		}
+		w.run(90 * time.Second)
+		w.checkEnd()
+		w.checkFailedJobs()
+		require.Empty(t, w.violations)
+	})
+}
+
+// Random days on which the capacity of workers without admission control shrinks and grows
+// again: no start brings a worker over it.
+func TestSimulatedDaysWithShrinkingCapacityKeepRules(t *testing.T) {
+	kinds := []string{
+		"capacity shrinks", "capacity shrinks", "burst of jobs", "leader killed", "leader paused", "worker crashes", "worker restarted",
+		"worker cut off", "rack cut off", "leader cut off from workers", "calls delayed", "answers lost", "jobs cancelled", "worker deregistered",
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		planned := drawFaults(t, kinds, 6, 150)
+		planned = append(planned, plannedFault{Kind: "capacity shrinks", At: rapid.IntRange(0, 150).Draw(t, "at"), For: 80, Selector: rapid.IntRange(0, 999).Draw(t, "which")})
+		w := newDay(rapid.Int64Range(0, 1<<40).Draw(t, "seed"), planned)
+		w.dropAdmissionControl(true)
+		w.run(60 * time.Second)
+		w.checkEnd()
+		require.Empty(t, w.violations)
+	})
+}
+
 // TestDayWithoutFaults simulates a day without faults: all work is done, by one leader,
 // and workers reject no start.
 func TestDayWithoutFaults(t *testing.T) {
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -56,6 +56,12 @@
 	interrupted     map[job.Task]bool
 	// forgetInterval is how often leaders drop the records of ended jobs, or 0 for never.
 	forgetInterval time.Duration
+	// onStart is called after a worker has started a task, and onCrash after a deadly task has
+	// crashed its worker. Each may be nil.
+	onStart func(sw *simWorker, t job.Task)
+	onCrash func()
+	// disturbedUntil is until when starts don't count as made by a leader in touch.
+	disturbedUntil time.Time
 }
 
 // faults are the faults in force.
@@ -107,6 +113,11 @@
 	alwaysFails bool
 	// begun is set once a worker has begun a task.
 	begun bool
+	// deadly tasks crash each worker that starts them.
+	deadly map[job.Task]bool
+	// crashes counts the workers that crashed while they ran a task, startsAfterCrashes the
+	// starts of a deadly task after simMaxCrashes of them.
+	crashes, startsAfterCrashes map[job.Task]int
 }
 
 // simWorker is one incarnation of a worker.
@@ -127,6 +138,9 @@
 	cutFrom map[int]bool
 	// onEnd answers the waiting hold when a run ends, or is nil.
 	onEnd func()
+	// capacityBefore is the capacity before the last change, which was at capacityChangedAt.
+	capacityBefore    job.Resources
+	capacityChangedAt time.Time
 }
 
 // simRun is a run on a worker.
@@ -305,6 +319,7 @@
 
 // kill ends a worker without notice. Its entry is removed 4.5 s later.
 func (w *world) kill(sw *simWorker) {
+	sw.countCrash()
 	sw.isUp = false
 	sw.runs = make(map[job.Task]*simRun)
 	sw.onEnd = nil
@@ -328,9 +343,14 @@
 		}
 		for _, t := range sortedTasks(sw.runs) {
 			r := sw.runs[t]
+			if r == nil {
+				continue // it ended with another member of its gang
+			}
 			switch {
 			case sw.clock() > sw.deadline:
 				sw.end(t, EndLapsed)
+			case r.step.Gang && !w.isGangPresent(t, r):
+				r.endsAt = w.now.Add(r.job.work)
 			case !r.endsAt.IsZero() && !w.now.Before(r.endsAt):
 				how := EndDone
 				if r.job.alwaysFails || w.faults.failing[sw.ID] {
@@ -357,6 +377,9 @@
 	if how == EndDone {
 		r.job.done[t] = true
 		sw.w.runsDone++
+		if r.step.Gang {
+			sw.w.endGang(t, r)
+		}
 	}
 	if sw.onEnd != nil {
 		wake := sw.onEnd
@@ -452,7 +475,9 @@
 		return sw.answer(Refused)
 	}
 	st := j.Steps[o.Task.Step]
-	if !sw.free().Fits(st.Requests()) {
+	if !w.hasAdmissionControl(sw.Pool) {
+		w.checkLimit(sw, o.Task, st)
+	} else if !sw.free().Fits(st.Requests()) {
 		w.startsRejected++
 		sw.extend(o.DeadlineMs)
 		return sw.answer(NoCapacity)
@@ -469,6 +494,9 @@
 	sw.runs[o.Task] = r
 	sw.highestRun[o.Task] = o.Run
 	sw.extend(o.DeadlineMs)
+	if w.onStart != nil {
+		w.onStart(sw, o.Task)
+	}
 	return sw.answer(Accepted)
 }
 
@@ -517,6 +545,7 @@
 	if j.failed[t] >= 4 && !st.LongRunning {
 		w.violated("BUDGET", "%s starts after %d failures", t, j.failed[t])
 	}
+	w.checkCrashBudget(t, j)
 	for _, a := range st.After {
 		for i := range j.Steps[a].Count {
 			if !j.done[job.Task{Job: t.Job, Occurrence: t.Occurrence, Step: a, Index: i}] {
@@ -900,7 +929,7 @@
 }
 
 func sameEntry(a, b Entry) bool {
-	return a.Incarnation == b.Incarnation && a.Draining == b.Draining && a.Pool == b.Pool
+	return a.Incarnation == b.Incarnation && a.Draining == b.Draining && a.Pool == b.Pool && a.Capacity == b.Capacity
 }
 
 // heartbeat confirms leadership twice a second.
@@ -1086,6 +1115,7 @@
 	w.jobs[j.ID] = &simJob{
 		Job: j, acceptedAt: w.now, work: work, alwaysFails: alwaysFails, done: make(map[job.Task]bool),
 		endAcknowledged: make(map[job.Task]bool), failed: make(map[job.Task]int),
+		deadly: make(map[job.Task]bool), crashes: make(map[job.Task]int), startsAfterCrashes: make(map[job.Task]int),
 	}
 }
 
