fix(scheduling): move long-running tasks off a leaving worker in time

In the record the task stayed on a worker that leaves until it was gone, 9 s after the worker had said so. The time to leave was counted from an entry of up to a heartbeat's age (0.8 s late in the median, 1.4 s in 90 of 100 cases after a takeover), a host had to be moved to the pool first (1.5 s) and the stop takes up to 0.9 s, against a margin of 2 s. Relocations were also ordered from workers that had gone, which answer no stop.

The margin is 4 s now, the sum of the three; tasks of draining workers don't count against the disruption budget by the users' rules. Workers that don't answer are left to their leases.

TestLongRunningTasksLeaveDrainingWorkerInTime failed before.

--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -82,8 +82,10 @@
 	// still extended: for two more attempts, as single answers get lost.
 	extendWhileUnreachable = 500 * time.Millisecond
 	// drainMargin is how long before a draining worker leaves its long-running tasks are
-	// stopped even beyond their step's disruption budget: they would end anyway.
-	drainMargin = 2 * time.Second
+	// stopped even beyond their step's disruption budget: they would end anyway. It covers the
+	// move of a host to the pool (1.5 s), the stop (0.9 s) and the age of the entry from which a
+	// new leader learns when the worker leaves (1.5 s).
+	drainMargin = 4 * time.Second
 	// maxOrderDelay is how long after its sending an unanswered order may still be carried
 	// out: some seconds according to the platform, 2 to 12 s according to its users.
 	maxOrderDelay = 13 * time.Second
--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -221,3 +221,36 @@
 		require.Empty(t, w.violations)
 	})
 }
+
+// Long-running tasks ended with their draining workers, as the leader that took over meanwhile
+// counted their time to leave from an entry that was up to 1.5 s old, and a host had to be moved to
+// the pool first. They are stopped 4 s before, also beyond the disruption budget.
+func TestLongRunningTasksLeaveDrainingWorkerInTime(t *testing.T) {
+	const entryAge = 1500 * time.Millisecond
+	tests := map[string]struct {
+		left      time.Duration
+		reachable bool
+		want      int
+	}{
+		"in time for a move and a stop":           {testConfig().MoveTime + 900*time.Millisecond + entryAge, true, 1},
+		"much earlier, as the budget allows none": {6 * time.Second, true, 0},
+		"the worker has gone already":             {time.Second, false, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			j := testJob(1)
+			j.Steps[0].LongRunning = true
+			h.s.Accept(h.now, 0, j)
+			o := h.tick()[0]
+			e := h.s.workers.get(o.Worker.ID).Entry
+			e.Draining, e.LeavesIn = true, tt.left
+			h.s.Register(h.now, e)
+			if !tt.reachable {
+				h.s.Held(h.now, 0, o.Worker, 0, h.now, Answer{Outcome: Unknown}, Report{})
+			}
+			h.s.Tick(h.now.Add(workerTickInterval), 0)
+			require.Len(t, actionsOf[Stop](h.s.TakeActions()), tt.want)
+		})
+	}
+}
--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -239,6 +239,9 @@
 // step's disruption budget allows it and another worker has the capacity. They
 // start elsewhere at once.
 func (s *Scheduler) evacuate(now time.Time, w *worker) {
+	if !w.unreachableSince.IsZero() {
+		return // it answers no stop
+	}
 	for _, r := range w.runs.all() {
 		if !r.task.step.LongRunning || r.phase != running || r.relocating {
 			continue
