fix(scheduling): an old host list doesn't end a worker

A host list that was requested before a worker joined and arrives after the worker missed a hold shows its host as moving. The check for hosts moved by earlier leaders, added for the waits after takeovers, then removed the live worker, and its task could start elsewhere within the lease (TWICE). Only a list that was requested after the worker ceased to answer counts now.

Found by review.

--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -76,7 +76,7 @@
 		}
 	}
 	s.removeReplaced()
-	s.removeMoved(now)
+	s.removeMoved(now, sentAt)
 	s.updateHostClasses()
 }
 
@@ -99,11 +99,12 @@
 }
 
 // removeMoved removes unreachable workers whose host is being moved or maintained, or was moved
-// to a spare pool. That ends all runs on the host, and an earlier leader may have ordered it.
-func (s *Scheduler) removeMoved(now time.Time) {
+// to a spare pool. That ends all runs on the host, and an earlier leader may have ordered it. A
+// list that was requested before the worker ceased to answer may be older than the worker.
+func (s *Scheduler) removeMoved(now, sentAt time.Time) {
 	for _, w := range s.workers.all() {
 		h := s.hosts.get(w.Host)
-		if h == nil || w.unreachableSince.IsZero() || h.order.kind != noOrder {
+		if h == nil || w.unreachableSince.IsZero() || !sentAt.After(w.unreachableSince) || h.order.kind != noOrder {
 			continue
 		}
 		isAway := h.State == HostMoving || h.State == HostMaintenance
