fix(election): store the release after an unanswered heartbeat

After a heartbeat that the store kept without an answer, the release went out under the same sequence number, so the store answered it with the first result and dropped it. The next leader then waited for the election timeout and for the longest lease. The leader now settles the open number first and releases under the next.

--- a/entry/election/heartbeater.go
+++ b/entry/election/heartbeater.go
@@ -40,7 +40,10 @@
 	// Confirmed is called with the send time of each heartbeat that the store accepted.
 	Confirmed func(sentAt time.Time)
 
-	seq int64
+	// seq is the number of the next heartbeat, and isUnanswered is set if one was sent under it
+	// already and got no answer.
+	seq          int64
+	isUnanswered bool
 }
 
 // ErrStrongerPeer means that the leader stepped down in favour of a host with a larger
@@ -83,6 +86,13 @@
 // Release sends a heartbeat that tells the other hosts that this leader steps down.
 // stopping means that its host stops.
 func (h *Heartbeater) Release(ctx context.Context, stopping bool) error {
+	if h.isUnanswered {
+		// The store drops a heartbeat under the number of one that it has stored, so the next is
+		// the release.
+		if err := h.send(ctx, true, stopping); err != nil {
+			return err
+		}
+	}
 	return h.send(ctx, true, stopping)
 }
 
@@ -98,6 +108,7 @@
 		Records: []store.Record{{Key: keyHeartbeat, Value: b}},
 		Fence:   &store.Fence{Producer: Producer, Epoch: h.Epoch, Seq: h.seq},
 	})
+	h.isUnanswered = errors.Is(err, store.ErrUnknown)
 	switch {
 	case err == nil:
 		h.seq++
