fix(election): treat any failed heartbeat as possibly stored

A heartbeat that is broken off with its context may be stored too, so the release goes out under the next sequence number after any failure but a sequence error.

--- a/entry/election/heartbeater.go
+++ b/entry/election/heartbeater.go
@@ -41,7 +41,7 @@
 	Confirmed func(sentAt time.Time)
 
 	// seq is the number of the next heartbeat, and isUnanswered is set if one was sent under it
-	// already and got no answer.
+	// already and may be stored.
 	seq          int64
 	isUnanswered bool
 }
@@ -108,7 +108,7 @@
 		Records: []store.Record{{Key: keyHeartbeat, Value: b}},
 		Fence:   &store.Fence{Producer: Producer, Epoch: h.Epoch, Seq: h.seq},
 	})
-	h.isUnanswered = errors.Is(err, store.ErrUnknown)
+	h.isUnanswered = err != nil && !errors.Is(err, store.ErrSequence)
 	switch {
 	case err == nil:
 		h.seq++
