fix(scheduling): give up no lease while the store may be down

A worker that was silent for 0.6 s at the beginning of an outage of the store lost its runs after one lease: the lease was given up, and the record that allows it to be extended again could not be stored.

TestNoLeaseIsGivenUpDuringOutageOfStore covers it. Further tests cover what mutations showed to be untested: the bound for earlier leases, its confirmation, and a host list that shows a reachable worker's host as moving.

--- a/fleet/scheduling/handover.go
+++ b/fleet/scheduling/handover.go
@@ -65,14 +65,16 @@
 
 // Leases returns what the next leader has to know about leases. It gives up the leases of
 // workers that have not answered for extendWhileUnreachable: they are extended again only once
-// a new record of the worker is stored, which the next leader sees.
+// a new record of the worker is stored, which the next leader sees. While leadership isn't
+// confirmed, the store may be down, so that no record could be stored: no lease is given up then.
 func (s *Scheduler) Leases(now time.Time) *Leases {
 	out := &Leases{}
+	isConfirmed := now.Sub(s.leaderConfirmedAt) < maxHostProofAge
 	for _, w := range s.workers.all() {
 		if w.registration != registrationStored {
 			continue
 		}
-		if w.unreachableFor(now) > extendWhileUnreachable {
+		if isConfirmed && w.unreachableFor(now) > extendWhileUnreachable {
 			w.leaseGivenUp = true
 		}
 		switch lapsesAt := s.lapsesAt(w); {
--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -254,3 +254,60 @@
 		})
 	}
 }
+
+// A worker that was silent for a moment at the beginning of an outage of the store lost its runs,
+// as its lease was given up and no record could be stored to extend it again.
+func TestNoLeaseIsGivenUpDuringOutageOfStore(t *testing.T) {
+	s, now := readyScheduler(t)
+	o := startOne(t, s, now, testJob(1))
+	now = now.Add(time.Second) // without a confirmation
+	s.Held(now, 0, o.Worker, 0, now, Answer{Outcome: Unknown}, Report{})
+	now = now.Add(extendWhileUnreachable + time.Millisecond)
+	require.Empty(t, s.Leases(now).GivenUp)
+	s.ConfirmLeadership(now)
+	require.Len(t, s.Leases(now).GivenUp, 1)
+}
+
+// The bound for the leases of earlier leaders covers the workers that haven't answered.
+func TestEarlierLeasesLastUntilWorkersAnswer(t *testing.T) {
+	s := New(testStart, testConfig())
+	w1, w2 := testWorker("w1"), testWorker("w2")
+	s.Restore(testStart, 0, Restored{Registry: []Entry{w1, w2}})
+	for _, w := range []Entry{w1, w2} {
+		require.Equal(t, s.inheritedUntil, s.Leases(testStart).EarlierLapseAt)
+		s.Register(testStart, w)
+		s.Held(testStart, 0, w.Incarnation, 0, testStart, accepted, Report{StartedAt: 1, ClockMs: 10})
+	}
+	require.Zero(t, s.Leases(testStart).EarlierLapseAt)
+}
+
+// Without a confirmation of leadership after the end of an earlier lease, a later leader may have
+// extended it: the task doesn't start elsewhere.
+func TestEarlierLeaseLapsesOnlyWithConfirmedLeadership(t *testing.T) {
+	s := New(testStart, testConfig())
+	s.Configure(testConfiguration())
+	w1, w2 := testWorker("w1"), testWorker("w2")
+	s.Restore(testStart, 0, Restored{Jobs: []job.Job{testJob(1)}, Registry: []Entry{w1, w2}})
+	s.Register(testStart, w1)
+	s.Held(testStart, 0, w1.Incarnation, 0, testStart, accepted, Report{StartedAt: 1, ClockMs: 10})
+	s.Held(testStart, 0, w2.Incarnation, 0, testStart, Answer{Outcome: Unknown}, Report{})
+	// Just before the end of the lease leadership is confirmed, so that leases may be extended.
+	s.ConfirmLeadership(s.inheritedUntil.Add(-time.Millisecond))
+	now := s.inheritedUntil.Add(time.Second)
+	s.Tick(now, 0)
+	require.Empty(t, starts(s.TakeActions()))
+	require.True(t, s.isUnaccounted("w2"))
+	s.ConfirmLeadership(now)
+	now = now.Add(placementInterval)
+	s.Tick(now, 0)
+	require.Len(t, starts(s.TakeActions()), 1)
+	require.False(t, s.isUnaccounted("w2"))
+}
+
+// A host list ends no worker that answers, whatever state it shows of the host.
+func TestHostListEndsNoReachableWorker(t *testing.T) {
+	s, now := readyScheduler(t)
+	startOne(t, s, now, testJob(1))
+	s.HostsListed(now, now, []Host{{ID: "h-w1", Pool: "p", State: HostMoving}})
+	require.NotNil(t, s.workers.get("w1"))
+}
