fix(scheduling): give up tasks that crash the workers that start them

A task that crashes each worker that starts it was started without end, and each crash took the other runs on the worker with it. A worker that crashes reports no end, so nothing counted its loss, and its tasks were placed together again.

Crashes are now counted against the runs that had just begun on the worker, stored with the job's progress before the task starts again. A task with a count starts only where no other run can be to blame, and none starts beside it for 250 ms; if that worker crashes too, its job fails. After three counted crashes it is given up in any case. The other tasks of a long-running step go on serving, so its job stays 'running': failing it would stop them beyond the disruption budget, and the users ask only that the task isn't started again.

--- a/fleet/job/progress.go
+++ b/fleet/job/progress.go
@@ -33,6 +33,8 @@
 	// Failed lists the numbers of the failed runs, each once. Workers repeat an end until
 	// it is stored, and the ends of several workers may be reported in any order.
 	Failed []int64 `json:"F,omitempty"`
+	// Crashed lists the numbers of the runs that may have crashed their workers, each once.
+	Crashed []int64 `json:"K,omitempty"`
 	// Checkpoint is the checkpoint from which a new run resumes.
 	Checkpoint string `json:"C,omitempty"`
 }
--- a/fleet/scheduling/choice.go
+++ b/fleet/scheduling/choice.go
@@ -23,10 +23,18 @@
 	return best
 }
 
-// isEligible reports whether a worker is feasible for the step and in a data centre where
-// the job may run.
+// chooseFor returns the worker on which a task starts, or nil.
+func (s *Scheduler) chooseFor(now time.Time, v *poolView, st *step, t *task) *worker {
+	if t.isIsolated() {
+		return s.chooseIsolated(now, v, st, t)
+	}
+	return s.choose(now, v, st, t)
+}
+
+// isEligible reports whether a worker is feasible for the step, in a data centre where the job
+// may run, and not kept for an isolated run.
 func (s *Scheduler) isEligible(now time.Time, st *step, w *worker) bool {
-	return st.occ.job.mayRunIn(w.DataCentre) && s.isFeasible(now, st, w)
+	return w.acceptsNewRuns(now) && st.occ.job.mayRunIn(w.DataCentre) && s.isFeasible(now, st, w)
 }
 
 // isFeasible reports whether a worker has the capacity for a task of the step and meets
--- a/fleet/scheduling/commit.go
+++ b/fleet/scheduling/commit.go
@@ -19,6 +19,7 @@
 type storedJob struct {
 	state       job.State
 	dataCentres []string
+	crashes     int
 }
 
 // incarnationEnds is the highest end of an incarnation that a commit counts.
@@ -33,14 +34,14 @@
 }
 
 // IsUrgent reports whether the next commit shouldn't be delayed. It is urgent if it has the
-// progress of an ended job, whose caller waits, or a job's new data centre, or any record
+// progress of an ended job, whose caller waits, a job's new data centre or crash, or any record
 // other than progress, such as a registration: tasks or orders may wait for it.
 func (s *Scheduler) IsUrgent() bool {
 	if len(s.records) > 0 {
 		return true
 	}
 	for _, js := range s.changed {
-		if js.state.Final() || js.addingDataCentre {
+		if js.state.Final() || js.addingDataCentre || !js.crashesStored() {
 			return true
 		}
 	}
@@ -63,7 +64,7 @@
 			continue
 		}
 		records = append(records, Record{Key: ProgressPrefix + string(js.ID), Value: b})
-		pending.jobs[js] = storedJob{state: js.state, dataCentres: js.nextDataCentres}
+		pending.jobs[js] = storedJob{state: js.state, dataCentres: js.nextDataCentres, crashes: js.crashes}
 	}
 	for id, countedEnd := range s.unstoredEnds {
 		if w := s.workers.get(id); w != nil {
@@ -97,6 +98,10 @@
 	delete(s.pendingCommits, number)
 	for js, stored := range pending.jobs {
 		js.storedState = stored.state
+		if stored.crashes > js.storedCrashes {
+			js.storedCrashes = stored.crashes
+			s.dirty = true
+		}
 		s.dataCentresStored(js, stored.dataCentres)
 	}
 	for id, e := range pending.ends {
--- /dev/null
+++ b/fleet/scheduling/crash.go
@@ -0,0 +1,213 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+
+	"github.com/godwitcross/godwitcross/fleet/job"
+)
+
+// A task may crash each worker that starts it. The crash also ends the other runs on the worker,
+// which did not cause it, so a crash alone doesn't tell which run did. It is counted against the
+// runs that had just begun. A task with such a crash is then isolated: it starts on a worker on
+// which no other run has just begun, and none begins beside it until it has proved itself. If that
+// worker crashes too, the task is the cause.
+const (
+	// crashWindow is how long after its start a run may still crash its worker: a run that is
+	// listed later has proved itself. The users' tasks crash their workers within 10 ms.
+	crashWindow = 250 * time.Millisecond
+	// maxCrashes is the number of workers that may crash under a task, isolated or not, before
+	// it is given up.
+	maxCrashes = 3
+	// isolationWait is how long a worker gets no new runs so that an isolated task may start on
+	// it: those on it are listed within holdWait.
+	isolationWait = holdWait + crashWindow
+	// maxLapsedAge is how long a run whose lease lapsed may turn out to have crashed its worker.
+	maxLapsedAge = 30 * time.Second
+)
+
+// lapsedRun is a run that had just begun when its worker became unreachable, and whose lease
+// has lapsed. It counts as a crash if the host then runs another worker.
+type lapsedRun struct {
+	run      *run
+	worker   Incarnation
+	pool     string
+	lapsedAt time.Time
+}
+
+// markListed records that a report lists a run.
+func (r *run) markListed(now time.Time) {
+	if r.begunAt.IsZero() {
+		r.begunAt = now
+	}
+	r.isProven = r.isProven || now.Sub(r.begunAt) >= crashWindow
+}
+
+// mayHaveCrashed reports whether a run may have crashed its worker.
+func (r *run) mayHaveCrashed() bool {
+	return r.phase == running && !r.isProven
+}
+
+// replaceCrashed removes a worker in whose place another one runs. If no order explains that,
+// the worker has crashed.
+func (s *Scheduler) replaceCrashed(now time.Time, w *worker, reason string) {
+	s.countCrashes(now, w)
+	s.removeWorker(now, w, reason)
+}
+
+// countCrashes counts the crash of a worker against the tasks that may have caused it.
+func (s *Scheduler) countCrashes(now time.Time, w *worker) {
+	if w.Draining || s.isHostOrdered(w) {
+		return
+	}
+	for _, r := range w.runs.all() {
+		if r.mayHaveCrashed() {
+			s.countCrash(now, r, w.Incarnation)
+		}
+	}
+}
+
+// isHostOrdered reports whether an order for its host may have ended the worker. Orders of
+// earlier leaders show in the list of hosts, or as a move to another pool.
+func (s *Scheduler) isHostOrdered(w *worker) bool {
+	if w.hostOrdered {
+		return true
+	}
+	h := s.hosts.get(w.Host)
+	return h != nil && (h.order.kind != noOrder || h.Pool != w.Pool || h.State == HostMoving || h.State == HostMaintenance)
+}
+
+// rememberLapsed keeps the runs of a worker that may have crashed it, until its host runs
+// another worker or the same one answers again.
+func (s *Scheduler) rememberLapsed(now time.Time, w *worker) {
+	if w.Host == "" || w.Draining || s.isHostOrdered(w) {
+		return
+	}
+	for _, r := range w.runs.all() {
+		if r.mayHaveCrashed() {
+			s.lapsedRuns[w.Host] = append(s.lapsedRuns[w.Host], lapsedRun{run: r, worker: w.Incarnation, pool: w.Pool, lapsedAt: now})
+		}
+	}
+}
+
+// checkLapsed counts the lapsed runs of a host as crashes if the host now runs another worker.
+func (s *Scheduler) checkLapsed(now time.Time, e Entry) {
+	for _, l := range s.lapsedRuns[e.Host] {
+		if l.worker != e.Incarnation && e.StartedAt > l.worker.StartedAt && l.pool == e.Pool && now.Sub(l.lapsedAt) < maxLapsedAge {
+			s.countCrash(now, l.run, l.worker)
+		}
+	}
+	delete(s.lapsedRuns, e.Host)
+}
+
+// countCrash counts a crash of a worker against a task, and gives the task up after too many.
+func (s *Scheduler) countCrash(now time.Time, r *run, w Incarnation) {
+	t := r.task
+	if t.done || t.job().state.Final() || slices.Contains(t.crashed, r.number) {
+		return
+	}
+	t.crashed = append(t.crashed, r.number)
+	t.job().crashes++
+	s.markChanged(t.job())
+	s.logDecision("worker crashed under a task", t.job().ID, "Task", t.id().String(), "Run", r.number, "Worker", string(w.ID), "Born", w.StartedAt,
+		"AgeMs", now.Sub(r.orderedAt).Milliseconds(), "Crashes", len(t.crashed), "Isolated", r.isIsolated)
+	s.giveUpIfDeadly(t, r.isIsolated)
+}
+
+// giveUpIfDeadly gives up a task under which a worker crashed while it was isolated, or too many
+// in all: its job fails at the next tick. A long-running task is only not started any more after
+// too many crashes, as the other tasks of its step go on serving.
+func (s *Scheduler) giveUpIfDeadly(t *task, isolated bool) {
+	switch {
+	case t.isGivenUp():
+		s.logDecision("long-running task given up", t.job().ID, "Task", t.id().String(), "Crashes", len(t.crashed))
+	case !t.step.LongRunning && (isolated || len(t.crashed) >= maxCrashes):
+		s.deadlyJobs = append(s.deadlyJobs, t.job())
+	}
+}
+
+// isGivenUp reports whether a long-running task isn't started any more.
+func (t *task) isGivenUp() bool {
+	return t.step.LongRunning && len(t.crashed) >= maxCrashes
+}
+
+// failDeadlyJobs ends the jobs whose tasks crash their workers.
+func (s *Scheduler) failDeadlyJobs(now time.Time, wall int64) {
+	for _, js := range s.deadlyJobs {
+		s.finish(now, wall, js, job.Failed, "a task crashed its workers")
+	}
+	s.deadlyJobs = nil
+}
+
+// isIsolated reports whether a task starts only where no other run has just begun.
+func (t *task) isIsolated() bool {
+	return len(t.crashed) > 0
+}
+
+// crashesStored reports whether the crashes under the tasks of a job are stored, so that the
+// next leader knows of them.
+func (js *jobState) crashesStored() bool {
+	return js.storedCrashes == js.crashes
+}
+
+// runsIsolated reports whether an isolated run on the worker hasn't proved itself yet.
+func (w *worker) runsIsolated() bool {
+	if r := w.isolatedRun; r != nil && (r.isProven || w.runs.get(r.task.id()) != r) {
+		w.isolatedRun = nil
+	}
+	return w.isolatedRun != nil
+}
+
+// hasNewRuns reports whether a run on the worker hasn't proved itself yet.
+func (w *worker) hasNewRuns() bool {
+	for _, r := range w.runs.all() {
+		if !r.isProven && r.phase != stopping && r.phase != stopped {
+			return true
+		}
+	}
+	return false
+}
+
+// acceptsNewRuns reports whether a run may begin on the worker beside an isolated one.
+func (w *worker) acceptsNewRuns(now time.Time) bool {
+	return !w.runsIsolated() && !now.Before(w.quietUntil)
+}
+
+// chooseIsolated returns the worker with the highest score on which no run has just begun, or
+// nil. Then one of the others gets no new runs for isolationWait, if at most half of the pool does.
+func (s *Scheduler) chooseIsolated(now time.Time, v *poolView, st *step, t *task) *worker {
+	var best, busy *worker
+	var bestScore, busyScore float64
+	quiet := 0
+	for _, w := range v.workers {
+		if !w.acceptsNewRuns(now) {
+			quiet++
+		}
+		if w.runsIsolated() || t.isOn(w) || !st.occ.job.mayRunIn(w.DataCentre) || !s.isFeasible(now, st, w) {
+			continue
+		}
+		score := s.score(st, t, w)
+		switch {
+		case !w.hasNewRuns() && (best == nil || score > bestScore):
+			best, bestScore = w, score
+		case w.hasNewRuns() && !now.Before(w.quietUntil) && (busy == nil || score > busyScore):
+			busy, busyScore = w, score
+		}
+	}
+	if best == nil && busy != nil && 2*quiet < len(v.workers) {
+		busy.quietUntil = now.Add(isolationWait)
+	}
+	return best
+}
+
+// isolatedView returns the part of a pool on which an isolated gang may start.
+func (v *poolView) isolatedView() *poolView {
+	out := *v
+	out.workers = slices.DeleteFunc(slices.Clone(v.workers), func(w *worker) bool { return w.hasNewRuns() })
+	return &out
+}
+
+// hasIsolated reports whether a task of the step is isolated.
+func (st *step) hasIsolated() bool {
+	return slices.ContainsFunc(st.tasks, (*task).isIsolated)
+}
--- a/fleet/scheduling/gang.go
+++ b/fleet/scheduling/gang.go
@@ -23,6 +23,9 @@
 		number = max(number, s.nextRun(t))
 		checkpoint = cmp.Or(checkpoint, t.checkpoint)
 	}
+	if st.hasIsolated() {
+		v = v.isolatedView()
+	}
 	chosen := s.chooseGang(now, v, st)
 	if chosen == nil {
 		s.addDataCentre(now, v, st)
--- a/fleet/scheduling/hedge.go
+++ b/fleet/scheduling/hedge.go
@@ -66,12 +66,12 @@
 	return list
 }
 
-// mayBeHedged reports whether a run's task may get a second attempt now. Long-running
-// tasks serve from one place, and the runs of a gang share a number, so they are never
-// hedged.
+// mayBeHedged reports whether a run's task may get a second attempt now. Long-running tasks serve
+// from one place, the runs of a gang share a number, and an isolated task may crash its workers,
+// so they are never hedged.
 func (r *run) mayBeHedged() bool {
 	st := r.task.step
-	if !st.Speculative || st.Gang || st.LongRunning {
+	if !st.Speculative || st.Gang || st.LongRunning || r.task.isIsolated() {
 		return false
 	}
 	return r.task.run == r && r.task.earlierRun == nil && !r.task.done && !r.task.job().state.Final() &&
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -92,7 +92,7 @@
 		}
 		for _, w := range s.workers.all() {
 			if w.Host == h.ID && w.ID != cur.ID && w.StartedAt < cur.StartedAt {
-				s.removeWorker(s.hostsListedAt, w, "its host runs a newer worker")
+				s.replaceCrashed(s.hostsListedAt, w, "its host runs a newer worker")
 			}
 		}
 	}
--- a/fleet/scheduling/orders.go
+++ b/fleet/scheduling/orders.go
@@ -17,6 +17,10 @@
 	t.lastRun = number
 	r := &run{task: t, number: number, orderedAt: now, ticket: ticket, reportedPace: 0, orderedPace: 100}
 	s.attach(w, r)
+	if t.isIsolated() {
+		r.isIsolated = true
+		w.isolatedRun = r
+	}
 	w.idleSince = time.Time{}
 	s.sendStart(r, deadline)
 	js := t.job()
@@ -118,7 +122,7 @@
 		w.unanswered = append(w.unanswered, unansweredStart{task: id, number: number, at: now})
 		r.retryAt = now.Add(retryGap)
 	case OtherIncarnation:
-		s.removeWorker(now, w, "its address belongs to another worker")
+		s.replaceCrashed(now, w, "its address belongs to another worker")
 	case NoCapacity:
 		w.pausedUntil = now.Add(fullPause)
 		s.withdraw(now, r)
@@ -142,6 +146,7 @@
 	if r.phase == starting || r.phase == uncertain {
 		r.phase = running
 		r.lastSeenAt = now
+		r.markListed(now)
 		r.retryAt = time.Time{}
 	}
 	if w := r.worker; !w.holdPending && w.nextHold.After(now) {
@@ -178,7 +183,7 @@
 	case Unknown, Unhealthy:
 		r.retryAt = now.Add(retryGap)
 	case OtherIncarnation:
-		s.removeWorker(now, r.worker, "its address belongs to another worker")
+		s.replaceCrashed(now, r.worker, "its address belongs to another worker")
 	default:
 		if r.phase != stopping {
 			return
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -114,7 +114,8 @@
 	return js.Pool, true
 }
 
-// mayStart reports whether a task may start now: its retry delay is over, leadership was
+// mayStart reports whether a task may start now: its retry delay is over, the crashes of workers
+// under it are stored, leadership was
 // confirmed since its last run was lost, and no worker that hasn't answered yet can still
 // run it for an earlier leader. Speculative tasks wait for such workers for
 // speculativePause only.
@@ -129,13 +130,16 @@
 	if now.Before(t.notBefore) {
 		return false
 	}
+	if t.isIsolated() && !t.job().crashesStored() {
+		return false
+	}
 	if !t.lostAt.IsZero() && s.leaderConfirmedAt.Before(t.lostAt) {
 		return false // a later leader may have stored that the run ended as done
 	}
 	if !t.job().inherited {
 		return true
 	}
-	if t.step.Speculative && now.Sub(s.startedAt) > speculativePause {
+	if t.step.Speculative && !t.isIsolated() && now.Sub(s.startedAt) > speculativePause {
 		return true
 	}
 	return !s.waitsForLease(now, pool, t)
@@ -166,7 +170,11 @@
 			kept = append(kept, t)
 			continue
 		}
-		w := s.choose(now, v, st, t)
+		w := s.chooseFor(now, v, st, t)
+		if w == nil && t.isIsolated() {
+			kept = append(kept, t)
+			continue
+		}
 		if w == nil {
 			s.addDataCentre(now, v, st)
 			s.markStarved(now, v, st)
@@ -191,7 +199,7 @@
 	if !ok || !s.mayStart(now, pool, t) {
 		return
 	}
-	w := s.choose(now, v, st, t)
+	w := s.chooseFor(now, v, st, t)
 	if w != nil && s.startRun(now, w, t, s.nextRun(t), st.advice.ticket(w.ID)) {
 		s.unqueue(t)
 	}
--- a/fleet/scheduling/report.go
+++ b/fleet/scheduling/report.go
@@ -20,7 +20,7 @@
 		s.markFenced(w.ID, "hold")
 		return
 	case OtherIncarnation:
-		s.removeWorker(now, w, "its address belongs to another worker")
+		s.replaceCrashed(now, w, "its address belongs to another worker")
 		return
 	default:
 		s.markUnreachable(now, w, a.Outcome)
@@ -54,7 +54,7 @@
 	if rep.Partial {
 		w.nextHold = now
 	}
-	if len(w.orphans) > 0 {
+	if len(w.orphans) > 0 || w.runsIsolated() {
 		w.nextHold = now.Add(storeWait)
 	}
 }
@@ -134,6 +134,7 @@
 		s.markStarted(r.task.job())
 	}
 	r.lastSeenAt = now
+	r.markListed(now)
 	r.reportedPace, r.reportedLoad = row.Percent, row.Load
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
@@ -143,6 +144,7 @@
 // adopt assigns a run that an earlier leader started to its task.
 func (s *Scheduler) adopt(now time.Time, w *worker, t *task, row RunRow) {
 	r := &run{task: t, number: row.Run, phase: running, orderedAt: now, lastSeenAt: now, reportedPace: row.Percent, reportedLoad: row.Load, checkpoint: row.Checkpoint, orderedPace: 100}
+	r.markListed(now)
 	r.reportsValidFrom = now.Add(s.cfg.StopTime + leaseMargin)
 	if t.step.Backfill {
 		r.orderedPace = row.Percent
--- a/fleet/scheduling/restore.go
+++ b/fleet/scheduling/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/godwitcross/godwitcross/fleet/job"
@@ -111,10 +112,14 @@
 		s.logDecision("progress of an unknown task skipped", id.Job, "Task", id.String())
 		return
 	}
-	t.failed, t.checkpoint = tp.Failed, tp.Checkpoint
-	for _, number := range tp.Failed {
+	t.failed, t.crashed, t.checkpoint = tp.Failed, tp.Crashed, tp.Checkpoint
+	for _, number := range slices.Concat(tp.Failed, tp.Crashed) {
 		t.lastRun = max(t.lastRun, number)
 	}
+	js := t.job()
+	js.crashes += len(t.crashed)
+	js.storedCrashes = js.crashes
+	s.giveUpIfDeadly(t, false)
 	if tp.Done && !t.done {
 		t.done = true
 		t.step.doneTasks++
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -45,6 +45,10 @@
 	waiting *table[string, []*step]
 	// queuedJobs counts the jobs of each queue of which no task has started.
 	queuedJobs map[string]int
+	// lapsedRuns are runs that may have crashed the workers of a host.
+	lapsedRuns map[HostID][]lapsedRun
+	// deadlyJobs are the jobs that fail at the next tick, as a task crashes its workers.
+	deadlyJobs []*jobState
 	// classes are the classes of the fleet's hosts by what they offer; classVersion rises
 	// with each change.
 	classes      []hostClass
@@ -130,6 +134,7 @@
 		failingImages:     make(map[string]*failureSet),
 		waiting:           newTable[string, []*step](),
 		queuedJobs:        make(map[string]int),
+		lapsedRuns:        make(map[HostID][]lapsedRun),
 		workers:           newTable[WorkerID, *worker](),
 		hosts:             newTable[HostID, *host](),
 		waves:             make(map[int64]*wave),
@@ -318,6 +323,7 @@
 
 // Tick does what is due by now and places waiting tasks.
 func (s *Scheduler) Tick(now time.Time, wall int64) {
+	s.failDeadlyJobs(now, wall)
 	for _, js := range s.scheduledJobs.all() {
 		s.addDueOccurrences(now, wall, js)
 	}
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -36,6 +36,9 @@
 	// an addition isn't stored; no other data centre is added meanwhile.
 	dataCentres, nextDataCentres []string
 	addingDataCentre             bool
+	// crashes counts the runs of its tasks that may have crashed their workers, storedCrashes
+	// those of them that are stored.
+	crashes, storedCrashes int
 	// forgotten jobs have no record left except their progress.
 	forgotten bool
 }
@@ -86,6 +89,8 @@
 	done  bool
 	// failed lists the numbers of failed runs, each once.
 	failed []int64
+	// crashed lists the numbers of the runs that may have crashed their workers, each once.
+	crashed []int64
 	// checkpoint is the checkpoint from which the next run resumes, empty if none.
 	checkpoint string
 	// lastRun is the highest run number used.
@@ -150,6 +155,12 @@
 	// orderedPace is the pace in percent that was ordered last, 100 at the start.
 	orderedPace   int
 	paceChangedAt time.Time
+	// begunAt is when the run was first known to run, and isProven is set once a report has
+	// listed it crashWindow later.
+	begunAt  time.Time
+	isProven bool
+	// isIsolated is set if the run was started as the only one that could crash its worker.
+	isIsolated bool
 	// relocating is set if the run was stopped to move a long-running task to another
 	// worker, as this one drains or its host has to leave.
 	relocating bool
@@ -229,7 +240,7 @@
 // queued, not released, or its job has ended.
 func (s *Scheduler) enqueue(t *task) {
 	st := t.step
-	if t.done || t.run != nil || t.queued || !st.released || t.job().state.Final() {
+	if t.done || t.run != nil || t.queued || !st.released || t.isGivenUp() || t.job().state.Final() {
 		return
 	}
 	t.queued = true
@@ -314,12 +325,12 @@
 	for _, o := range js.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				if !t.done && len(t.failed) == 0 && t.checkpoint == "" {
+				if !t.done && len(t.failed) == 0 && len(t.crashed) == 0 && t.checkpoint == "" {
 					continue
 				}
 				tp := job.TaskProgress{Occurrence: o.number, Step: st.number, Index: t.index, Done: t.done}
 				if !t.done {
-					tp.Failed, tp.Checkpoint = t.failed, t.checkpoint
+					tp.Failed, tp.Crashed, tp.Checkpoint = t.failed, t.crashed, t.checkpoint
 				}
 				p.Tasks = append(p.Tasks, tp)
 			}
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -67,6 +67,10 @@
 	cordoned bool
 	// hostOrdered is set once a move or maintenance of the worker's host was ordered.
 	hostOrdered bool
+	// isolatedRun is the last isolated run that was started. Use runsIsolated.
+	isolatedRun *run
+	// quietUntil is until when only isolated runs may begin.
+	quietUntil time.Time
 	// unanswered are starts that got no answer and may still be carried out.
 	unanswered []unansweredStart
 	// orphans are the orphaned runs of the last report, with when each was last told to
@@ -138,8 +142,12 @@
 			if other.StartedAt > e.StartedAt {
 				return // a late entry of an earlier incarnation
 			}
+			if e.Pool == other.Pool {
+				s.countCrashes(now, other)
+			}
 			s.removeWorker(now, other, "its host runs a newer worker")
 		}
+		s.checkLapsed(now, e)
 	}
 	w := newWorker(now, e)
 	s.workers.put(e.ID, w)
@@ -180,7 +188,7 @@
 		s.detach(r)
 	}
 	earlier := s.unaccounted[w.ID]
-	s.removeWorker(now, w, "restarted")
+	s.replaceCrashed(now, w, "restarted")
 	next := newWorker(now, e)
 	s.workers.put(e.ID, next)
 	if earlier != nil {
@@ -355,10 +363,10 @@
 }
 
 // awaitsOnlyEnds reports whether the worker may delay its answer to a hold until a run
-// ends: neither a stopped nor an orphaned run is expected to leave its report, and its lease
-// needn't be extended as soon as that is possible again.
+// ends: neither a stopped nor an orphaned run is expected to leave its report, its lease needn't be
+// extended as soon as that is possible again, and no isolated run has to prove itself.
 func (w *worker) awaitsOnlyEnds() bool {
-	if w.leaseGivenUp || len(w.orphans) > 0 {
+	if w.leaseGivenUp || w.runsIsolated() || len(w.orphans) > 0 {
 		return false
 	}
 	for _, r := range w.runs.all() {
@@ -387,6 +395,7 @@
 		}
 		s.accountFor(now, w.ID, "lapsed")
 	}
+	s.rememberLapsed(now, w)
 	for _, r := range w.runs.all() {
 		s.markLost(now, r)
 	}
