fix(scheduling): use a restarted worker only once its entry is read

A worker that a hold shows to have started again was used by the capacity and the labels of its earlier entry until its own was read. One whose capacity has shrunk, and that has no admission control, could be started over it (LIMIT), or a task without the label that it requires.

--- a/fleet/scheduling/report.go
+++ b/fleet/scheduling/report.go
@@ -30,6 +30,7 @@
 		e := w.Entry
 		e.StartedAt = rep.StartedAt
 		s.replaceIncarnation(now, w, e)
+		s.workers.get(w.ID).entryUnread = true
 		return
 	}
 	s.markReachable(now, w)
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -59,6 +59,9 @@
 	onProbation bool
 	// registered is set while the worker has an entry in the registry.
 	registered bool
+	// entryUnread is set while the worker's entry, with its capacity and labels, is that of an
+	// earlier incarnation.
+	entryUnread bool
 	// idleSince is when a report first showed that the worker runs nothing, or when it was
 	// registered. It is zero from the start of a run until such a report.
 	idleSince time.Time
@@ -121,7 +124,7 @@
 		w.leavesAt = now.Add(e.LeavesIn)
 		s.logDecision("worker draining", "", "Worker", string(e.ID), "LeavingMs", e.LeavesIn.Milliseconds(), "Runs", w.runs.len())
 	}
-	w.registered = true
+	w.registered, w.entryUnread = true, false
 	if e.StartedAt == 0 {
 		e.StartedAt = w.StartedAt
 	}
