fix(scheduling): jobs keep the definition of a dropped queue

A job whose queue a configuration had dropped was reported as failed after the first failed run, though its queue allowed three attempts. The scheduler looked the queue up in the current configuration alone and took one attempt where it wasn't found. The same lookup made such jobs the first of their pool (priority 0) and started their tasks without the adviser's ticket, which workers refuse each time.

All lookups for a job now go through queueOf: the current configuration, then the last definition before the queue was dropped. A leader that took over later never saw that definition. It has the number of attempts from the job's record, where the intake now stores it, and asks the adviser once a worker has refused a start for lack of a ticket. Records of older programs have no number and allow one attempt, as before. The priority isn't stored: it orders work but breaks no rule, and such jobs come first after a takeover, as before.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -116,6 +116,7 @@
 func (in *Intake) Submit(ctx context.Context, q queue.Queue, version int64, j job.Job) error {
 	began := time.Now()
 	j.Queue, j.Pool, j.Version, j.AcceptedAt = q.Name, q.Pool, version, in.cfg.Wall()
+	j.MaxAttempts = q.MaxAttempts
 	j.Home = in.homeDataCentre(j)
 	err := j.Validate()
 	if err == nil {
--- a/fleet/job/job.go
+++ b/fleet/job/job.go
@@ -134,6 +134,9 @@
 	Home string `json:",omitempty"`
 	// Version is the configuration under which the job was accepted.
 	Version int64
+	// MaxAttempts is that of the queue in this configuration, for a leader that knows the
+	// queue no more; 0 in records of older programs.
+	MaxAttempts int `json:",omitempty"`
 	// Text is passed to the workers unchanged.
 	Text  string `json:",omitempty"`
 	Steps []Step
--- a/fleet/scheduling/advice.go
+++ b/fleet/scheduling/advice.go
@@ -14,6 +14,9 @@
 	// required is set if the queue has an adviser: the step may run only on workers in
 	// tickets.
 	required bool
+	// demanded is set once a worker refused a start for lack of a ticket. It decides only
+	// where the queue's definition isn't known any more.
+	demanded bool
 	pending  bool
 	retryAt  time.Time
 	tickets  map[WorkerID]ticket
@@ -50,8 +53,8 @@
 // request if the queue has an adviser and no worker with free capacity has a valid
 // ticket.
 func (s *Scheduler) needsAdvice(now time.Time, v *poolView, st *step) bool {
-	q, ok := s.configuration.Queue(st.occ.job.Queue)
-	if !ok || q.Advice == nil {
+	q, ok := s.queueOf(st.occ.job)
+	if ok && q.Advice == nil || !ok && !st.advice.demanded {
 		st.advice.required = false
 		return false
 	}
--- a/fleet/scheduling/orders.go
+++ b/fleet/scheduling/orders.go
@@ -126,6 +126,7 @@
 		w.pausedUntil = now.Add(unhealthyPause)
 		s.withdraw(now, r)
 	case NoTicket:
+		r.task.step.advice.demanded = true
 		r.task.step.advice.expire()
 		s.withdraw(now, r)
 	case Refused:
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -61,7 +61,7 @@
 				continue
 			}
 			kept = append(kept, st)
-			q, _ := s.configuration.Queue(name)
+			q, _ := s.queueOf(st.occ.job)
 			k := keyed{step: st, priority: q.Priority, hasStarted: st.occ.hasStarted()}
 			k.lateness, k.slack = s.lateness(now, q, st)
 			all = append(all, k)
@@ -108,10 +108,8 @@
 	if js.Version > s.configuration.Version {
 		return "", false
 	}
-	if q, ok := s.configuration.Queue(js.Queue); ok {
-		return q.Pool, true
-	}
-	return js.Pool, true
+	q, _ := s.queueOf(js)
+	return q.Pool, true
 }
 
 // mayStart reports whether a task may start now: its retry delay is over, leadership was
--- a/fleet/scheduling/preempt.go
+++ b/fleet/scheduling/preempt.go
@@ -30,7 +30,7 @@
 	if st.starvedAt.IsZero() {
 		st.starvedAt = now
 	}
-	q, ok := s.configuration.Queue(st.occ.job.Queue)
+	q, ok := s.queueOf(st.occ.job)
 	if ok && q.Priority < v.lastPriority && !st.Gang && now.Sub(st.starvedAt) >= preemptDelay {
 		v.starved = append(v.starved, st)
 	}
@@ -40,7 +40,7 @@
 func (s *Scheduler) preempt(now time.Time, v *poolView) {
 	claimed := make(map[*worker]job.Resources)
 	for _, st := range v.starved {
-		q, ok := s.configuration.Queue(st.occ.job.Queue)
+		q, ok := s.queueOf(st.occ.job)
 		if !ok {
 			continue
 		}
@@ -111,7 +111,7 @@
 // at no cost but a restart.
 func (s *Scheduler) isPreemptible(now time.Time, r *run, priority int) bool {
 	st := r.task.step
-	q, ok := s.configuration.Queue(r.task.job().Queue)
+	q, ok := s.queueOf(r.task.job())
 	return ok && q.Priority > priority && st.Checkpointing && !st.Gang && !st.LongRunning &&
 		r.phase == running && now.Sub(r.orderedAt) >= preemptMinAge
 }
--- a/fleet/scheduling/report.go
+++ b/fleet/scheduling/report.go
@@ -271,10 +271,8 @@
 // attempts returns how many failed runs end a job: of one task, or of all members of a
 // gang.
 func (s *Scheduler) attempts(js *jobState) int {
-	if q, ok := s.configuration.Queue(js.Queue); ok {
-		return max(q.MaxAttempts, 1)
-	}
-	return 1
+	q, _ := s.queueOf(js)
+	return max(q.MaxAttempts, 1)
 }
 
 // reconcileAbsent handles runs that a complete report doesn't list. A run is gone if its
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -25,6 +25,9 @@
 	// pools.
 	cfg           Config
 	configuration *queue.Configuration
+	// droppedQueues holds the last definition of each queue that the configuration dropped
+	// during this leadership. Jobs outlive their queue.
+	droppedQueues map[string]queue.Queue
 	jobs          map[job.ID]*jobState
 	// earlyCancels holds cancellations that arrived before their jobs, and when.
 	earlyCancels map[job.ID]time.Time
@@ -117,6 +120,7 @@
 	return &Scheduler{
 		cfg:               cfg,
 		configuration:     queue.New(0, nil, nil, queue.Limits{}),
+		droppedQueues:     make(map[string]queue.Queue),
 		jobs:              make(map[job.ID]*jobState),
 		earlyCancels:      make(map[job.ID]time.Time),
 		scheduledJobs:     newTable[job.ID, *jobState](),
@@ -206,10 +210,29 @@
 
 // Configure applies a configuration if its version is newer.
 func (s *Scheduler) Configure(c *queue.Configuration) {
-	if c.Version > s.configuration.Version {
-		s.configuration = c
-		s.dirty = true
+	if c.Version <= s.configuration.Version {
+		return
+	}
+	for _, q := range s.configuration.Queues {
+		s.droppedQueues[q.Name] = q
+	}
+	for _, q := range c.Queues {
+		delete(s.droppedQueues, q.Name)
+	}
+	s.configuration = c
+	s.dirty = true
+}
+
+// queueOf returns the newest known definition of a job's queue. If the queue was dropped
+// under an earlier leader, only what the job's record has of it is known, and ok is false.
+func (s *Scheduler) queueOf(js *jobState) (q queue.Queue, ok bool) {
+	if q, ok = s.configuration.Queue(js.Queue); ok {
+		return q, true
+	}
+	if q, ok = s.droppedQueues[js.Queue]; ok {
+		return q, true
 	}
+	return queue.Queue{Name: js.Queue, Pool: js.Pool, MaxAttempts: js.MaxAttempts}, false
 }
 
 // Accept adds a job from the log. A job that is known already is ignored.
--- a/fleet/scheduling/scheduler_test.go
+++ b/fleet/scheduling/scheduler_test.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -112,6 +113,55 @@
 	require.NotEqual(t, job.Failed, state)
 }
 
+// A leader that took over after the queue was dropped knows its number of attempts from the
+// job's record, and that it has an adviser from a worker's refusal.
+func TestQueueDroppedUnderAnEarlierLeader(t *testing.T) {
+	s := New(testStart, testConfig())
+	s.Configure(queue.New(2, nil, []queue.Pool{{Name: "p", AdmissionControl: true}}, queue.Limits{}))
+	j := testJob(1)
+	j.MaxAttempts = 2
+	s.Restore(testStart, 0, Restored{Jobs: []job.Job{j}})
+	h := &harness{s: s, now: testStart, ends: make(map[WorkerID]int64)}
+	h.register(testWorker("w1"))
+	h.now = h.now.Add(150 * time.Millisecond)
+	s.Tick(h.now, 0)
+	ordered := starts(s.TakeActions())
+	require.Len(t, ordered, 1)
+	s.Started(h.now, ordered[0].Worker, ordered[0].Task, ordered[0].Run, Answer{Outcome: NoTicket, ClockMs: 10})
+	h.now = h.now.Add(150 * time.Millisecond)
+	s.Tick(h.now, 0)
+	actions := s.TakeActions()
+	require.Empty(t, starts(actions))
+	require.Len(t, actionsOf[Advise](actions), 1)
+	s.Advised(h.now, j.ID, 0, 0, []WorkerID{"w1"}, []AllowedWorker{{Worker: "w1", Ticket: "t"}}, time.Minute, true)
+	for _, want := range []job.State{job.Running, job.Failed} {
+		ordered = h.tick()
+		require.Len(t, ordered, 1)
+		require.Equal(t, "t", ordered[0].Ticket)
+		h.end(ordered[0], EndFailed)
+		storeAll(s)
+		state, _, _ := s.State(j.ID)
+		require.Equal(t, want, state)
+	}
+}
+
+// A dropped queue keeps its place behind the queues that come before it.
+func TestDroppedQueueKeepsItsPriority(t *testing.T) {
+	s, now := readyScheduler(t)
+	first, second := queue.Queue{Name: "first", Pool: "p"}, queue.Queue{Name: "second", Pool: "p", Priority: 1}
+	pools := []queue.Pool{{Name: "p", AdmissionControl: true}}
+	s.Configure(queue.New(2, []queue.Queue{first, second}, pools, queue.Limits{}))
+	s.Configure(queue.New(3, []queue.Queue{first}, pools, queue.Limits{}))
+	for i, q := range []queue.Queue{second, first} {
+		j := testJob(1)
+		j.ID, j.Queue = job.ID(fmt.Sprintf("%016x", i)), q.Name
+		s.Accept(now, 0, j)
+	}
+	steps := s.stepsToPlace(now)
+	require.Len(t, steps, 2)
+	require.Equal(t, "first", steps[0].occ.job.Queue)
+}
+
 // A new leader orders no host within the lease of an order that its predecessor may have sent
 // after its last heartbeat, as stored commits confirm a leadership too.
 func TestHostLeaseCountsFromTheLastConfirmation(t *testing.T) {
