fix(scheduling): count the host lease from the fence, not from a heartbeat

A leader may order hosts for a second after its last confirmation, and its stored commits confirm it as heartbeats do, but the successor counted from the last heartbeat that it had read before its claim. By reading, heartbeats leave the same gap: a claim fences nothing, so those of the predecessor are accepted behind it until the successor has set its epoch on the two streams.

The successor now counts from its own start, which follows the fence of both streams: every confirmation of the predecessor was sent before. The price is that waves and hosts reserved by the predecessor wait 4 s after a takeover without notice, in place of about 2.4 s.

--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -22,9 +22,9 @@
 	// this leader orders the hosts that the previous one reserved. Hosts are machines of
 	// the pools here. It is unrelated to Lease.
 	HostLease time.Duration
-	// PreviousHeartbeatAge is how long before the takeover the previous leader sent its
-	// last heartbeat. It is negative if that leader has certainly ended and sends no more
-	// orders.
+	// PreviousHeartbeatAge is how long before the claim the previous leader's last heartbeat
+	// was read. It is negative if that leader has certainly ended and sends no more orders;
+	// otherwise it doesn't tell until when the previous leader sent orders.
 	PreviousHeartbeatAge time.Duration
 	// StopTime is how long a run goes on at most after it was told to stop.
 	StopTime time.Duration
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -116,13 +116,15 @@
 
 // inheritedHostsFrom returns when this leader may order hosts that the previous leader
 // reserved. The previous leader's last order for them must be a host lease in the past,
-// unless that leader has certainly ended. Waves wait until then as a whole, because they
-// count the hosts that are down.
+// unless that leader has certainly ended. Its heartbeats don't tell when that was: stored
+// commits and heartbeats behind this leader's claim confirm a leadership too, until the
+// fence, which is in force before startedAt. Waves wait until then as a whole, because
+// they count the hosts that are down.
 func (s *Scheduler) inheritedHostsFrom() time.Time {
 	if s.cfg.Term == 0 || s.cfg.PreviousHeartbeatAge < 0 {
 		return s.startedAt
 	}
-	return s.startedAt.Add(maxHostProofAge + s.cfg.HostLease - s.cfg.PreviousHeartbeatAge)
+	return s.startedAt.Add(maxHostProofAge + s.cfg.HostLease)
 }
 
 // workerOn returns the known worker on a host, or nil.
--- a/fleet/scheduling/leadership_test.go
+++ b/fleet/scheduling/leadership_test.go
@@ -151,9 +151,12 @@
 		"the first leader":                        {0, 0, 0, 0, true},
 		"the first leader without confirmation":   {0, 0, 5 * time.Second, maxHostProofAge, false},
 		"right after another leader":              {1, 1500 * time.Millisecond, time.Second, 0, false},
-		"once the previous orders have ended":     {1, 1500 * time.Millisecond, 2500 * time.Millisecond, 0, true},
+		"until the previous orders have ended":    {1, 1500 * time.Millisecond, 3990 * time.Millisecond, 0, false},
+		"once the previous orders have ended":     {1, 1500 * time.Millisecond, 4 * time.Second, 0, true},
 		"right after one that has ended":          {1, -1, 0, 0, true},
-		"after one without heartbeats for longer": {1, 4 * time.Second, 0, 0, true},
+		"right after one without heartbeats":      {1, 4 * time.Second, 0, 0, false},
+		"some time after one without heartbeats":  {1, 4 * time.Second, 3990 * time.Millisecond, 0, false},
+		"after one without heartbeats for longer": {1, 4 * time.Second, 4 * time.Second, 0, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/fleet/scheduling/reservation_test.go
+++ b/fleet/scheduling/reservation_test.go
@@ -53,10 +53,10 @@
 // except those for which an order of the previous leader may be in progress.
 func TestNewLeaderMovesHostsAtOnce(t *testing.T) {
 	s, now := newLeader(t, "m-1")
-	at := firstMoves(s, now, 4*time.Second)
+	at := firstMoves(s, now, 5*time.Second)
 	require.Less(t, at["m-2"], 200*time.Millisecond)
-	require.GreaterOrEqual(t, at["m-1"], maxHostProofAge+s.cfg.HostLease-s.cfg.PreviousHeartbeatAge)
-	require.Less(t, at["m-1"], 3*time.Second)
+	require.GreaterOrEqual(t, at["m-1"], maxHostProofAge+s.cfg.HostLease)
+	require.Less(t, at["m-1"], maxHostProofAge+s.cfg.HostLease+500*time.Millisecond)
 }
 
 // No host order is sent before the reservation of the host is stored.
