fix(scheduling): drop the progress of an ended job last

Forget named each job once. A submission that was repeated after that, as callers do after a lost answer, wrote the record again, and nothing dropped it; likewise a repeated cancellation. An append that failed to drop the records was not repeated either, while the progress was dropped after the retention in any case.

The invariant between the records is now written at job.Progress: while the store can hold an accepted or cancelled record of an ended job, it holds the progress with the final state. For that the scheduler notes each record that it reads again, the leader tells it the outcome of each request to drop records (Forgotten), and the progress is dropped only after the retention, a confirmed drop that covers all records read, and from a current view. Cancellations whose job never came are kept until a confirmed drop in the same way. Requests without an outcome are counted, so that a late answer to an earlier one doesn't stand for a later one.

--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -398,24 +398,26 @@
 	}
 }
 
-// forget deletes the accepted and cancelled records of ended jobs in the background.
+// forget deletes the accepted and cancelled records of ended jobs in the background and
+// tells the scheduler the outcome. After a failure, the rest isn't sent either.
 func (l *Leader) forget(ctx context.Context, ids []job.ID) {
 	if len(ids) == 0 {
 		return
 	}
 	go func() {
 		for len(ids) > 0 {
-			n := min(len(ids), maxForgetBatch)
+			batch := ids[:min(len(ids), maxForgetBatch)]
 			a := store.Append{Stream: store.Work}
-			for _, id := range ids[:n] {
+			for _, id := range batch {
 				a.Records = append(a.Records, store.Record{Key: AcceptedKey(id)}, store.Record{Key: CancelledKey(id)})
 			}
-			ids = ids[n:]
-			if _, err := l.cfg.Store.Append(ctx, a); err != nil {
-				// The records stay until the jobs' retention ends at the next leader.
-				l.log.WithFields(logrus.Fields{"Jobs": n, "Error": err.Error()}).Info("dropping ended jobs failed")
-				return
+			_, err := l.cfg.Store.Append(ctx, a)
+			if err != nil {
+				l.log.WithFields(logrus.Fields{"Jobs": len(ids), "Error": err.Error()}).Info("dropping ended jobs failed")
+				batch = ids
 			}
+			ids = ids[len(batch):]
+			l.enqueue(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.Forgotten(batch, err == nil) })
 		}
 	}()
 }
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -34,6 +34,9 @@
 	stalled, unreachable bool
 	// failing is a stream whose reads fail.
 	failing store.Stream
+	// failingDrops makes appends that drop records fail; failedDrops counts them.
+	failingDrops bool
+	failedDrops  int
 	// pageLimit bounds the records of a read, 0 for no bound. The platform's store returns at
 	// most 1 MiB.
 	pageLimit int
@@ -70,6 +73,10 @@
 		}
 		m.epochs[a.Stream] = f.Epoch
 	}
+	if m.failingDrops && len(a.Records) > 0 && len(a.Records[0].Value) == 0 {
+		m.failedDrops++
+		return store.Appended{}, store.ErrUnavailable
+	}
 	out := store.Appended{Offset: int64(len(m.streams[a.Stream]))}
 	for _, r := range a.Records {
 		r.Offset = int64(len(m.streams[a.Stream]))
@@ -297,6 +304,23 @@
 	require.Equal(t, 1, w.startCount())
 }
 
+// Dropping the records of an ended job is repeated until the store has confirmed it.
+func TestRecordsOfEndedJobsAreDroppedAfterAFailure(t *testing.T) {
+	m := newMemoryStore()
+	m.failingDrops = true
+	runLeader(t, newLeader(m, &fakeWorkers{}, 5))
+	acceptJob(t, m, firstJob)
+	appendRecord(t, m, store.Work, CancelledKey(firstJob), "x")
+	failed := func() bool { m.mu.Lock(); defer m.mu.Unlock(); return m.failedDrops > 0 }
+	require.Eventually(t, failed, 3*forgetInterval, time.Millisecond)
+	m.set(func() { m.failingDrops = false })
+	dropped := func() bool {
+		page, err := m.Newest(context.Background(), store.Work)
+		return err == nil && !slices.ContainsFunc(page.Records, func(r store.Record) bool { return r.Key != keyLeader && len(r.Value) > 0 })
+	}
+	require.Eventually(t, dropped, 3*forgetInterval, time.Millisecond)
+}
+
 // A job that another host has just accepted must not be reported as unknown because the
 // tail of the work stream lags behind.
 func TestStateCatchesUpBeforeUnknown(t *testing.T) {
--- a/fleet/job/progress.go
+++ b/fleet/job/progress.go
@@ -38,6 +38,15 @@
 }
 
 // Progress is the stored progress of a job, in one record.
+//
+// A job has up to three records: its accepted one, a Job, its cancelled one, and its
+// progress. Hosts write the first two when callers ask for it, also again for a job that has
+// ended; the leader writes the progress and drops all three. While the store can hold an
+// accepted or cancelled record of a job that has ended, it holds the progress with the final
+// state, by which every leader knows that no task of the job may start. The leader therefore
+// drops the progress last: after the retention, which is longer than submissions are repeated
+// or appended late, and after the store has answered that it dropped the other two, once
+// more for each that the leader has read again since.
 type Progress struct {
 	State State
 	// EndedAt is when a final state was decided, by the wall clock in Unix milliseconds.
--- a/fleet/scheduling/restore.go
+++ b/fleet/scheduling/restore.go
@@ -40,14 +40,14 @@
 			continue
 		}
 		s.jobs[id] = &jobState{
-			Job: job.Job{ID: id}, state: p.State, storedState: p.State, hasStarted: true, inherited: true, forgotten: true,
+			Job: job.Job{ID: id}, state: p.State, storedState: p.State, hasStarted: true, inherited: true, workRecords: recordsDropped,
 			endedAt: msBefore(now, wall-p.EndedAt), endedWall: p.EndedAt,
 		}
 	}
 	for _, j := range r.Jobs {
 		if s.jobs[j.ID] != nil {
 			s.jobs[j.ID].Queue = j.Queue
-			s.jobs[j.ID].forgotten = false
+			s.jobs[j.ID].workRecords = recordsStored
 			continue
 		}
 		s.restoreJob(now, wall, j, r.Progress[j.ID])
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -29,8 +29,8 @@
 	// during this leadership. Jobs outlive their queue.
 	droppedQueues map[string]queue.Queue
 	jobs          map[job.ID]*jobState
-	// earlyCancels holds cancellations that arrived before their jobs, and when.
-	earlyCancels map[job.ID]time.Time
+	// earlyCancels holds cancellations that arrived before their jobs.
+	earlyCancels map[job.ID]earlyCancel
 	// scheduledJobs are the jobs with occurrences that aren't due yet.
 	scheduledJobs *table[job.ID, *jobState]
 	// arrivals holds the rate of arriving work for each pool.
@@ -118,6 +118,13 @@
 	actions []Action
 }
 
+// earlyCancel is a cancellation without a job, last read at at. isDropping is set while a
+// request to drop its record has no outcome.
+type earlyCancel struct {
+	at         time.Time
+	isDropping bool
+}
+
 // New returns the scheduler of a leader that took over at now.
 func New(now time.Time, cfg Config) *Scheduler {
 	return &Scheduler{
@@ -125,7 +132,7 @@
 		configuration:     queue.New(0, nil, nil, queue.Limits{}),
 		droppedQueues:     make(map[string]queue.Queue),
 		jobs:              make(map[job.ID]*jobState),
-		earlyCancels:      make(map[job.ID]time.Time),
+		earlyCancels:      make(map[job.ID]earlyCancel),
 		scheduledJobs:     newTable[job.ID, *jobState](),
 		arrivals:          make(map[string]*rate),
 		waitingSince:      make(map[string]time.Time),
@@ -239,9 +246,10 @@
 	return queue.Queue{Name: js.Queue, Pool: js.Pool, MaxAttempts: js.MaxAttempts}, false
 }
 
-// Accept adds a job from the log. A job that is known already is ignored.
+// Accept adds a job from the log. Of a job that is known already only the record is noted.
 func (s *Scheduler) Accept(now time.Time, wall int64, j job.Job) {
-	if s.jobs[j.ID] != nil {
+	if js := s.jobs[j.ID]; js != nil {
+		js.workRecords = recordsStored
 		return
 	}
 	js := newJobState(j, now)
@@ -290,9 +298,10 @@
 func (s *Scheduler) Cancel(now time.Time, wall int64, id job.ID) {
 	js := s.jobs[id]
 	if js == nil {
-		s.earlyCancels[id] = now
+		s.earlyCancels[id] = earlyCancel{at: now}
 		return
 	}
+	js.workRecords = recordsStored
 	s.markStarted(js)
 	s.finish(now, wall, js, job.Cancelled, "cancelled by its caller")
 }
@@ -378,36 +387,73 @@
 	s.placementRestUntil = now.Add(min(placementRest*took, maxPlacementRest))
 }
 
-// Forget drops ended jobs in two steps. Once a job's end is stored, it drops the job's text
-// and steps and returns its ID, once: the accepted record isn't needed any more because the
-// progress record says enough. After the retention it drops the job and its progress
-// record. It also returns the IDs of expired cancellations whose job never arrived.
+// Forget drops ended jobs in two steps, in the order that job.Progress demands. Once a job's
+// end is stored, it drops the job's text and steps and returns its ID: its accepted and
+// cancelled records are to be dropped, and Forgotten is to be told the outcome. After the
+// retention it drops the job and its progress record. It also returns the IDs of expired
+// cancellations whose job never arrived.
 func (s *Scheduler) Forget(now time.Time) []job.ID {
 	var ids []job.ID
 	for id, js := range s.jobs {
 		if !js.storedState.Final() {
 			continue
 		}
-		if !js.forgotten {
-			js.forgotten = true
+		if js.workRecords == recordsStored {
+			js.workRecords = recordsDropping
+			js.drops++
 			ids = append(ids, id)
 			js.occurrences = s.occurrencesWithRuns(js)
 			js.Text, js.Steps = "", nil
 		}
-		if now.Sub(js.endedAt) > s.cfg.Retention {
+		// An old view may lack a record that was written again.
+		if js.workRecords == recordsDropped && now.Sub(js.endedAt) > s.cfg.Retention && s.isViewCurrent() {
 			delete(s.jobs, id)
 			s.records = append(s.records, Record{Key: ProgressPrefix + string(id)})
 		}
 	}
-	for id, at := range s.earlyCancels {
-		if now.Sub(at) > s.cfg.Retention {
-			delete(s.earlyCancels, id)
+	for id, c := range s.earlyCancels {
+		if !c.isDropping && now.Sub(c.at) > s.cfg.Retention {
+			c.isDropping = true
+			s.earlyCancels[id] = c
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
+// Forgotten handles the outcome of a request to drop the records of jobs that Forget
+// returned. Without a confirmation, dropped is false and Forget returns them again.
+func (s *Scheduler) Forgotten(ids []job.ID, dropped bool) {
+	for _, id := range ids {
+		if js := s.jobs[id]; js != nil {
+			js.dropAnswered(dropped)
+			continue
+		}
+		switch c := s.earlyCancels[id]; {
+		case !c.isDropping:
+		case dropped:
+			delete(s.earlyCancels, id)
+		default:
+			c.isDropping = false
+			s.earlyCancels[id] = c
+		}
+	}
+}
+
+// dropAnswered handles the outcome of a request to drop the accepted and cancelled records.
+func (js *jobState) dropAnswered(dropped bool) {
+	if js.drops == 0 {
+		return // the request was for an earlier cancellation
+	}
+	js.drops--
+	switch {
+	case !dropped:
+		js.workRecords = recordsStored
+	case js.workRecords == recordsDropping && js.drops == 0:
+		js.workRecords = recordsDropped
+	}
+}
+
 // occurrencesWithRuns returns the occurrences of an ended job that still have runs.
 func (s *Scheduler) occurrencesWithRuns(js *jobState) []*occurrence {
 	var kept []*occurrence
--- a/fleet/scheduling/scheduler_test.go
+++ b/fleet/scheduling/scheduler_test.go
@@ -266,3 +266,29 @@
 	s.Accept(now, 0, testJob(1))
 	require.Equal(t, []job.ID{testID}, s.Forget(now.Add(time.Second)))
 }
+
+// The progress of an ended job stays while a request to drop its other records has no outcome,
+// also if an earlier request is confirmed meanwhile, and is dropped after the retention.
+func TestProgressIsDroppedLast(t *testing.T) {
+	s, now := readyScheduler(t)
+	s.Accept(now, 0, testJob(1))
+	s.finish(now, 0, s.jobs[testID], job.Completed, "test")
+	storeAll(s)
+	first := s.Forget(now)
+	s.Accept(now, 0, testJob(1))
+	second := s.Forget(now)
+	s.Forgotten(first, true)
+	now = now.Add(2 * s.cfg.Retention)
+	require.Empty(t, s.Forget(now))
+	require.Contains(t, s.jobs, testID)
+	s.Forgotten(second, false)
+	require.Equal(t, []job.ID{testID}, s.Forget(now))
+	s.Forgotten([]job.ID{testID}, true)
+	s.SetViewLag(2 * maxViewLag)
+	require.Empty(t, s.Forget(now))
+	require.Contains(t, s.jobs, testID, "the view may lack a record")
+	s.SetViewLag(0)
+	require.Empty(t, s.Forget(now))
+	require.NotContains(t, s.jobs, testID)
+	require.Equal(t, []Record{{Key: ProgressPrefix + string(testID)}}, s.records)
+}
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -36,10 +36,24 @@
 	// an addition isn't stored; no other data centre is added meanwhile.
 	dataCentres, nextDataCentres []string
 	addingDataCentre             bool
-	// forgotten jobs have no record left except their progress.
-	forgotten bool
+	// workRecords is what the store holds of the job's accepted and cancelled records.
+	workRecords workRecords
+	// drops counts the requests to drop these records that have no outcome yet.
+	drops int
 }
 
+// workRecords is the state of a job's accepted and cancelled records; see job.Progress.
+type workRecords int
+
+const (
+	// recordsStored records may be in the store, and no request drops all of them.
+	recordsStored workRecords = iota
+	// recordsDropping records are covered by requests without an outcome.
+	recordsDropping
+	// recordsDropped records are known not to be in the store.
+	recordsDropped
+)
+
 // occurrence is one execution of all steps of a job.
 type occurrence struct {
 	job       *jobState
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -841,8 +841,8 @@
 	}
 }
 
-// forget drops the records of ended jobs. The append is sent once, may arrive late and is
-// lost while the store can't be reached.
+// forget drops the records of ended jobs. The append is sent once, may arrive late, which
+// counts as a failure, and is lost while the store can't be reached.
 func (l *simLeader) forget() {
 	w := l.w
 	if w.forgetInterval == 0 || w.now.Sub(l.forgotAt) < w.forgetInterval {
@@ -850,14 +850,22 @@
 	}
 	l.forgotAt = w.now
 	ids := l.s.Forget(w.now)
-	if len(ids) == 0 || !w.storeUp || l.cutFromStore {
+	if len(ids) == 0 {
+		return
+	}
+	if !w.storeUp || l.cutFromStore {
+		w.after(simTimeout, func() { l.deliver(func() { l.s.Forgotten(ids, false) }) })
 		return
 	}
-	delay := simStoreDelay
 	if w.rng.Float64() < w.faults.late {
-		delay = 2 * time.Second
+		w.after(simTimeout, func() { l.deliver(func() { l.s.Forgotten(ids, false) }) })
+		w.after(2*time.Second, func() { w.log = append(w.log, simRecord{forgotten: ids}) })
+		return
 	}
-	w.after(delay, func() { w.log = append(w.log, simRecord{forgotten: ids}) })
+	w.after(simStoreDelay, func() {
+		w.log = append(w.log, simRecord{forgotten: ids})
+		l.deliver(func() { l.s.Forgotten(ids, true) })
+	})
 }
 
 func (l *simLeader) readLog() {
