fix(scheduling): give up the leases of drained workers

A worker that drains and has no runs left gets no more holds, so its leader doesn't notice that it has gone. Its lease is now given up when it has no runs left. A worker whose lease is given up also gets no tasks until its record is stored again.

TestLeaseOfDrainedWorkerIsGivenUp failed before.

--- a/fleet/scheduling/handover.go
+++ b/fleet/scheduling/handover.go
@@ -64,7 +64,8 @@
 }
 
 // Leases returns what the next leader has to know about leases. It gives up the leases of
-// workers that have not answered for extendWhileUnreachable: they are extended again only once
+// workers that have not answered for extendWhileUnreachable, and of those that are drained and get
+// no more holds, so that their end goes unnoticed: they are extended again only once
 // a new record of the worker is stored, which the next leader sees. While leadership isn't
 // confirmed, the store may be down, so that no record could be stored: no lease is given up then.
 func (s *Scheduler) Leases(now time.Time) *Leases {
@@ -74,7 +75,7 @@
 		if w.registration != registrationStored {
 			continue
 		}
-		if isConfirmed && w.unreachableFor(now) > extendWhileUnreachable {
+		if isConfirmed && (w.unreachableFor(now) > extendWhileUnreachable || w.isDrained()) {
 			w.leaseGivenUp = true
 		}
 		switch lapsesAt := s.lapsesAt(w); {
@@ -87,6 +88,11 @@
 	return out
 }
 
+// isDrained reports whether a draining worker has no runs left.
+func (w *worker) isDrained() bool {
+	return w.Draining && w.contacted && w.runs.len() == 0
+}
+
 // lapsesAt returns when the lease of a worker that doesn't answer has lapsed, whichever leader
 // extended it.
 func (s *Scheduler) lapsesAt(w *worker) time.Time {
--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -311,3 +311,29 @@
 	s.HostsListed(now, now, []Host{{ID: "h-w1", Pool: "p", State: HostMoving}})
 	require.NotNil(t, s.workers.get("w1"))
 }
+
+// A drained worker gets no more holds, so its leader doesn't notice that it has gone. The next
+// leader waited a whole lease for it; its lease is given up once it has no runs. Should it cease to
+// drain, its record is stored again before it gets tasks.
+func TestLeaseOfDrainedWorkerIsGivenUp(t *testing.T) {
+	h := newHarness(t, 1)
+	j := testJob(1)
+	h.s.Accept(h.now, 0, j)
+	o := h.tick()[0]
+	w := h.s.workers.get(o.Worker.ID)
+	e := w.Entry
+	e.Draining, e.LeavesIn = true, 2*time.Second
+	h.s.Register(h.now, e)
+	require.Empty(t, h.s.Leases(h.now).GivenUp, "it still has a run")
+	h.end(o, EndDone)
+	require.Equal(t, []GivenUpLease{{Worker: w.ID, Registration: w.Registration, LapsesAt: w.leaseUntil}}, h.s.Leases(h.now).GivenUp)
+
+	e.Draining = false
+	h.s.Register(h.now, e)
+	h.job(1, "")
+	require.Empty(t, h.tick(), "its lease may not be extended")
+	h.s.Held(h.now, 0, w.Incarnation, 0, h.now, accepted, Report{StartedAt: 1, ClockMs: 20})
+	storeAll(h.s)
+	require.Len(t, h.tick(), 1)
+	require.Empty(t, h.s.Leases(h.now).GivenUp)
+}
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -348,9 +348,9 @@
 }
 
 // needsHold reports whether a hold has a purpose: first contact, a lease to extend, ends
-// to acknowledge or orphaned runs to watch.
+// to acknowledge, orphaned runs to watch, or a given-up lease to resume.
 func (w *worker) needsHold() bool {
-	return !w.contacted || w.runs.len() > 0 || w.storedEnd > w.acknowledgedEnd || len(w.orphans) > 0
+	return !w.contacted || w.leaseGivenUp && !w.Draining || w.runs.len() > 0 || w.storedEnd > w.acknowledgedEnd || len(w.orphans) > 0
 }
 
 func (s *Scheduler) sendHold(now time.Time, w *worker) {
