refactor(scheduling): name what is handed over LeaseHandover

Three types and fields were called Leases. No change of behaviour but for the reason that is logged when a host list ends a worker, which had the text of the leader's own orders.

--- a/entry/election/candidate.go
+++ b/entry/election/candidate.go
@@ -46,15 +46,15 @@
 )
 
 // LeadFunc performs the leader's tasks and returns when the leadership ends.
-type LeadFunc func(ctx context.Context, epoch int64, claim Claim, previous Previous) error
+type LeadFunc func(ctx context.Context, epoch int64, claim Claim, previous PreviousLeader) error
 
-// Previous is what the claim of a leader shows about the previous one.
-type Previous struct {
+// PreviousLeader is what the claim of a leader shows about the previous one.
+type PreviousLeader struct {
 	// HeartbeatAge is the time since the last heartbeat of a leader that may still send orders,
 	// the previous one or one before it. It is negative if none is known.
 	HeartbeatAge time.Duration
 	// Leases is what is known about the leases that it and earlier leaders extended.
-	Leases scheduling.PreviousLeases
+	Leases scheduling.PreviousLeader
 }
 
 // Config holds a candidate's settings and dependencies.
@@ -80,7 +80,7 @@
 	// nonces are all nonces of this process.
 	nonces map[string]bool
 	// previous is passed to the next call of Lead.
-	previous Previous
+	previous PreviousLeader
 
 	mu sync.Mutex
 	// state is guarded by mu.
@@ -299,11 +299,11 @@
 }
 
 // previousLeader returns what is known about the leader in whose place this host claims.
-func (c *Candidate) previousLeader(st State) Previous {
-	p := Previous{
+func (c *Candidate) previousLeader(st State) PreviousLeader {
+	p := PreviousLeader{
 		HeartbeatAge: c.cfg.Now().Sub(st.HeartbeatAt),
 		// A leader releases its leadership after its last order.
-		Leases: scheduling.PreviousLeases{Ended: st.Released || c.isPreviousIncarnation(st), Leases: st.Leases},
+		Leases: scheduling.PreviousLeader{Ended: st.Released || c.isPreviousIncarnation(st), Handover: st.Leases},
 	}
 	if !st.Stopping && !c.isPreviousIncarnation(st) {
 		return p
--- a/entry/election/heartbeater.go
+++ b/entry/election/heartbeater.go
@@ -36,7 +36,7 @@
 	Peers func() []relay.Peer
 	// Leases returns what the next leader has to know about leases, or nil before the takeover
 	// is complete.
-	Leases func() *scheduling.Leases
+	Leases func() *scheduling.LeaseHandover
 	// Confirmed is called with the send time of each heartbeat that the store accepted.
 	Confirmed func(sentAt time.Time)
 
--- a/entry/election/record.go
+++ b/entry/election/record.go
@@ -47,7 +47,7 @@
 	Leases *Leases `json:",omitempty"`
 }
 
-// Leases are scheduling.Leases with times as durations from the heartbeat on. Their reader
+// Leases are scheduling.LeaseHandover with times as durations from the heartbeat on. Their reader
 // counts them from the time of reading, which is later, so that no clock is compared.
 type Leases struct {
 	EarlierMs int64
@@ -62,7 +62,7 @@
 }
 
 // encodeLeases returns the leases of a heartbeat that is sent at now.
-func encodeLeases(now time.Time, l *scheduling.Leases) *Leases {
+func encodeLeases(now time.Time, l *scheduling.LeaseHandover) *Leases {
 	if l == nil {
 		return nil
 	}
@@ -74,11 +74,11 @@
 }
 
 // decode returns the leases of a heartbeat that was read at now.
-func (l *Leases) decode(now time.Time) *scheduling.Leases {
+func (l *Leases) decode(now time.Time) *scheduling.LeaseHandover {
 	if l == nil {
 		return nil
 	}
-	out := &scheduling.Leases{EarlierLapseAt: now.Add(time.Duration(l.EarlierMs) * time.Millisecond)}
+	out := &scheduling.LeaseHandover{EarlierLapseAt: now.Add(time.Duration(l.EarlierMs) * time.Millisecond)}
 	for _, g := range l.GivenUp {
 		out.GivenUp = append(out.GivenUp, scheduling.GivenUpLease{
 			Worker: g.Worker, Registration: g.Registration, LapsesAt: now.Add(time.Duration(g.LapsesMs) * time.Millisecond),
@@ -115,7 +115,7 @@
 	// last heard of, or zero.
 	UnendedAt time.Time
 	// Leases are those of the epoch's last heartbeat, or nil.
-	Leases *scheduling.Leases
+	Leases *scheduling.LeaseHandover
 	// Next is the offset from which to read on.
 	Next int64
 }
--- a/entry/election/record_test.go
+++ b/entry/election/record_test.go
@@ -83,7 +83,7 @@
 	log, _ := test.NewNullLogger()
 	return &Heartbeater{
 		Epoch: 5, Self: relay.Peer{Name: "a", Share: 0.4}, Store: s, Log: log, Now: time.Now,
-		Peers: func() []relay.Peer { return peers }, Leases: func() *scheduling.Leases { return nil }, Confirmed: func(time.Time) { *confirmed++ },
+		Peers: func() []relay.Peer { return peers }, Leases: func() *scheduling.LeaseHandover { return nil }, Confirmed: func(time.Time) { *confirmed++ },
 	}
 }
 
@@ -164,7 +164,7 @@
 	now := start
 	c := NewCandidate(Config{
 		Self: relay.Peer{Name: "a"}, Direct: s, Log: log, Now: func() time.Time { return now },
-		Lead: func(context.Context, int64, Claim, Previous) error { return store.ErrFenced },
+		Lead: func(context.Context, int64, Claim, PreviousLeader) error { return store.ErrFenced },
 	})
 	c.lead(context.Background(), State{Epoch: 5})
 	c.state = State{Epoch: 5, HeartbeatAt: now.Add(-time.Minute)}
@@ -195,7 +195,7 @@
 			s := &scriptedStore{answers: []error{nil}}
 			c := NewCandidate(Config{
 				Self: self, Direct: s, Log: log, Now: func() time.Time { return start },
-				Lead: func(context.Context, int64, Claim, Previous) error { return store.ErrFenced },
+				Lead: func(context.Context, int64, Claim, PreviousLeader) error { return store.ErrFenced },
 			})
 			if tt.nonce == "" {
 				tt.nonce = c.nonce
@@ -234,7 +234,7 @@
 // Leases pass from a heartbeat to its reader as durations, counted from the reading, and a new
 // claim makes them unknown.
 func TestHeartbeatPassesOnLeases(t *testing.T) {
-	sent := &scheduling.Leases{EarlierLapseAt: start.Add(1500 * time.Microsecond), GivenUp: []scheduling.GivenUpLease{
+	sent := &scheduling.LeaseHandover{EarlierLapseAt: start.Add(1500 * time.Microsecond), GivenUp: []scheduling.GivenUpLease{
 		{Worker: "w1", Registration: 7, LapsesAt: start.Add(3 * time.Second)}, {Worker: "w2", Registration: 8, LapsesAt: start.Add(-time.Second)},
 	}}
 	var s State
@@ -244,7 +244,7 @@
 	readAt := start.Add(time.Hour)
 	_, err = s.Apply(readAt, heartbeatRecord(t, Heartbeat{Epoch: 5, Leases: encodeLeases(start, sent)}))
 	require.NoError(t, err)
-	require.Equal(t, &scheduling.Leases{EarlierLapseAt: readAt.Add(2 * time.Millisecond), GivenUp: []scheduling.GivenUpLease{
+	require.Equal(t, &scheduling.LeaseHandover{EarlierLapseAt: readAt.Add(2 * time.Millisecond), GivenUp: []scheduling.GivenUpLease{
 		{Worker: "w1", Registration: 7, LapsesAt: readAt.Add(3 * time.Second)}, {Worker: "w2", Registration: 8, LapsesAt: readAt},
 	}}, s.Leases)
 
@@ -274,10 +274,10 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := NewCandidate(Config{Self: self, Now: func() time.Time { return start }})
-			tt.st.Leases = &scheduling.Leases{EarlierLapseAt: start}
+			tt.st.Leases = &scheduling.LeaseHandover{EarlierLapseAt: start}
 			p := c.previousLeader(tt.st)
 			require.Equal(t, tt.want, p.Leases.Ended)
-			require.Equal(t, tt.st.Leases, p.Leases.Leases)
+			require.Equal(t, tt.st.Leases, p.Leases.Handover)
 		})
 	}
 }
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -121,7 +121,7 @@
 	// confirmedAt is the send time of the latest heartbeat that the store accepted.
 	confirmedAt atomic.Pointer[time.Time]
 	// leases is what the next leader has to know about leases, nil until the state is loaded.
-	leases atomic.Pointer[scheduling.Leases]
+	leases atomic.Pointer[scheduling.LeaseHandover]
 	// isSuperseded is set once a later leader's marker was read.
 	isSuperseded atomic.Bool
 }
@@ -296,7 +296,7 @@
 		}
 		if !now.Before(leasesAt) {
 			leasesAt = now.Add(leasesInterval)
-			l.leases.Store(sch.Leases(now))
+			l.leases.Store(sch.HandOverLeases(now))
 		}
 		l.flush(now, sch)
 		l.dispatch(ctx, sch.TakeActions())
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -160,7 +160,7 @@
 }
 
 // lead runs the scheduler while this host leads in the given epoch.
-func (n *Node) lead(ctx context.Context, epoch int64, claim election.Claim, previous election.Previous) error {
+func (n *Node) lead(ctx context.Context, epoch int64, claim election.Claim, previous election.PreviousLeader) error {
 	cfg := n.cfg.Scheduling
 	cfg.PreviousHeartbeatAge = previous.HeartbeatAge
 	cfg.Previous = previous.Leases
--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -27,7 +27,7 @@
 	// otherwise it doesn't tell until when the previous leader sent orders.
 	PreviousHeartbeatAge time.Duration
 	// Previous is what is known about the leases that earlier leaders extended.
-	Previous PreviousLeases
+	Previous PreviousLeader
 	// StopTime is how long a run goes on at most after it was told to stop.
 	StopTime time.Duration
 	// MoveTime and MaintenanceTime are how long a host is out of service for a move or for
--- a/fleet/scheduling/handover.go
+++ b/fleet/scheduling/handover.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// Leases is what a leader passes on about leases. With each heartbeat it tells the next leader
+// LeaseHandover is what a leader passes on about leases. With each heartbeat it tells the next leader
 // until when leases may last that no leader extends any more, so that waits for them don't start
 // anew with each takeover. Times are those of the clock of the host that holds the value.
-type Leases struct {
+type LeaseHandover struct {
 	// EarlierLapseAt is when the leases that earlier leaders extended have lapsed, except those
 	// of workers that the leader has reached or whose leases it has given up. It is zero if there
 	// are none.
@@ -23,25 +23,25 @@
 	LapsesAt     time.Time
 }
 
-// PreviousLeases is what a leader knows about the leases that earlier leaders extended.
-type PreviousLeases struct {
+// PreviousLeader is what a leader knows about the leases that earlier leaders extended.
+type PreviousLeader struct {
 	// Ended is set if the previous leader has certainly ended or has released its leadership:
 	// it extends no lease after the takeover.
 	Ended bool
-	// Leases are those of the previous leader's last heartbeat, or nil if it had none.
-	Leases *Leases
+	// Handover is that of the previous leader's last heartbeat, or nil if it had none.
+	Handover *LeaseHandover
 }
 
 // lapseAt returns when all leases of earlier leaders have lapsed. The previous leader is fenced
 // before now, so unless it has ended it goes on extending leases for less than the grace.
-func (p PreviousLeases) lapseAt(now time.Time, cfg Config) time.Time {
+func (p PreviousLeader) lapseAt(now time.Time, cfg Config) time.Time {
 	longest := now.Add(lapseTime(cfg.Grace + cfg.Lease))
-	if !p.Ended || p.Leases == nil {
+	if !p.Ended || p.Handover == nil {
 		return longest
 	}
 	at := now.Add(lapseTime(cfg.Lease))
-	if p.Leases.EarlierLapseAt.After(at) {
-		at = p.Leases.EarlierLapseAt
+	if p.Handover.EarlierLapseAt.After(at) {
+		at = p.Handover.EarlierLapseAt
 	}
 	if at.After(longest) {
 		return longest
@@ -51,11 +51,11 @@
 
 // givenUp returns the lease of a worker's stored record if no leader extends it, and false if
 // one may.
-func (p PreviousLeases) givenUp(e Entry) (GivenUpLease, bool) {
-	if p.Leases == nil || e.Registration == 0 {
+func (p PreviousLeader) givenUp(e Entry) (GivenUpLease, bool) {
+	if p.Handover == nil || e.Registration == 0 {
 		return GivenUpLease{}, false
 	}
-	for _, l := range p.Leases.GivenUp {
+	for _, l := range p.Handover.GivenUp {
 		if l.Worker == e.ID && l.Registration == e.Registration {
 			return l, true
 		}
@@ -63,13 +63,13 @@
 	return GivenUpLease{}, false
 }
 
-// Leases returns what the next leader has to know about leases. It gives up the leases of
+// HandOverLeases returns what the next leader has to know about leases. It gives up the leases of
 // workers that have not answered for extendWhileUnreachable, and of those that are drained and get
-// no more holds, so that their end goes unnoticed: they are extended again only once
-// a new record of the worker is stored, which the next leader sees. While leadership isn't
-// confirmed, the store may be down, so that no record could be stored: no lease is given up then.
-func (s *Scheduler) Leases(now time.Time) *Leases {
-	out := &Leases{}
+// no more holds, so that their end goes unnoticed. They are extended again only once a new record of
+// the worker is stored, which the next leader sees. While leadership isn't confirmed, the store may
+// be down and couldn't take that record, so no lease is given up.
+func (s *Scheduler) HandOverLeases(now time.Time) *LeaseHandover {
+	out := &LeaseHandover{}
 	isConfirmed := now.Sub(s.leaderConfirmedAt) < maxHostProofAge
 	for _, w := range s.workers.all() {
 		if w.registration != registrationStored {
--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -29,7 +29,7 @@
 	if !mayRelease {
 		return
 	}
-	w.released, w.leases = true, l.s.Leases(w.now)
+	w.released, w.handover = true, l.s.HandOverLeases(w.now)
 	w.after(simHandover, func() { w.takeOver() })
 }
 
@@ -148,11 +148,11 @@
 	o := startOne(t, s, now, testJob(1))
 	w := s.workers.get("w1")
 	deadline, registration := w.deadlineMs, w.Registration
-	require.Empty(t, s.Leases(now).GivenUp)
+	require.Empty(t, s.HandOverLeases(now).GivenUp)
 	s.Held(now, 0, o.Worker, 0, now, Answer{Outcome: Unknown}, Report{})
 	now = now.Add(extendWhileUnreachable + time.Millisecond)
 	s.ConfirmLeadership(now)
-	require.Equal(t, []GivenUpLease{{Worker: "w1", Registration: registration, LapsesAt: w.leaseUntil}}, s.Leases(now).GivenUp)
+	require.Equal(t, []GivenUpLease{{Worker: "w1", Registration: registration, LapsesAt: w.leaseUntil}}, s.HandOverLeases(now).GivenUp)
 
 	hold := func() Hold {
 		now = now.Add(storeWait)
@@ -166,11 +166,11 @@
 		return holds[0]
 	}
 	require.Equal(t, deadline, hold().DeadlineMs, "the new record isn't stored yet")
-	require.Empty(t, s.Leases(now).GivenUp, "the next leader may see either record")
+	require.Empty(t, s.HandOverLeases(now).GivenUp, "the next leader may see either record")
 	require.Greater(t, w.Registration, registration)
 	storeAll(s)
 	require.Greater(t, hold().DeadlineMs, deadline)
-	require.Empty(t, s.Leases(now).GivenUp)
+	require.Empty(t, s.HandOverLeases(now).GivenUp)
 }
 
 // The next leader relies on the end of a given-up lease only if the worker's stored record is
@@ -179,21 +179,21 @@
 	cfg := testConfig()
 	longest, lease := testStart.Add(lapseTime(cfg.Grace+cfg.Lease)), testStart.Add(lapseTime(cfg.Lease))
 	earlier, given := testStart.Add(6*time.Second), testStart.Add(time.Second)
-	leases := &Leases{EarlierLapseAt: earlier, GivenUp: []GivenUpLease{{Worker: "w1", Registration: 5, LapsesAt: given}}}
+	leases := &LeaseHandover{EarlierLapseAt: earlier, GivenUp: []GivenUpLease{{Worker: "w1", Registration: 5, LapsesAt: given}}}
 	tests := map[string]struct {
-		previous     PreviousLeases
+		previous     PreviousLeader
 		registration int64
 		want         time.Time
 	}{
-		"nothing is known":                         {PreviousLeases{}, 5, longest},
-		"the previous leader may go on":            {PreviousLeases{Leases: leases}, 4, longest},
-		"it has ended without a heartbeat":         {PreviousLeases{Ended: true}, 5, longest},
-		"it has ended, earlier leases last longer": {PreviousLeases{Ended: true, Leases: leases}, 4, earlier},
-		"it has ended, its own leases last longer": {PreviousLeases{Ended: true, Leases: &Leases{EarlierLapseAt: given}}, 5, lease},
-		"given up":                                   {PreviousLeases{Leases: leases}, 5, given},
-		"given up, and the leader has ended":         {PreviousLeases{Ended: true, Leases: leases}, 5, given},
-		"a record of an earlier version":             {PreviousLeases{Leases: &Leases{GivenUp: []GivenUpLease{{Worker: "w1", LapsesAt: given}}}}, 0, longest},
-		"extended again since, by the stored record": {PreviousLeases{Leases: leases}, 6, longest},
+		"nothing is known":                         {PreviousLeader{}, 5, longest},
+		"the previous leader may go on":            {PreviousLeader{Handover: leases}, 4, longest},
+		"it has ended without a heartbeat":         {PreviousLeader{Ended: true}, 5, longest},
+		"it has ended, earlier leases last longer": {PreviousLeader{Ended: true, Handover: leases}, 4, earlier},
+		"it has ended, its own leases last longer": {PreviousLeader{Ended: true, Handover: &LeaseHandover{EarlierLapseAt: given}}, 5, lease},
+		"given up":                                   {PreviousLeader{Handover: leases}, 5, given},
+		"given up, and the leader has ended":         {PreviousLeader{Ended: true, Handover: leases}, 5, given},
+		"a record of an earlier version":             {PreviousLeader{Handover: &LeaseHandover{GivenUp: []GivenUpLease{{Worker: "w1", LapsesAt: given}}}}, 0, longest},
+		"extended again since, by the stored record": {PreviousLeader{Handover: leases}, 6, longest},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -263,9 +263,9 @@
 	now = now.Add(time.Second) // without a confirmation
 	s.Held(now, 0, o.Worker, 0, now, Answer{Outcome: Unknown}, Report{})
 	now = now.Add(extendWhileUnreachable + time.Millisecond)
-	require.Empty(t, s.Leases(now).GivenUp)
+	require.Empty(t, s.HandOverLeases(now).GivenUp)
 	s.ConfirmLeadership(now)
-	require.Len(t, s.Leases(now).GivenUp, 1)
+	require.Len(t, s.HandOverLeases(now).GivenUp, 1)
 }
 
 // The bound for the leases of earlier leaders covers the workers that haven't answered.
@@ -274,11 +274,11 @@
 	w1, w2 := testWorker("w1"), testWorker("w2")
 	s.Restore(testStart, 0, Restored{Registry: []Entry{w1, w2}})
 	for _, w := range []Entry{w1, w2} {
-		require.Equal(t, s.inheritedUntil, s.Leases(testStart).EarlierLapseAt)
+		require.Equal(t, s.inheritedUntil, s.HandOverLeases(testStart).EarlierLapseAt)
 		s.Register(testStart, w)
 		s.Held(testStart, 0, w.Incarnation, 0, testStart, accepted, Report{StartedAt: 1, ClockMs: 10})
 	}
-	require.Zero(t, s.Leases(testStart).EarlierLapseAt)
+	require.Zero(t, s.HandOverLeases(testStart).EarlierLapseAt)
 }
 
 // Without a confirmation of leadership after the end of an earlier lease, a later leader may have
@@ -324,9 +324,9 @@
 	e := w.Entry
 	e.Draining, e.LeavesIn = true, 2*time.Second
 	h.s.Register(h.now, e)
-	require.Empty(t, h.s.Leases(h.now).GivenUp, "it still has a run")
+	require.Empty(t, h.s.HandOverLeases(h.now).GivenUp, "it still has a run")
 	h.end(o, EndDone)
-	require.Equal(t, []GivenUpLease{{Worker: w.ID, Registration: w.Registration, LapsesAt: w.leaseUntil}}, h.s.Leases(h.now).GivenUp)
+	require.Equal(t, []GivenUpLease{{Worker: w.ID, Registration: w.Registration, LapsesAt: w.leaseUntil}}, h.s.HandOverLeases(h.now).GivenUp)
 
 	e.Draining = false
 	h.s.Register(h.now, e)
@@ -335,5 +335,5 @@
 	h.s.Held(h.now, 0, w.Incarnation, 0, h.now, accepted, Report{StartedAt: 1, ClockMs: 20})
 	storeAll(h.s)
 	require.Len(t, h.tick(), 1)
-	require.Empty(t, h.s.Leases(h.now).GivenUp)
+	require.Empty(t, h.s.HandOverLeases(h.now).GivenUp)
 }
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -160,7 +160,7 @@
 		}
 		isAway := h.State == HostMoving || h.State == HostMaintenance
 		if isAway || h.Pool != w.Pool && s.isSpare(h.Pool) {
-			s.removeWorker(now, w, "its host is being moved or maintained")
+			s.removeWorker(now, w, "a host list shows its host away")
 		}
 	}
 }
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -113,17 +113,16 @@
 }
 
 // mayStart reports whether a task may start now: its retry delay is over, the crashes of workers
-// under it are stored, leadership was
-// confirmed since its last run was lost, and no worker that hasn't answered yet can still
-// run it for an earlier leader. Speculative tasks wait for such workers for
-// speculativePause only.
+// under it are stored, leadership was confirmed since its last run was lost, and no worker that
+// hasn't answered yet can still run it for an earlier leader. Speculative tasks wait for such
+// workers for speculativePause only.
 //
-// After a takeover, a task of an inherited job, one restored from the store, may still run
-// on an unaccounted worker, one that earlier leaders registered and that hasn't reported
-// yet. It waits while there is such a worker in its pool and data centres, at most until
-// its lease has lapsed. Tasks of jobs accepted
-// since the takeover don't wait. Apart from that, isSchedulable lets only contacted workers
-// get tasks: they know this leader's token and start nothing that an earlier one ordered.
+// After a takeover, a task of an inherited job, one restored from the store, may still run on an
+// unaccounted worker, one that earlier leaders registered and that hasn't reported yet. It waits
+// while there is such a worker in its pool and data centres, at most until its lease has lapsed.
+// Tasks of jobs accepted since the takeover don't wait. Apart from that, isSchedulable lets only
+// contacted workers get tasks: they know this leader's token and start nothing that an earlier one
+// ordered.
 func (s *Scheduler) mayStart(now time.Time, pool string, t *task) bool {
 	if now.Before(t.notBefore) {
 		return false
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -36,7 +36,7 @@
 	// released is set once the leader has released its leadership, and leases are those of its
 	// last heartbeat.
 	released bool
-	leases   *Leases
+	handover *LeaseHandover
 	storeUp  bool
 	faults   faults
 
@@ -757,8 +757,8 @@
 	}
 	cfg := w.cfg
 	cfg.Epoch, cfg.Term = w.epoch, w.epoch-1
-	cfg.Previous = PreviousLeases{Ended: w.released, Leases: w.leases}
-	w.released, w.leases = false, nil
+	cfg.Previous = PreviousLeader{Ended: w.released, Handover: w.handover}
+	w.released, w.handover = false, nil
 	l.s = New(w.now, cfg)
 	l.s.Configure(w.configuration)
 	r := Restored{Progress: make(map[job.ID]job.Progress), Waves: make(map[int64]WaveProgress)}
@@ -961,7 +961,7 @@
 	}
 	if l.w.now.Sub(l.heartbeatAt) >= 500*time.Millisecond {
 		l.heartbeatAt = l.w.now
-		l.w.leases = l.s.Leases(l.w.now)
+		l.w.handover = l.s.HandOverLeases(l.w.now)
 		l.s.ConfirmLeadership(l.w.now)
 	}
 }
