fix(scheduling): wait for restarted workers across takeovers

A worker that had restarted and not answered yet was handed over with a lease that had ended. A start sent to its earlier incarnation may still arrive there, and the next leader didn't wait for it (TWICE). Such a worker's lease isn't given up now.

TestLeaseOfRestartedWorkerIsNotGivenUp failed before.

--- a/fleet/scheduling/handover.go
+++ b/fleet/scheduling/handover.go
@@ -72,8 +72,8 @@
 	out := &LeaseHandover{}
 	isConfirmed := now.Sub(s.leaderConfirmedAt) < maxHostProofAge
 	for _, w := range s.workers.all() {
-		if w.registration != registrationStored {
-			continue
+		if w.registration != registrationStored || !w.contacted && !s.isUnaccounted(w.ID) {
+			continue // an order to its earlier incarnation may still reach it
 		}
 		if isConfirmed && (w.unreachableFor(now) > extendWhileUnreachable || w.isDrained()) {
 			w.leaseGivenUp = true
--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -337,3 +337,18 @@
 	require.Len(t, h.tick(), 1)
 	require.Empty(t, h.s.HandOverLeases(h.now).GivenUp)
 }
+
+// A start that was sent to a worker's earlier incarnation may arrive at the next one, which hasn't
+// answered yet: its lease isn't given up, or the next leader wouldn't wait for it (TWICE).
+func TestLeaseOfRestartedWorkerIsNotGivenUp(t *testing.T) {
+	s, now := readyScheduler(t)
+	o := startOne(t, s, now, testJob(1))
+	again := testWorker("w1")
+	again.StartedAt = 2
+	s.Register(now, again)
+	storeAll(s)
+	s.Held(now, 0, again.Incarnation, 0, now, Answer{Outcome: Unknown}, Report{})
+	now = now.Add(extendWhileUnreachable + time.Millisecond)
+	s.ConfirmLeadership(now)
+	require.Empty(t, s.HandOverLeases(now).GivenUp, "run %d may begin there", o.Run)
+}
