test(scheduling): show that a lapsed run is blamed for a later crash

Callers saw a job reported as failed (rule LOST) although no worker had crashed under its task.

Cause: a run that had just begun when its worker was cut off, and whose lease lapsed, is kept in lapsedRuns. By the comment of rememberLapsed it is kept until the same worker answers again, but only checkLapsed drops it. If that worker answers again and crashes within 30 s of the lapse for another reason, the old run counts as a crash.

The test cuts off three workers just after the start of a task, ends the partition, and crashes them while the task runs elsewhere. The job ends as failed with a count of 0 crashes under the task.

--- a/fleet/scheduling/crash_test.go
+++ b/fleet/scheduling/crash_test.go
@@ -506,3 +506,34 @@
 	}
 	require.Len(t, w.violations, 1)
 }
+
+// A task isn't blamed for a worker on which its run has lapsed during a partition, if that worker
+// has answered again and crashes later. Its job was reported as failed although no worker had
+// crashed under it.
+func TestCrashAfterPartitionIsNotCounted(t *testing.T) {
+	w := newWorld(1, map[string]int{"a": 8}, 0)
+	filler := w.newLongRunning("a", 8)
+	w.submit(filler, 0, false)
+	w.run(2 * time.Second)
+	j := w.simpleJob(1)
+	target := job.Task{Job: j.ID}
+	var partitioned []*simWorker
+	partitionEnd := w.now.Add(20 * time.Second)
+	w.onStart = func(sw *simWorker, id job.Task) {
+		if id == target && len(partitioned) < maxCrashes {
+			partitioned = append(partitioned, sw)
+			w.after(5*time.Millisecond, func() { w.cutOff(sw, partitionEnd.Sub(w.now)) })
+		}
+	}
+	w.submit(j, 40*time.Second, false)
+	w.run(22 * time.Second)
+	require.Len(t, partitioned, maxCrashes)
+	for _, sw := range partitioned {
+		require.True(t, sw.isUp)
+		require.Nil(t, sw.runs[target], "the task runs on a worker that was not partitioned")
+		w.crashAndReturn(sw, false)
+	}
+	w.run(60 * time.Second)
+	require.Zero(t, w.jobs[j.ID].crashes[target], "no worker crashed under the task")
+	require.Equal(t, job.Completed, w.state(j.ID))
+}
