test(scheduling): show that crashes before the answer to a start don't count

Cause: mayHaveCrashed counts only runs that are known to run, and replaceIncarnation detaches starting and uncertain runs before it counts. A task that crashes its worker within its start is never known to run, so it is neither counted nor isolated.

In the test the worker crashes in its start and sends no answer; the task is started more than twice after three crashes, with new and with the same IDs.

--- a/fleet/scheduling/crash_test.go
+++ b/fleet/scheduling/crash_test.go
@@ -537,3 +537,25 @@
 	require.Zero(t, w.jobs[j.ID].crashes[target], "no worker crashed under the task")
 	require.Equal(t, job.Completed, w.state(j.ID))
 }
+
+// A task that crashes its workers before they have answered its start was started without end: the
+// leader doesn't know that the run has begun.
+func TestCrashBeforeAnswerToStartCounts(t *testing.T) {
+	for mode, sameID := range returnModes {
+		t.Run(mode, func(t *testing.T) {
+			w := newCrashWorld(sameID)
+			w.onStart = func(sw *simWorker, id job.Task) {
+				if !sw.runs[id].job.deadly[id] {
+					return
+				}
+				// The worker crashes within its start, so its answer is never sent.
+				w.crashAndReturn(sw, sameID)
+				w.faults.answerLost = 1
+				w.after(0, func() { w.faults.answerLost = 0 })
+			}
+			deadly := w.submitDeadly(w.simpleJob(1), 500*time.Millisecond, 0)
+			w.run(60 * time.Second)
+			requireGivenUp(t, w, deadly)
+		})
+	}
+}
