test(scheduling): show that maintenance after a lapse counts as a crash

Callers saw a job reported as failed (rule LOST) although no worker had crashed.

Cause: countCrashes and rememberLapsed leave out hosts with an order, but checkLapsed doesn't, and an order for a host doesn't drop its lapsed runs. If a run that had just begun lapses during a partition and its host is maintained within 30 s, the worker that comes back counts as the successor of a crashed one.

The test partitions three workers just after the start of a task and has their hosts maintained by a wave.

--- a/fleet/scheduling/crash_test.go
+++ b/fleet/scheduling/crash_test.go
@@ -559,3 +559,30 @@
 		})
 	}
 }
+
+// A task isn't blamed for a worker on which its run has lapsed during a partition, if the host is
+// then maintained: the order explains the new worker. Its job was reported as failed although no
+// worker had crashed.
+func TestMaintenanceAfterLapseIsNoCrash(t *testing.T) {
+	w := newWorld(1, map[string]int{"a": 8}, 0)
+	w.submit(w.newLongRunning("a", 3), 0, false)
+	w.run(2 * time.Second)
+	j := w.simpleJob(1)
+	target := job.Task{Job: j.ID}
+	var hosts []HostID
+	w.onStart = func(sw *simWorker, id job.Task) {
+		if id == target && len(hosts) < maxCrashes {
+			hosts = append(hosts, sw.Host)
+			w.after(5*time.Millisecond, func() { w.cutOff(sw, 40*time.Second) })
+		}
+	}
+	w.submit(j, 60*time.Second, false)
+	w.run(19 * time.Second)
+	v := Wave{Number: 1, Hosts: hosts, Duration: time.Second, MaxCount: maxCrashes}
+	w.waves = append(w.waves, v)
+	w.leaders[len(w.leaders)-1].s.RequestWave(w.now, w.wall(), v)
+	w.run(80 * time.Second)
+	require.Len(t, hosts, maxCrashes)
+	require.Zero(t, w.jobs[j.ID].crashes[target], "no worker crashed under the task")
+	require.Equal(t, job.Completed, w.state(j.ID))
+}
