--- a/fleet/scheduling/crash_test.go
+++ b/fleet/scheduling/crash_test.go
@@ -506,3 +506,83 @@
 	}
 	require.Len(t, w.violations, 1)
 }
+
+// A task isn't blamed for a worker on which its run has lapsed during a partition, if that worker
+// has answered again and crashes later. Its job was reported as failed although no worker had
+// crashed under it.
+func TestCrashAfterPartitionIsNotCounted(t *testing.T) {
+	w := newWorld(1, map[string]int{"a": 8}, 0)
+	filler := w.newLongRunning("a", 8)
+	w.submit(filler, 0, false)
+	w.run(2 * time.Second)
+	j := w.simpleJob(1)
+	target := job.Task{Job: j.ID}
+	var partitioned []*simWorker
+	partitionEnd := w.now.Add(20 * time.Second)
+	w.onStart = func(sw *simWorker, id job.Task) {
+		if id == target && len(partitioned) < maxCrashes {
+			partitioned = append(partitioned, sw)
+			w.after(5*time.Millisecond, func() { w.cutOff(sw, partitionEnd.Sub(w.now)) })
+		}
+	}
+	w.submit(j, 40*time.Second, false)
+	w.run(22 * time.Second)
+	require.Len(t, partitioned, maxCrashes)
+	for _, sw := range partitioned {
+		require.True(t, sw.isUp)
+		require.Nil(t, sw.runs[target], "the task runs on a worker that was not partitioned")
+		w.crashAndReturn(sw, false)
+	}
+	w.run(60 * time.Second)
+	require.Zero(t, w.jobs[j.ID].crashes[target], "no worker crashed under the task")
+	require.Equal(t, job.Completed, w.state(j.ID))
+}
+
+// A task that crashes its workers before they have answered its start was started without end: the
+// leader doesn't know that the run has begun.
+func TestCrashBeforeAnswerToStartCounts(t *testing.T) {
+	for mode, sameID := range returnModes {
+		t.Run(mode, func(t *testing.T) {
+			w := newCrashWorld(sameID)
+			w.onStart = func(sw *simWorker, id job.Task) {
+				if !sw.runs[id].job.deadly[id] {
+					return
+				}
+				// The worker crashes within its start, so its answer is never sent.
+				w.crashAndReturn(sw, sameID)
+				w.faults.answerLost = 1
+				w.after(0, func() { w.faults.answerLost = 0 })
+			}
+			deadly := w.submitDeadly(w.simpleJob(1), 500*time.Millisecond, 0)
+			w.run(60 * time.Second)
+			requireGivenUp(t, w, deadly)
+		})
+	}
+}
+
+// A task isn't blamed for a worker on which its run has lapsed during a partition, if the host is
+// then maintained: the order explains the new worker. Its job was reported as failed although no
+// worker had crashed.
+func TestMaintenanceAfterLapseIsNoCrash(t *testing.T) {
+	w := newWorld(1, map[string]int{"a": 8}, 0)
+	w.submit(w.newLongRunning("a", 3), 0, false)
+	w.run(2 * time.Second)
+	j := w.simpleJob(1)
+	target := job.Task{Job: j.ID}
+	var hosts []HostID
+	w.onStart = func(sw *simWorker, id job.Task) {
+		if id == target && len(hosts) < maxCrashes {
+			hosts = append(hosts, sw.Host)
+			w.after(5*time.Millisecond, func() { w.cutOff(sw, 40*time.Second) })
+		}
+	}
+	w.submit(j, 60*time.Second, false)
+	w.run(19 * time.Second)
+	v := Wave{Number: 1, Hosts: hosts, Duration: time.Second, MaxCount: maxCrashes}
+	w.waves = append(w.waves, v)
+	w.leaders[len(w.leaders)-1].s.RequestWave(w.now, w.wall(), v)
+	w.run(80 * time.Second)
+	require.Len(t, hosts, maxCrashes)
+	require.Zero(t, w.jobs[j.ID].crashes[target], "no worker crashed under the task")
+	require.Equal(t, job.Completed, w.state(j.ID))
+}
