fix(scheduling): don't blame lapsed runs for later ends of a worker

A run whose lease had lapsed was still counted as a crash when the same worker had answered again and crashed for another reason, or when its host was maintained or moved by an order: the job of an innocent task was reported as failed (LOST). Such runs are forgotten now when the worker answers or its host is ordered.

Found by review. TestCrashBeforeAnswerToStartCounts remains: a crash before the start is answered isn't counted, as those of starts to a dead worker aren't.

--- a/fleet/scheduling/crash.go
+++ b/fleet/scheduling/crash.go
@@ -77,8 +77,8 @@
 	return h != nil && (h.order.kind != noOrder || h.Pool != w.Pool || h.State == HostMoving || h.State == HostMaintenance)
 }
 
-// rememberLapsed keeps the runs of a worker that may have crashed it, until its host runs
-// another worker or the same one answers again.
+// rememberLapsed keeps the runs of a worker that may have crashed it, until its host is ordered or
+// runs another worker, or the same one answers again.
 func (s *Scheduler) rememberLapsed(now time.Time, w *worker) {
 	if w.Host == "" || w.Draining || s.isHostOrdered(w) {
 		return
--- a/fleet/scheduling/hostorder.go
+++ b/fleet/scheduling/hostorder.go
@@ -45,6 +45,7 @@
 		w.cordoned, w.hostOrdered = true, true
 	}
 	h.order = hostOrder{kind: moveOrder, pool: pool}
+	delete(s.lapsedRuns, h.ID)
 	s.emit(Move{Host: h.ID, Pool: pool, Token: token})
 	return true
 }
--- a/fleet/scheduling/report.go
+++ b/fleet/scheduling/report.go
@@ -73,6 +73,7 @@
 	if !w.unreachableSince.IsZero() {
 		s.logDecision("worker reachable again", "", "Worker", string(w.ID), "AfterMs", now.Sub(w.unreachableSince).Milliseconds())
 		w.unreachableSince = time.Time{}
+		delete(s.lapsedRuns, w.Host)
 		s.dirty = true
 	}
 }
--- a/fleet/scheduling/wave.go
+++ b/fleet/scheduling/wave.go
@@ -299,6 +299,7 @@
 	s.logDecision("maintenance ordered", "", "Host", string(h.ID), "Wave", v.Number, "Token", token, "Runs", runs,
 		"AfterMs", now.Sub(v.firstSeenAt).Milliseconds())
 	h.order = hostOrder{kind: maintainOrder, wave: v.Number}
+	delete(s.lapsedRuns, h.ID)
 	s.emit(Maintain{Host: h.ID, Wave: v.Number, Token: token})
 	return true
 }
