fix(scheduling): clear long-running tasks of crashes once they run

The crashes counted against a long-running task never expired, so three crashes of workers in the months of its life, each just after one of its starts, would give it up for ever (LOST). A run that has proved itself clears the task now; a task that crashes each worker that starts it has no such run.

Found by review. TestLongRunningTaskIsClearedOfCrashes failed before.

--- a/fleet/scheduling/crash.go
+++ b/fleet/scheduling/crash.go
@@ -35,12 +35,19 @@
 	lapsedAt time.Time
 }
 
-// markListed records that a report lists a run.
+// markListed records that a report lists a run. One that has proved itself clears a long-running task
+// of earlier crashes.
 func (r *run) markListed(now time.Time) {
 	if r.begunAt.IsZero() {
 		r.begunAt = now
 	}
-	r.isProven = r.isProven || now.Sub(r.begunAt) >= crashWindow
+	if r.isProven || now.Sub(r.begunAt) < crashWindow {
+		return
+	}
+	r.isProven = true
+	if r.task.step.LongRunning {
+		r.task.crashed = nil // it may share its workers with others that crash them for months
+	}
 }
 
 // mayHaveCrashed reports whether a run may have crashed its worker.
@@ -168,13 +175,15 @@
 	return false
 }
 
-// acceptsNewRuns reports whether a run may begin on the worker beside an isolated one.
+// acceptsNewRuns reports whether the worker, apart from its capacity, may get runs that aren't
+// isolated.
 func (w *worker) acceptsNewRuns(now time.Time) bool {
 	return !w.runsIsolated() && !now.Before(w.quietUntil)
 }
 
 // chooseIsolated returns the worker with the highest score on which no run has just begun, or
-// nil. Then one of the others gets no new runs for isolationWait, if at most half of the pool does.
+// nil. Then one of the others gets no new runs for isolationWait, while less than half of the pool does
+// already.
 func (s *Scheduler) chooseIsolated(now time.Time, v *poolView, st *step, t *task) *worker {
 	var best, busy *worker
 	var bestScore, busyScore float64
--- a/fleet/scheduling/crash_test.go
+++ b/fleet/scheduling/crash_test.go
@@ -226,11 +226,39 @@
 				deadly := w.submitDeadly(j, 500*time.Millisecond, 0)
 				w.run(60 * time.Second)
 				requireGivenUp(t, w, deadly)
+				crashes := w.jobs[deadly.Job].crashes[deadly]
+				w.run(240 * time.Second)
+				require.Equal(t, crashes, w.jobs[deadly.Job].crashes[deadly], "it is started again later")
 			})
 		}
 	}
 }
 
+// A long-running task is cleared of the crashes that it was counted for once it has run for a
+// moment: three workers that crash in the months of its life give it up otherwise (LOST).
+func TestLongRunningTaskIsClearedOfCrashes(t *testing.T) {
+	w := newCrashWorld(false)
+	j := w.newLongRunning("a", 2)
+	id := job.Task{Job: j.ID}
+	crashes := 0
+	w.onStart = func(sw *simWorker, o job.Task) {
+		r := sw.runs[o]
+		if o != id || crashes == 2*maxCrashes {
+			return
+		}
+		w.after([]time.Duration{simCrashDelay, 5 * time.Second}[crashes%2], func() {
+			if sw.runs[o] == r {
+				crashes++
+				w.crashAndReturn(sw, false)
+			}
+		})
+	}
+	w.submit(j, 0, false)
+	w.run(120 * time.Second)
+	require.Equal(t, 2*maxCrashes, crashes)
+	require.True(t, w.isAvailable(id))
+}
+
 // takeoverDelays are the times from a crash to the kill of the leader: before it has noticed the
 // crash, while the worker doesn't answer, and once the worker is back.
 var takeoverDelays = map[string]time.Duration{
@@ -369,8 +397,7 @@
 	}
 }
 
-// The first task of a long step that shares each worker with a deadly task is not blamed for
-// its crashes: a neighbour that lasts keeps serving.
+// Long-running tasks that share their workers with a deadly task aren't given up with it.
 func TestLongRunningNeighbourOfDeadlyTaskServes(t *testing.T) {
 	w := newCrashWorld(false)
 	j := w.newLongRunning("a", 4)
