fix(scheduling): count crashes on hosts that were moved before

A worker that crashed soon after its host was moved to its pool was taken for one that the move had ended, as the order stays open until a list shows the new worker. An order that was accepted, or a list that was requested, before the worker was registered no longer explains its end.

TestCrashAfterMoveCounts covers it.

--- a/fleet/scheduling/crash.go
+++ b/fleet/scheduling/crash.go
@@ -75,13 +75,21 @@
 }
 
 // isHostOrdered reports whether an order for its host may have ended the worker. Orders of
-// earlier leaders show in the list of hosts, or as a move to another pool.
+// earlier leaders show in a list of hosts that was requested since the worker was registered. An
+// order that was accepted before doesn't explain its end.
 func (s *Scheduler) isHostOrdered(w *worker) bool {
-	if w.hostOrdered {
+	h := s.hosts.get(w.Host)
+	switch {
+	case w.hostOrdered:
 		return true
+	case h == nil:
+		return false
+	case h.order.kind != noOrder:
+		return !h.order.accepted || w.registeredAt.Before(h.order.acceptedAt)
+	default:
+		isAway := h.Pool != w.Pool || h.State == HostMoving || h.State == HostMaintenance
+		return isAway && s.hostsRequestedAt.After(w.registeredAt)
 	}
-	h := s.hosts.get(w.Host)
-	return h != nil && (h.order.kind != noOrder || h.Pool != w.Pool || h.State == HostMoving || h.State == HostMaintenance)
 }
 
 // rememberLapsed keeps the runs of a worker that may have crashed it, until its host is ordered or
--- a/fleet/scheduling/crash_test.go
+++ b/fleet/scheduling/crash_test.go
@@ -613,3 +613,18 @@
 	require.Zero(t, w.jobs[j.ID].crashes[target], "no worker crashed under the task")
 	require.Equal(t, job.Completed, w.state(j.ID))
 }
+
+// A worker that crashes soon after its host was moved isn't taken for one that the move ended: the
+// order stays open until a list shows the new worker, which a worker that crashes at once never is.
+func TestCrashAfterMoveCounts(t *testing.T) {
+	s, now := readyScheduler(t)
+	s.HostsListed(now, now, []Host{{ID: "h-w1", Pool: "spare", State: HostUp, Labels: []string{"a"}, Capacity: testWorker("w1").Capacity}})
+	s.hosts.get("h-w1").order = hostOrder{kind: moveOrder, pool: "p", accepted: true, acceptedAt: now.Add(-time.Second), doneBy: now.Add(time.Second)}
+	o := startOne(t, s, now, testJob(1))
+	now = now.Add(simCrashDelay)
+	s.Held(now, 0, o.Worker, 0, now, Answer{Outcome: Unknown}, Report{})
+	next := testWorker("w2")
+	next.Host, next.StartedAt = "h-w1", 2
+	s.Register(now.Add(simCrashReturn), next)
+	require.Equal(t, []int64{o.Run}, s.findTask(o.Task).crashed)
+}
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -101,7 +101,7 @@
 
 // HostsListed updates the hosts from the platform's list, requested at sentAt.
 func (s *Scheduler) HostsListed(now time.Time, sentAt time.Time, hosts []Host) {
-	s.hostsListedAt = now
+	s.hostsListedAt, s.hostsRequestedAt = now, sentAt
 	seen := make(map[HostID]bool, len(hosts))
 	for _, l := range hosts {
 		seen[l.ID] = true
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -74,8 +74,8 @@
 	viewLag time.Duration
 	// startedAt is when this leader took over.
 	startedAt time.Time
-	// hostsListedAt is when the hosts were last listed.
-	hostsListedAt time.Time
+	// hostsListedAt is when the hosts were last listed, by a list requested at hostsRequestedAt.
+	hostsListedAt, hostsRequestedAt time.Time
 	// hostOrderBudget is how many orders for hosts may be sent, as of hostOrderBudgetAt.
 	hostOrderBudget   float64
 	hostOrderBudgetAt time.Time
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -62,6 +62,8 @@
 	// entryUnread is set while the worker's entry, with its capacity and labels, is that of an
 	// earlier incarnation.
 	entryUnread bool
+	// registeredAt is when this incarnation was registered or restored.
+	registeredAt time.Time
 	// idleSince is when a report first showed that the worker runs nothing, or when it was
 	// registered. It is zero from the start of a run until such a report.
 	idleSince time.Time
@@ -102,7 +104,7 @@
 func newWorker(now time.Time, e Entry) *worker {
 	return &worker{
 		Entry: e, runs: newTable[job.Task, *run](), runsByStep: make(map[*step]int),
-		registered: true, idleSince: now, nextHold: now,
+		registered: true, registeredAt: now, idleSince: now, nextHold: now,
 	}
 }
 
