fix(scheduling): isolate tasks whose start had no answer before a crash

A task that crashes its worker before the answer to its start has left went uncounted, while the innocent runs beside it were counted. It now isolates the task. If an isolated run crashes its worker, answered or not, that is counted, and the job fails after two.

--- a/fleet/scheduling/crash.go
+++ b/fleet/scheduling/crash.go
@@ -68,12 +68,25 @@
 		return
 	}
 	for _, r := range w.runs.all() {
-		if r.mayHaveCrashed() {
+		switch {
+		case r.mayHaveCrashed():
+			s.countCrash(now, r, w.Incarnation)
+		case !r.wasOrderedBefore(w.unreachableSince):
+		case r.isIsolated:
 			s.countCrash(now, r, w.Incarnation)
+		default:
+			// The start has no answer, so the run may have crashed the worker or never begun.
+			r.task.suspected = true
 		}
 	}
 }
 
+// wasOrderedBefore reports whether a run without an answer was ordered before its worker ceased to
+// answer.
+func (r *run) wasOrderedBefore(at time.Time) bool {
+	return (r.phase == starting || r.phase == uncertain) && !at.IsZero() && r.orderedAt.Before(at)
+}
+
 // isHostOrdered reports whether an order for its host may have ended the worker. Orders of
 // earlier leaders show in a list of hosts that was requested since the worker was registered. An
 // order that was accepted before doesn't explain its end.
@@ -129,14 +142,14 @@
 	s.giveUpIfDeadly(t, r.isIsolated)
 }
 
-// giveUpIfDeadly gives up a task under which a worker crashed while it was isolated, or too many
-// in all: its job fails at the next tick. A long-running task is only not started any more after
+// giveUpIfDeadly gives up a task under which two workers have crashed, the last while it was isolated,
+// or too many in all: its job fails at the next tick. A long-running task is only not started any more after
 // too many crashes, as the other tasks of its step go on serving.
 func (s *Scheduler) giveUpIfDeadly(t *task, isolated bool) {
 	switch {
 	case t.isGivenUp():
 		s.logDecision("long-running task given up", t.job().ID, "Task", t.id().String(), "Crashes", len(t.crashed))
-	case !t.step.LongRunning && (isolated || len(t.crashed) >= maxCrashes):
+	case !t.step.LongRunning && (isolated && len(t.crashed) > 1 || len(t.crashed) >= maxCrashes):
 		s.deadlyJobs = append(s.deadlyJobs, t.job())
 	}
 }
@@ -156,7 +169,7 @@
 
 // isIsolated reports whether a task starts only where no other run has just begun.
 func (t *task) isIsolated() bool {
-	return len(t.crashed) > 0
+	return t.suspected || len(t.crashed) > 0
 }
 
 // crashesStored reports whether the crashes under the tasks of a job are stored, so that the
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -105,6 +105,8 @@
 	failed []int64
 	// crashed lists the numbers of the runs that may have crashed their workers, each once.
 	crashed []int64
+	// suspected is set if a start of the task had no answer and its worker crashed.
+	suspected bool
 	// checkpoint is the checkpoint from which the next run resumes, empty if none.
 	checkpoint string
 	// lastRun is the highest run number used.
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -183,6 +183,7 @@
 	if e.Host == "" {
 		e.Host = w.Host
 	}
+	s.countCrashes(now, w)
 	var unconfirmed []*run
 	for _, r := range w.runs.all() {
 		if r.phase == starting || r.phase == uncertain {
@@ -193,7 +194,7 @@
 		s.detach(r)
 	}
 	earlier := s.unaccounted[w.ID]
-	s.replaceCrashed(now, w, "restarted")
+	s.removeWorker(now, w, "restarted")
 	next := newWorker(now, e)
 	s.workers.put(e.ID, next)
 	if earlier != nil {
