--- a/fleet/scheduling/crash_test.go
+++ b/fleet/scheduling/crash_test.go
@@ -534,7 +534,7 @@
 	require.Len(t, w.violations, 1)
 }
 
-// A task isn't blamed for a worker on which its run has lapsed during a partition, if that worker
+// No crash counts against a task for a worker on which its run has lapsed during a partition, if that worker
 // has answered again and crashes later. Its job was reported as failed although no worker had
 // crashed under it.
 func TestCrashAfterPartitionIsNotCounted(t *testing.T) {
@@ -587,7 +587,7 @@
 	}
 }
 
-// A task isn't blamed for a worker on which its run has lapsed during a partition, if the host is
+// No crash counts against a task for a worker on which its run has lapsed during a partition, if the host is
 // then maintained: the order explains the new worker. Its job was reported as failed although no
 // worker had crashed.
 func TestMaintenanceAfterLapseIsNoCrash(t *testing.T) {
