fix(scheduling): store the runs that may crash their workers

Cause: a leader learns of a crash some seconds later, when the worker is back, and nothing was stored about the start. A leader that ended before left its successor without a trace.

Change: runs that may crash their workers are stored as unproven runs in the progress of their job. Isolated runs, and runs of jobs that an earlier leader may have started, are ordered only once that is stored; the other new runs are stored once their worker doesn't answer. The next leader counts the crash when it learns of it. An unproven run is dropped when it proves itself, ends, or its worker answers without it.

--- a/fleet/job/progress.go
+++ b/fleet/job/progress.go
@@ -35,10 +35,25 @@
 	Failed []int64 `json:"F,omitempty"`
 	// Crashed lists the numbers of the runs that may have crashed their workers, each once.
 	Crashed []int64 `json:"K,omitempty"`
+	// Unproven lists the runs that may crash their workers, or may have crashed them. A new
+	// leader counts such a crash once it learns of it.
+	Unproven []UnprovenRun `json:"R,omitempty"`
 	// Checkpoint is the checkpoint from which a new run resumes.
 	Checkpoint string `json:"C,omitempty"`
 }
 
+// UnprovenRun is a run that has just begun, or is about to, on an incarnation of a worker.
+type UnprovenRun struct {
+	Run    int64  `json:"N"`
+	Worker string `json:"W"`
+	// StartedAt is the start time of the worker's incarnation in Unix milliseconds, 0 if unknown.
+	StartedAt int64 `json:"B,omitempty"`
+	// Isolated is set if no other run that may crash the worker began beside it.
+	Isolated bool `json:"I,omitempty"`
+	// Begun is set once the worker has accepted the run. Without it, the run may never have begun.
+	Begun bool `json:"G,omitempty"`
+}
+
 // Progress is the stored progress of a job, in one record.
 //
 // A job has up to three records: its accepted one, a Job, its cancelled one, and its
--- a/fleet/scheduling/capacity_test.go
+++ b/fleet/scheduling/capacity_test.go
@@ -222,8 +222,8 @@
 	h := &harness{s: s, now: testStart, commits: 1, ends: make(map[WorkerID]int64)}
 	h.shrink("w1", 16000)
 	h.s.Held(h.now, 0, stored.Incarnation, 0, h.now, accepted, Report{StartedAt: 1, ClockMs: 10})
-	require.Len(t, h.tick(), 2)
-	require.Empty(t, h.tick())
+	require.Len(t, h.tickStored(), 2)
+	require.Empty(t, h.tickStored())
 }
 
 // A worker that a hold shows to have started again has no known capacity until its entry is
@@ -242,10 +242,10 @@
 	h := &harness{s: s, now: testStart, ends: make(map[WorkerID]int64)}
 	storeAll(s)
 	s.Held(h.now, 0, next.Incarnation, 0, h.now, accepted, Report{StartedAt: 2, ClockMs: 10})
-	require.Empty(t, h.tick(), "the entry of the new incarnation isn't read yet")
+	require.Empty(t, h.tickStored(), "the entry of the new incarnation isn't read yet")
 	next.Capacity.CPU = 16000
 	s.Register(h.now, next)
-	require.Len(t, h.tick(), 2)
+	require.Len(t, h.tickStored(), 2)
 }
 
 // A step that no host can run while all hosts have shrunk waits, and starts once one has grown
--- a/fleet/scheduling/commit.go
+++ b/fleet/scheduling/commit.go
@@ -11,6 +11,8 @@
 	jobs       map[*jobState]storedJob
 	ends       map[WorkerID]incarnationEnds
 	registered []*worker
+	// recorded are the runs that are ordered once the commit is stored.
+	recorded []*run
 	// hosts are the hosts whose reservations it holds.
 	hosts []HostID
 }
@@ -34,14 +36,14 @@
 }
 
 // IsUrgent reports whether the next commit shouldn't be delayed. It is urgent if it has the
-// progress of an ended job, whose caller waits, a job's new data centre or crash, or any record
-// other than progress, such as a registration: tasks or orders may wait for it.
+// progress of an ended job, whose caller waits, a job's new data centre, crash or unproven run, or
+// any record other than progress, such as a registration: tasks or orders may wait for it.
 func (s *Scheduler) IsUrgent() bool {
 	if len(s.records) > 0 {
 		return true
 	}
 	for _, js := range s.changed {
-		if js.state.Final() || js.addingDataCentre || !js.crashesStored() {
+		if js.state.Final() || js.addingDataCentre || js.hasNewUnproven || !js.crashesStored() {
 			return true
 		}
 	}
@@ -57,7 +59,7 @@
 	pending := &pendingCommit{jobs: make(map[*jobState]storedJob), ends: make(map[WorkerID]incarnationEnds)}
 	records := s.records
 	for _, js := range s.changed {
-		js.changed = false
+		js.changed, js.hasNewUnproven = false, false
 		b, err := js.progress().Encode()
 		if err != nil {
 			s.logDecision("encoding progress failed", js.ID, "Error", err.Error())
@@ -77,8 +79,8 @@
 			pending.registered = append(pending.registered, w)
 		}
 	}
-	pending.hosts = s.reserving
-	s.changed, s.records, s.reserving = nil, nil, nil
+	pending.hosts, pending.recorded = s.reserving, s.recording
+	s.changed, s.records, s.reserving, s.recording = nil, nil, nil, nil
 	clear(s.unstoredEnds)
 	s.pendingCommits[s.lastCommit] = pending
 	if len(records) == 0 {
@@ -112,6 +114,9 @@
 			}
 		}
 	}
+	for _, r := range pending.recorded {
+		r.markRecorded()
+	}
 	s.reservationsStored(pending.hosts)
 	for _, w := range pending.registered {
 		if w.registration == registrationSent {
--- a/fleet/scheduling/crash.go
+++ b/fleet/scheduling/crash.go
@@ -29,15 +29,17 @@
 // lapsedRun is a run that had just begun when its worker became unreachable, and whose lease
 // has lapsed. It counts as a crash if the host then runs another worker.
 type lapsedRun struct {
-	run      *run
-	worker   Incarnation
-	pool     string
-	lapsedAt time.Time
+	task       *task
+	number     int64
+	isIsolated bool
+	worker     Incarnation
+	pool       string
+	lapsedAt   time.Time
 }
 
 // markListed records that a report lists a run. One that has proved itself clears a long-running task
 // of earlier crashes.
-func (r *run) markListed(now time.Time) {
+func (s *Scheduler) markListed(now time.Time, r *run) {
 	if r.begunAt.IsZero() {
 		r.begunAt = now
 	}
@@ -45,6 +47,8 @@
 		return
 	}
 	r.isProven = true
+	s.dropUnproven(r.task, r.number)
+	r.task.clearSuspicion()
 	if r.task.step.LongRunning {
 		r.task.crashed = nil // it may share its workers with others that crash them for months
 	}
@@ -67,13 +71,14 @@
 	if w.Draining || s.isHostOrdered(w) {
 		return
 	}
+	s.countInheritedUnproven(now, w)
 	for _, r := range w.runs.all() {
 		switch {
 		case r.mayHaveCrashed():
-			s.countCrash(now, r, w.Incarnation)
+			s.countCrash(now, r.task, r.number, r.isIsolated, w.Incarnation)
 		case !r.wasOrderedBefore(w.unreachableSince):
 		case r.isIsolated:
-			s.countCrash(now, r, w.Incarnation)
+			s.countCrash(now, r.task, r.number, true, w.Incarnation)
 		default:
 			// The start has no answer, so the run may have crashed the worker or never begun.
 			r.task.suspected = true
@@ -113,33 +118,43 @@
 	}
 	for _, r := range w.runs.all() {
 		if r.mayHaveCrashed() {
-			s.lapsedRuns[w.Host] = append(s.lapsedRuns[w.Host], lapsedRun{run: r, worker: w.Incarnation, pool: w.Pool, lapsedAt: now})
+			s.rememberLapsedRun(now, w, r.task, r.number, r.isIsolated)
 		}
 	}
+	s.inheritedUnproven(w, func(t *task, u job.UnprovenRun) {
+		if u.Begun || u.Isolated {
+			s.rememberLapsedRun(now, w, t, u.Run, u.Isolated)
+		}
+	})
+}
+
+func (s *Scheduler) rememberLapsedRun(now time.Time, w *worker, t *task, number int64, isIsolated bool) {
+	s.lapsedRuns[w.Host] = append(s.lapsedRuns[w.Host], lapsedRun{
+		task: t, number: number, isIsolated: isIsolated, worker: w.Incarnation, pool: w.Pool, lapsedAt: now,
+	})
 }
 
 // checkLapsed counts the lapsed runs of a host as crashes if the host now runs another worker.
 func (s *Scheduler) checkLapsed(now time.Time, e Entry) {
 	for _, l := range s.lapsedRuns[e.Host] {
 		if l.worker != e.Incarnation && e.StartedAt > l.worker.StartedAt && l.pool == e.Pool && now.Sub(l.lapsedAt) < maxLapsedAge {
-			s.countCrash(now, l.run, l.worker)
+			s.countCrash(now, l.task, l.number, l.isIsolated, l.worker)
 		}
 	}
 	delete(s.lapsedRuns, e.Host)
 }
 
 // countCrash counts a crash of a worker against a task, and gives the task up after too many.
-func (s *Scheduler) countCrash(now time.Time, r *run, w Incarnation) {
-	t := r.task
-	if t.done || t.job().state.Final() || slices.Contains(t.crashed, r.number) {
+func (s *Scheduler) countCrash(now time.Time, t *task, number int64, isIsolated bool, w Incarnation) {
+	if t.done || t.job().state.Final() || slices.Contains(t.crashed, number) {
 		return
 	}
-	t.crashed = append(t.crashed, r.number)
+	t.crashed = append(t.crashed, number)
 	t.job().crashes++
 	s.markChanged(t.job())
-	s.logDecision("worker crashed under a task", t.job().ID, "Task", t.id().String(), "Run", r.number, "Worker", string(w.ID), "Born", w.StartedAt,
-		"AgeMs", now.Sub(r.orderedAt).Milliseconds(), "Crashes", len(t.crashed), "Isolated", r.isIsolated)
-	s.giveUpIfDeadly(t, r.isIsolated)
+	s.logDecision("worker crashed under a task", t.job().ID, "Task", t.id().String(), "Run", number, "Worker", string(w.ID), "Born", w.StartedAt,
+		"SinceTakeoverMs", now.Sub(s.startedAt).Milliseconds(), "Crashes", len(t.crashed), "Isolated", isIsolated)
+	s.giveUpIfDeadly(t, isIsolated)
 }
 
 // giveUpIfDeadly gives up a task under which two workers have crashed, the last while it was isolated,
--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -126,7 +126,7 @@
 			s.Register(testStart, w2)
 			s.Held(testStart, 0, w1.Incarnation, 0, testStart, accepted, Report{StartedAt: 1, ClockMs: 10})
 			s.Held(testStart, 0, w2.Incarnation, 0, testStart, Answer{Outcome: Unknown}, Report{})
-			s.Tick(testStart, 0)
+			tickStored(s, testStart)
 			require.Empty(t, starts(s.TakeActions()), "w2 may run the task")
 			now := testStart.Add(500 * time.Millisecond)
 			s.ConfirmLeadership(now)
@@ -135,7 +135,7 @@
 			s.HostsListed(now, testStart.Add(100*time.Millisecond), []Host{h1, h2})
 			now = now.Add(2 * placementInterval)
 			s.ConfirmLeadership(now)
-			s.Tick(now, 0)
+			tickStored(s, now)
 			require.Equal(t, tt.want, len(starts(s.TakeActions())) == 1)
 		})
 	}
@@ -294,12 +294,12 @@
 	// Just before the end of the lease leadership is confirmed, so that leases may be extended.
 	s.ConfirmLeadership(s.inheritedUntil.Add(-time.Millisecond))
 	now := s.inheritedUntil.Add(time.Second)
-	s.Tick(now, 0)
+	tickStored(s, now)
 	require.Empty(t, starts(s.TakeActions()))
 	require.True(t, s.isUnaccounted("w2"))
 	s.ConfirmLeadership(now)
 	now = now.Add(placementInterval)
-	s.Tick(now, 0)
+	tickStored(s, now)
 	require.Len(t, starts(s.TakeActions()), 1)
 	require.False(t, s.isUnaccounted("w2"))
 }
--- a/fleet/scheduling/harness_test.go
+++ b/fleet/scheduling/harness_test.go
@@ -41,9 +41,18 @@
 
 // tick advances the time by 150 ms, accepts all new starts and returns them.
 func (h *harness) tick() []Start {
+	return h.tickWith(func(s *Scheduler, now time.Time) { s.Tick(now, 0) })
+}
+
+// tickStored is tick with a store that answers at once.
+func (h *harness) tickStored() []Start {
+	return h.tickWith(tickStored)
+}
+
+func (h *harness) tickWith(tick func(s *Scheduler, now time.Time)) []Start {
 	h.now = h.now.Add(150 * time.Millisecond)
 	h.s.ConfirmLeadership(h.now)
-	h.s.Tick(h.now, 0)
+	tick(h.s, h.now)
 	ordered := starts(h.s.TakeActions())
 	for _, st := range ordered {
 		h.s.Started(h.now, st.Worker, st.Task, st.Run, Answer{Outcome: Accepted, ClockMs: 10})
@@ -60,6 +69,14 @@
 	}
 }
 
+// tickStored runs a tick and stores what it asks for, so that runs of inherited jobs, which are
+// recorded first, are ordered too.
+func tickStored(s *Scheduler, now time.Time) {
+	s.Tick(now, 0)
+	storeAll(s)
+	s.Tick(now.Add(workerTickInterval), 0)
+}
+
 // end reports the end of a run.
 func (h *harness) end(st Start, how EndKind) {
 	h.ends[st.Worker.ID]++
--- a/fleet/scheduling/hedge.go
+++ b/fleet/scheduling/hedge.go
@@ -75,7 +75,7 @@
 		return false
 	}
 	return r.task.run == r && r.task.earlierRun == nil && !r.task.done && !r.task.job().state.Final() &&
-		r.phase != stopping && r.phase != stopped
+		r.phase != recording && r.phase != stopping && r.phase != stopped
 }
 
 // unreachableFor returns how long the worker has been unreachable, 0 if it is reachable.
--- a/fleet/scheduling/leadership_test.go
+++ b/fleet/scheduling/leadership_test.go
@@ -338,7 +338,7 @@
 	s.Restore(testStart, 0, Restored{Jobs: []job.Job{testJob(1)}, Registry: []Entry{w1, w2}})
 	s.Register(testStart, w1)
 	s.Held(testStart, 0, w1.Incarnation, 0, testStart, accepted, Report{StartedAt: 1, ClockMs: 10})
-	s.Tick(testStart, 0)
+	tickStored(s, testStart)
 	decisions := actionsOf[Decision](s.TakeActions())
 	i := slices.IndexFunc(decisions, func(d Decision) bool { return d.Event == "tasks wait for a lease" })
 	require.GreaterOrEqual(t, i, 0)
--- a/fleet/scheduling/lease_test.go
+++ b/fleet/scheduling/lease_test.go
@@ -100,7 +100,7 @@
 	for now.Before(testStart.Add(maxWithoutRun)) {
 		now = now.Add(100 * time.Millisecond)
 		s.ConfirmLeadership(now)
-		s.Tick(now, 0)
+		tickStored(s, now)
 		for _, a := range s.TakeActions() {
 			if h, ok := a.(Hold); ok && h.Worker == w1.Incarnation {
 				s.Held(now, 0, h.Worker, 0, now, Answer{Outcome: Unknown}, Report{})
@@ -150,11 +150,11 @@
 	s.Committed(2)
 	s.Held(now, 0, w2.Incarnation, 0, now, Answer{Outcome: Accepted, ClockMs: 5}, Report{StartedAt: 2, ClockMs: 5})
 	now = now.Add(placementInterval)
-	s.Tick(now, 0)
+	tickStored(s, now)
 	require.Empty(t, starts(s.TakeActions()))
 	s.ConfirmLeadership(now)
 	now = now.Add(placementInterval)
-	s.Tick(now, 0)
+	tickStored(s, now)
 	again := starts(s.TakeActions())
 	require.Len(t, again, 1)
 	require.Equal(t, first.Task, again[0].Task)
--- a/fleet/scheduling/orders.go
+++ b/fleet/scheduling/orders.go
@@ -22,7 +22,11 @@
 		w.isolatedRun = r
 	}
 	w.idleSince = time.Time{}
-	s.sendStart(r, deadline)
+	if r.mustBeRecorded() {
+		s.recordRun(now, r)
+	} else {
+		s.sendStart(r, deadline)
+	}
 	js := t.job()
 	s.logDecision("run ordered", js.ID, "Task", t.id().String(), "Run", number, "Worker", string(w.ID), "Queue", js.Queue,
 		"WaitedMs", now.Sub(t.step.occ.dueAt).Milliseconds(), "Version", s.configuration.Version)
@@ -51,7 +55,11 @@
 
 // stopRun orders a worker to stop a run, also one that isn't known to have started.
 func (s *Scheduler) stopRun(now time.Time, r *run) {
-	if r.phase == stopping || r.phase == stopped {
+	switch r.phase {
+	case stopping, stopped:
+		return
+	case recording:
+		s.dropRecorded(r)
 		return
 	}
 	r.phase = stopping
@@ -67,6 +75,8 @@
 	}
 	w := r.worker
 	switch r.phase {
+	case recording:
+		s.orderRecorded(now, r)
 	case stopping:
 		r.retryAt = time.Time{}
 		s.emit(Stop{Worker: w.Incarnation, Address: w.Address, Task: r.task.id(), Run: r.number, Token: s.cfg.Epoch, NewConnection: r.sendCount > 0})
@@ -147,7 +157,7 @@
 	if r.phase == starting || r.phase == uncertain {
 		r.phase = running
 		r.lastSeenAt = now
-		r.markListed(now)
+		s.markListed(now, r)
 		r.retryAt = time.Time{}
 	}
 	if w := r.worker; !w.holdPending && w.nextHold.After(now) {
@@ -167,6 +177,7 @@
 		return
 	}
 	s.detach(r)
+	s.dropUnproven(r.task, r.number)
 	s.requeue(now, r.task)
 }
 
--- a/fleet/scheduling/report.go
+++ b/fleet/scheduling/report.go
@@ -65,6 +65,7 @@
 		w.unreachableSince = now
 		s.logDecision("worker unreachable", "", "Worker", string(w.ID), "Outcome", o.String(), "Runs", w.runs.len(),
 			"LapsedInMs", w.leaseUntil.Sub(now).Milliseconds())
+		s.recordUnprovenRuns(w)
 	}
 	w.nextHold = now.Add(retryGap)
 }
@@ -124,6 +125,7 @@
 		}
 		s.adopt(now, w, t, row)
 	}
+	s.dropUnlisted(w)
 	s.accountFor(now, w.ID, "answered")
 	s.dirty = s.dirty || len(previous) > len(w.orphans)
 }
@@ -136,7 +138,7 @@
 		s.markStarted(r.task.job())
 	}
 	r.lastSeenAt = now
-	r.markListed(now)
+	s.markListed(now, r)
 	r.reportedPace, r.reportedLoad = row.Percent, row.Load
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
@@ -146,13 +148,16 @@
 // adopt assigns a run that an earlier leader started to its task.
 func (s *Scheduler) adopt(now time.Time, w *worker, t *task, row RunRow) {
 	r := &run{task: t, number: row.Run, phase: running, orderedAt: now, lastSeenAt: now, reportedPace: row.Percent, reportedLoad: row.Load, checkpoint: row.Checkpoint, orderedPace: 100}
-	r.markListed(now)
+	s.markListed(now, r)
 	r.reportsValidFrom = now.Add(s.cfg.StopTime + leaseMargin)
 	if t.step.Backfill {
 		r.orderedPace = row.Percent
 	}
 	s.unqueue(t)
 	s.attach(w, r)
+	if r.isIsolated = t.hasIsolatedRun(row.Run); r.isIsolated {
+		w.isolatedRun = r
+	}
 	w.idleSince = time.Time{}
 	s.markStarted(t.job())
 	s.logDecision("run adopted", t.job().ID, "Task", row.Task.String(), "Run", row.Run, "Worker", string(w.ID))
@@ -207,6 +212,9 @@
 		}
 		s.detach(r)
 	}
+	if t != nil {
+		s.dropUnproven(t, row.Run)
+	}
 	s.logDecision("run ended", row.Task.Job, "Task", row.Task.String(), "Run", row.Run, "Worker", string(w.ID), "How", string(row.How))
 	if t == nil {
 		return
@@ -299,6 +307,7 @@
 		switch {
 		case r.phase == stopped && r.stopAnsweredAt.Before(sentAt):
 			s.detach(r)
+			s.dropUnproven(r.task, r.number)
 			s.requeue(now, r.task)
 		case r.phase == running && r.lastSeenAt.Before(sentAt):
 			s.markLost(now, r)
--- a/fleet/scheduling/restore.go
+++ b/fleet/scheduling/restore.go
@@ -116,6 +116,7 @@
 	for _, number := range slices.Concat(tp.Failed, tp.Crashed) {
 		t.lastRun = max(t.lastRun, number)
 	}
+	s.restoreUnproven(t, tp.Unproven)
 	js := t.job()
 	js.crashes += len(t.crashed)
 	js.storedCrashes = js.crashes
--- a/fleet/scheduling/restore_test.go
+++ b/fleet/scheduling/restore_test.go
@@ -67,8 +67,7 @@
 	for range 100 {
 		at = at.Add(200 * time.Millisecond)
 		s.ConfirmLeadership(at)
-		s.Flush()
-		s.Tick(at, 0)
+		tickStored(s, at)
 		for _, o := range starts(s.TakeActions()) {
 			require.NotEqual(t, job.Task{Job: testID}, o.Task)
 		}
@@ -189,11 +188,11 @@
 	s.Register(testStart, w2)
 	ok := Answer{Outcome: Accepted, ClockMs: 5}
 	s.Held(testStart, 0, w2.Incarnation, 0, testStart, ok, Report{StartedAt: 1, ClockMs: 5})
-	s.Tick(testStart, 0)
+	tickStored(s, testStart)
 	require.Empty(t, starts(s.TakeActions()), "an earlier run may be reported")
 	now := testStart.Add(2 * speculativePause)
 	s.ConfirmLeadership(now)
-	s.Tick(now, 0)
+	tickStored(s, now)
 	require.Len(t, starts(s.TakeActions()), 2)
 	s.Held(now, 0, w1.Incarnation, 0, testStart, ok, Report{
 		StartedAt: 1, ClockMs: 5, Ended: []EndRow{{Number: 1, Task: job.Task{Job: testID}, Run: 1, How: EndDone}},
--- a/fleet/scheduling/scheduler.go
+++ b/fleet/scheduling/scheduler.go
@@ -48,6 +48,10 @@
 	waiting *table[string, []*step]
 	// queuedJobs counts the jobs of each queue of which no task has started.
 	queuedJobs map[string]int
+	// unprovenOn lists the tasks with unproven runs by the worker of these runs.
+	unprovenOn map[Incarnation][]*task
+	// recording are the runs that are ordered once the next commit is stored.
+	recording []*run
 	// lapsedRuns are runs that may have crashed the workers of a host.
 	lapsedRuns map[HostID][]lapsedRun
 	// deadlyJobs are the jobs that fail at the next tick, as a task crashes its workers.
@@ -148,6 +152,7 @@
 		failingImages:     make(map[string]*failureSet),
 		waiting:           newTable[string, []*step](),
 		queuedJobs:        make(map[string]int),
+		unprovenOn:        make(map[Incarnation][]*task),
 		lapsedRuns:        make(map[HostID][]lapsedRun),
 		workers:           newTable[WorkerID, *worker](),
 		hosts:             newTable[HostID, *host](),
--- a/fleet/scheduling/takeover_test.go
+++ b/fleet/scheduling/takeover_test.go
@@ -127,6 +127,6 @@
 	s.Held(now, 0, w2.Incarnation, 0, now, accepted, Report{StartedAt: 1, ClockMs: 5})
 	s.Held(now, 0, w1.Incarnation, 0, now, Answer{Outcome: Unknown}, Report{})
 	now = now.Add(placementInterval)
-	s.Tick(now, 0)
+	tickStored(s, now)
 	require.Empty(t, starts(s.TakeActions()))
 }
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -39,6 +39,8 @@
 	// crashes counts the runs of its tasks that may have crashed their workers, storedCrashes
 	// those of them that are stored.
 	crashes, storedCrashes int
+	// hasNewUnproven is set while an unproven run of its tasks is not part of a commit.
+	hasNewUnproven bool
 	// workRecords is what the store holds of the job's accepted and cancelled records.
 	workRecords workRecords
 	// drops counts the requests to drop these records that have no outcome yet.
@@ -105,8 +107,12 @@
 	failed []int64
 	// crashed lists the numbers of the runs that may have crashed their workers, each once.
 	crashed []int64
-	// suspected is set if a start of the task had no answer and its worker crashed.
+	// suspected is set if a start of the task had no answer and its worker crashed, or if an earlier
+	// leader has stored an unproven run of it.
 	suspected bool
+	// unproven are the runs that may crash their workers, or may have crashed them, and are part
+	// of the stored progress.
+	unproven []job.UnprovenRun
 	// checkpoint is the checkpoint from which the next run resumes, empty if none.
 	checkpoint string
 	// lastRun is the highest run number used.
@@ -131,6 +137,8 @@
 const (
 	// starting runs were ordered; the answer is outstanding.
 	starting runPhase = iota
+	// recording runs are ordered once they are stored as unproven.
+	recording
 	// uncertain runs were ordered, but the call had no answer; the order is sent again.
 	uncertain
 	// running runs are known to exist on their worker.
@@ -341,12 +349,12 @@
 	for _, o := range js.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				if !t.done && len(t.failed) == 0 && len(t.crashed) == 0 && t.checkpoint == "" {
+				if !t.done && len(t.failed) == 0 && len(t.crashed) == 0 && len(t.unproven) == 0 && t.checkpoint == "" {
 					continue
 				}
 				tp := job.TaskProgress{Occurrence: o.number, Step: st.number, Index: t.index, Done: t.done}
 				if !t.done {
-					tp.Failed, tp.Crashed, tp.Checkpoint = t.failed, t.crashed, t.checkpoint
+					tp.Failed, tp.Crashed, tp.Unproven, tp.Checkpoint = t.failed, t.crashed, t.unproven, t.checkpoint
 				}
 				p.Tasks = append(p.Tasks, tp)
 			}
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -234,6 +234,7 @@
 		s.markLost(now, r)
 	}
 	s.workers.drop(w.ID)
+	s.dropUnprovenOn(w.Incarnation)
 	s.accountFor(now, w.ID, reason)
 	delete(s.unstoredEnds, w.ID)
 	s.records = append(s.records, Record{Key: RegistryPrefix + string(w.ID)})
