fix(scheduling): let the host of a killed leader tell that it has ended

What callers saw: after leaders were killed, a long-running task whose worker was lost had no run for more than 9 s beside free capacity (LOST).

Cause: a new leader can't know whether the previous one was killed or runs on without the store, so it took the longest lease that such a leader can extend, 11 s, anew after each takeover. A leader that lived for less than half a second passed on nothing.

Change: a new leader asks the previous leader's host whether that leader may still lead. The next process on the host knows that the claim isn't its own, so the leases of the killed one end a lease after the answer. A new leader gives up the leases of workers that don't answer for 0.4 s, and its first heartbeat that passes on leases isn't delayed.

The simulated hosts of killed leaders answer the question as soon as they have started again. A host without power doesn't answer: there the wait of 11 s remains.

--- a/entry/clock/clock.go
+++ b/entry/clock/clock.go
@@ -28,14 +28,21 @@
 	return time.Now().UnixMilli()
 }
 
-// Sleep waits for d. It returns false if the context ends first.
-func Sleep(ctx context.Context, d time.Duration) bool {
+// SleepUnlessWoken waits for d or until wake receives. It returns false if the context ends first.
+func SleepUnlessWoken(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
 		return true
+	case <-wake:
+		return true
 	case <-ctx.Done():
 		return false
 	}
 }
+
+// Sleep waits for d. It returns false if the context ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	return SleepUnlessWoken(ctx, d, nil)
+}
--- a/entry/election/candidate.go
+++ b/entry/election/candidate.go
@@ -55,6 +55,9 @@
 	HeartbeatAge time.Duration
 	// Leases is what is known about the leases that it and earlier leaders extended.
 	Leases scheduling.PreviousLeader
+	// Host and Nonce are those of its claim. Host is empty if there was no previous leader.
+	Host  relay.Peer
+	Nonce string
 }
 
 // Config holds a candidate's settings and dependencies.
@@ -75,14 +78,15 @@
 
 // Candidate follows the leader stream and claims leadership when there is no leader.
 type Candidate struct {
-	cfg   Config
-	nonce string
+	cfg Config
 	// nonces are all nonces of this process.
 	nonces map[string]bool
 	// previous is passed to the next call of Lead.
 	previous PreviousLeader
 
 	mu sync.Mutex
+	// nonce is that of the present or next claim; guarded by mu.
+	nonce string
 	// state is guarded by mu.
 	state State
 	// noClaimUntil is when this host may claim again; guarded by mu.
@@ -98,8 +102,24 @@
 
 // renewNonce generates the nonce of the next claim.
 func (c *Candidate) renewNonce() {
-	c.nonce = uuid.NewString()
-	c.nonces[c.nonce] = true
+	nonce := uuid.NewString()
+	c.nonces[nonce] = true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nonce = nonce
+}
+
+// claimNonce returns the nonce of the present or next claim.
+func (c *Candidate) claimNonce() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nonce
+}
+
+// MayLead reports whether this process leads under the claim with a nonce, or may still come to.
+// Once that is false it stays so.
+func (c *Candidate) MayLead(nonce string) bool {
+	return nonce == c.claimNonce()
 }
 
 // State returns what this host has read about the leader.
@@ -249,7 +269,7 @@
 func (c *Candidate) campaign(ctx context.Context, loaded bool) {
 	st := c.State()
 	now := c.cfg.Now()
-	if st.Epoch > 0 && st.Claim.Nonce == c.nonce && !st.Released {
+	if st.Epoch > 0 && st.Claim.Nonce == c.claimNonce() && !st.Released {
 		c.lead(ctx, st)
 		return
 	}
@@ -269,7 +289,7 @@
 // claim appends a claim on the condition that the stream still ends where it was last read.
 // Whether the claim won is read from the stream like any other claim.
 func (c *Candidate) claim(ctx context.Context, st State) {
-	claim := Claim{Host: c.cfg.Self, Nonce: c.nonce, Term: st.Claim.Term + 1}
+	claim := Claim{Host: c.cfg.Self, Nonce: c.claimNonce(), Term: st.Claim.Term + 1}
 	if st.Epoch == 0 {
 		claim.Term = 0
 	}
@@ -304,6 +324,7 @@
 		HeartbeatAge: c.cfg.Now().Sub(st.HeartbeatAt),
 		// A leader releases its leadership after its last order.
 		Leases: scheduling.PreviousLeader{Ended: st.Released || c.isPreviousIncarnation(st), Handover: st.Leases},
+		Host:   st.Claim.Host, Nonce: st.Claim.Nonce,
 	}
 	if !st.Stopping && !c.isPreviousIncarnation(st) {
 		return p
--- a/entry/election/handover_test.go
+++ b/entry/election/handover_test.go
@@ -32,3 +32,37 @@
 	require.Equal(t, store.Leader, s.appends[0].Stream)
 	require.GreaterOrEqual(t, c.previous.HeartbeatAge, time.Duration(0), "a has not ended")
 }
+
+// A process answers for a claim only as long as it may lead under it, so that the next leader
+// knows when the leases of this one end.
+func TestProcessMayLeadUntilItsLeadershipEnds(t *testing.T) {
+	log, _ := test.NewNullLogger()
+	var c *Candidate
+	var claim Claim
+	c = NewCandidate(Config{
+		Self: relay.Peer{Name: "a"}, Log: log, Now: time.Now,
+		Lead: func(_ context.Context, _ int64, claim Claim, _ PreviousLeader) error {
+			require.True(t, c.MayLead(claim.Nonce))
+			return nil
+		},
+	})
+	claim.Nonce = c.claimNonce()
+	require.True(t, c.MayLead(claim.Nonce), "the claim may still win")
+	require.False(t, c.MayLead("of an earlier process"))
+	c.lead(context.Background(), State{Epoch: 5, Claim: claim})
+	require.False(t, c.MayLead(claim.Nonce))
+}
+
+// The first heartbeat after a takeover passes on leases at once: leaders that were killed before
+// the next one was due passed on nothing.
+func TestWokenHeartbeatIsSentAtOnce(t *testing.T) {
+	s := &scriptedStore{answers: []error{nil}}
+	wake := make(chan struct{}, 1)
+	wake <- struct{}{}
+	h := newHeartbeater(s, nil, new(int))
+	h.Wake = wake
+	startedAt := time.Now()
+	require.ErrorIs(t, h.Run(context.Background()), store.ErrFenced)
+	require.Len(t, s.appends, 2)
+	require.Less(t, time.Since(startedAt), HeartbeatInterval)
+}
--- a/entry/election/heartbeater.go
+++ b/entry/election/heartbeater.go
@@ -37,6 +37,8 @@
 	// Leases returns what the next leader has to know about leases, or nil before the takeover
 	// is complete.
 	Leases func() *scheduling.LeaseHandover
+	// Wake makes the next heartbeat due at once; it may be nil.
+	Wake <-chan struct{}
 	// Confirmed is called with the send time of each heartbeat that the store accepted.
 	Confirmed func(sentAt time.Time)
 
@@ -73,7 +75,7 @@
 		case ctx.Err() == nil:
 			h.Log.WithField("Error", err.Error()).Debug("heartbeat failed")
 		}
-		clock.Sleep(ctx, HeartbeatInterval-h.Now().Sub(sentAt))
+		clock.SleepUnlessWoken(ctx, HeartbeatInterval-h.Now().Sub(sentAt), h.Wake)
 	}
 	return ctx.Err()
 }
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -59,6 +59,11 @@
 	// counted. Callers are told that the number may be 2 s old; the rest is for the calls
 	// between hosts.
 	maxCountAge = 1500 * time.Millisecond
+	// askPreviousInterval is how often the previous leader's host is asked whether that leader has
+	// ended, and askPreviousFor how long: until the longest lease that it can have extended has
+	// lapsed, as the answer has no use any more then.
+	askPreviousInterval = 300 * time.Millisecond
+	askPreviousFor      = 11 * time.Second
 	// leasesInterval is how often the leases that heartbeats pass on are updated.
 	leasesInterval = 100 * time.Millisecond
 	// forgetInterval is how often the records of ended jobs are dropped.
@@ -86,6 +91,9 @@
 	OnConfiguration func(c *queue.Configuration)
 	// Peers returns the hosts to list in each heartbeat.
 	Peers func() []relay.Peer
+	// HasPreviousEnded asks whether the previous leader has certainly ended; false may mean that
+	// there was no answer. It may be nil.
+	HasPreviousEnded func(ctx context.Context) bool
 }
 
 // event is an input to the scheduler, run on the scheduler's goroutine.
@@ -122,6 +130,8 @@
 	confirmedAt atomic.Pointer[time.Time]
 	// leases is what the next leader has to know about leases, nil until the state is loaded.
 	leases atomic.Pointer[scheduling.LeaseHandover]
+	// wakeHeartbeater makes the next heartbeat due at once.
+	wakeHeartbeater chan struct{}
 	// isSuperseded is set once a later leader's marker was read.
 	isSuperseded atomic.Bool
 }
@@ -130,18 +140,19 @@
 func New(cfg Config, epoch, term int64) *Leader {
 	l := &Leader{
 		cfg: cfg, epoch: epoch, term: term,
-		log:     cfg.Log.WithField("Epoch", epoch),
-		events:  make(chan event, maxQueuedEvents),
-		done:    make(chan struct{}),
-		commits: make(chan scheduling.Commit, 1),
-		relist:  make(chan struct{}, 1),
+		log:             cfg.Log.WithField("Epoch", epoch),
+		events:          make(chan event, maxQueuedEvents),
+		done:            make(chan struct{}),
+		commits:         make(chan scheduling.Commit, 1),
+		relist:          make(chan struct{}, 1),
+		wakeHeartbeater: make(chan struct{}, 1),
 	}
 	l.closeEvents = sync.OnceFunc(func() { close(l.done) })
 	l.callQueues = newCallQueues(l)
 	l.catchUps = newSharedCall(l.catchUp)
 	l.heartbeater = &election.Heartbeater{
 		Epoch: epoch, Term: term, Self: cfg.Self, Store: cfg.Store, Log: l.log, Now: cfg.Now, Peers: cfg.Peers,
-		Leases: l.leases.Load,
+		Leases: l.leases.Load, Wake: l.wakeHeartbeater,
 		Confirmed: func(sentAt time.Time) {
 			l.confirmedAt.Store(&sentAt)
 			l.enqueue(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.ConfirmLeadership(sentAt) })
@@ -201,6 +212,9 @@
 	g.Go(func() error { return l.tailWorkers(ctx, from.workers) })
 	g.Go(func() error { return l.tailOperator(ctx, from.operator) })
 	g.Go(func() error { return l.listHosts(ctx) })
+	if l.cfg.HasPreviousEnded != nil && !l.cfg.Scheduling.Previous.Ended {
+		g.Go(func() error { return l.askPrevious(ctx) })
+	}
 	g.Go(func() error { return l.commit(ctx) })
 	g.Go(func() error { return l.loop(ctx, sch) })
 	return nil
@@ -257,6 +271,28 @@
 	}
 }
 
+// askPrevious tells the scheduler once the previous leader has certainly ended.
+func (l *Leader) askPrevious(ctx context.Context) error {
+	for until := l.cfg.Now().Add(askPreviousFor); l.cfg.Now().Before(until); {
+		if l.cfg.HasPreviousEnded(ctx) {
+			l.enqueue(func(sch *scheduling.Scheduler, now time.Time, _ int64) { sch.PreviousEnded(now) })
+			return nil
+		}
+		if !clock.Sleep(ctx, askPreviousInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// passOnLeases updates what the next leader has to know about leases. The first time it is
+// passed on at once, as this leader may be killed before the next heartbeat is due.
+func (l *Leader) passOnLeases(h *scheduling.LeaseHandover) {
+	if l.leases.Swap(h) == nil {
+		l.wakeHeartbeater <- struct{}{}
+	}
+}
+
 // loop runs the scheduler. Its goroutine is the only one that uses it.
 func (l *Leader) loop(ctx context.Context, sch *scheduling.Scheduler) error {
 	tick := time.NewTicker(tickInterval)
@@ -296,7 +332,7 @@
 		}
 		if !now.Before(leasesAt) {
 			leasesAt = now.Add(leasesInterval)
-			l.leases.Store(sch.HandOverLeases(now))
+			l.passOnLeases(sch.HandOverLeases(now))
 		}
 		l.flush(now, sch)
 		l.dispatch(ctx, sch.TakeActions())
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -107,7 +107,7 @@
 		Follower: n.follower, Batcher: n.batcher, Resolver: n, Log: cfg.Log, Metrics: cfg.Metrics, Wall: cfg.Wall,
 		DataCentres: cfg.DataCentres,
 	})
-	n.server = relay.NewServer(relay.ServerConfig{Log: cfg.Log, Store: cfg.Direct, Resolver: n, Hello: n.recordHello})
+	n.server = relay.NewServer(relay.ServerConfig{Log: cfg.Log, Store: cfg.Direct, Resolver: n, Hello: n.recordHello, Leading: n.leading})
 	return n
 }
 
@@ -168,12 +168,32 @@
 		Self: n.cfg.Self, Store: n.store, Workers: n.cfg.Workers, Hosts: n.cfg.Hosts, Adviser: n.cfg.Adviser,
 		Decoder: n.cfg.Decoder, Log: n.cfg.Log, Metrics: n.cfg.Metrics, Now: n.cfg.Now, Wall: n.cfg.Wall,
 		Scheduling: cfg, Peers: n.knownPeers, OnConfiguration: n.follower.Adopt,
+		HasPreviousEnded: func(ctx context.Context) bool { return n.hasEnded(ctx, previous) },
 	}, epoch, claim.Term)
 	n.leader.Store(l)
 	defer n.leader.Store(nil)
 	return l.Run(ctx)
 }
 
+// leading answers whether this process leads under a claim.
+func (n *Node) leading(r relay.LeadingRequest) relay.LeadingAnswer {
+	return relay.LeadingAnswer{Name: n.cfg.Self.Name, MayLead: n.candidate.MayLead(r.Nonce)}
+}
+
+// hasEnded reports whether the previous leader has certainly ended: its own host says so. It
+// asks the host's next process if the one that led was killed.
+func (n *Node) hasEnded(ctx context.Context, previous election.PreviousLeader) bool {
+	if previous.Host.Name == "" {
+		return false
+	}
+	a, err := n.cfg.Relay.Leading(ctx, previous.Host, relay.LeadingRequest{Nonce: previous.Nonce})
+	if err != nil {
+		n.cfg.Log.WithFields(logrus.Fields{"Peer": previous.Host.Name, "Error": err.Error()}).Debug("asking the previous leader failed")
+		return false
+	}
+	return a.Name == previous.Host.Name && !a.MayLead
+}
+
 // sendHellos announces this host to the leader, or to the seeds if the leader isn't known
 // or can't be reached.
 func (n *Node) sendHellos(ctx context.Context) {
--- a/entry/node/node_test.go
+++ b/entry/node/node_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/godwitcross/godwitcross/entry/backend"
 	"github.com/godwitcross/godwitcross/entry/election"
@@ -171,3 +172,41 @@
 		})
 	}
 }
+
+// servePeer serves the calls of other entry hosts at a loopback address.
+func servePeer(t *testing.T, n *Node) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := &fasthttp.Server{Handler: n.Server().Handle}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Shutdown() })
+	return l.Addr().String()
+}
+
+// A leader that was killed left its successor waiting for the longest lease, 11 s, though its
+// host's next process knows that it has ended. Another host at its address doesn't know.
+func TestNextProcessTellsThatLeaderHasEnded(t *testing.T) {
+	var dialer net.Dialer
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	next := newTestNode(&fakeStore{}, dial)
+	address := servePeer(t, next)
+	n := newTestNode(&fakeStore{}, dial)
+	tests := map[string]struct {
+		host  relay.Peer
+		nonce string
+		want  bool
+	}{
+		"the claim of a process before it": {relay.Peer{Name: "a", Address: address}, "killed", true},
+		"another host at the address":      {relay.Peer{Name: "b", Address: address}, "killed", false},
+		"no answer":                        {relay.Peer{Name: "a", Address: "127.0.0.1:1"}, "killed", false},
+		"no previous leader":               {relay.Peer{}, "", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tt.want, n.hasEnded(context.Background(), election.PreviousLeader{Host: tt.host, Nonce: tt.nonce}))
+		})
+	}
+}
--- a/entry/relay/client.go
+++ b/entry/relay/client.go
@@ -107,6 +107,13 @@
 	return err
 }
 
+// Leading asks a host whether it leads under a claim.
+func (c *Client) Leading(ctx context.Context, p Peer, r LeadingRequest) (LeadingAnswer, error) {
+	var a LeadingAnswer
+	_, err := c.call(ctx, p, pathLeading, r, &a, callTimeout)
+	return a, err
+}
+
 // Append appends to the store through another host.
 func (c *Client) Append(ctx context.Context, p Peer, a store.Append) (store.Appended, error) {
 	return c.append(ctx, p, a, storeTimeout)
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -28,6 +28,7 @@
 	pathRead    = "/Read"
 	pathNewest  = "/Newest"
 	pathHello   = "/Hello"
+	pathLeading = "/Leading"
 )
 
 // MaxHops bounds how often a lookup is forwarded: to a host that may reach the leader, and
@@ -73,6 +74,19 @@
 	ViewAge time.Duration `json:",omitempty"`
 }
 
+// LeadingRequest asks whether a process leads under the claim with a nonce.
+type LeadingRequest struct {
+	Nonce string
+}
+
+// LeadingAnswer tells whether the process leads under that claim or may still come to. Once that is
+// false it stays so.
+type LeadingAnswer struct {
+	// Name is the name of the host that answers.
+	Name    string
+	MayLead bool
+}
+
 // ReadRequest is a read of a stream.
 type ReadRequest struct {
 	Stream store.Stream
--- a/entry/relay/server.go
+++ b/entry/relay/server.go
@@ -24,6 +24,8 @@
 	Resolver StateResolver
 	// Hello is called with each host that announces itself.
 	Hello func(p Peer)
+	// Leading answers whether this process leads under a claim.
+	Leading func(r LeadingRequest) LeadingAnswer
 }
 
 // Server answers calls of other entry hosts.
@@ -73,6 +75,8 @@
 		return decodeAndAnswer(body, func(r NewestRequest) (store.Page, error) { return s.cfg.Store.Newest(ctx, r.Stream) })
 	case pathHello:
 		return decodeAndAnswer(body, func(p Peer) (struct{}, error) { s.cfg.Hello(p); return struct{}{}, nil })
+	case pathLeading:
+		return decodeAndAnswer(body, func(r LeadingRequest) (LeadingAnswer, error) { return s.cfg.Leading(r), nil })
 	}
 	return nil, store.ErrRefused
 }
--- a/fleet/scheduling/handover.go
+++ b/fleet/scheduling/handover.go
@@ -63,9 +63,35 @@
 	return GivenUpLease{}, false
 }
 
+// firstContactWait is how long a new leader waits for a worker's first answer before it gives up the
+// lease: two attempts.
+const firstContactWait = 400 * time.Millisecond
+
+// PreviousEnded records that the previous leader has ended, so that it extends no lease after now.
+func (s *Scheduler) PreviousEnded(now time.Time) {
+	if s.cfg.Previous.Ended {
+		return
+	}
+	s.cfg.Previous.Ended = true
+	at := s.cfg.Previous.lapseAt(now, s.cfg)
+	if !at.Before(s.inheritedUntil) {
+		return
+	}
+	s.logDecision("previous leader has ended", "", "SinceTakeoverMs", now.Sub(s.startedAt).Milliseconds(),
+		"LapsedInMs", at.Sub(now).Milliseconds(), "BeforeMs", s.inheritedUntil.Sub(now).Milliseconds())
+	s.inheritedUntil = at
+	for _, u := range s.unaccounted {
+		if at.Before(u.lapsesAt) {
+			u.lapsesAt = at
+		}
+	}
+	s.dirty = true
+}
+
 // HandOverLeases returns what the next leader has to know about leases. It gives up the leases of
-// workers that have not answered for extendWhileUnreachable, and of those that are drained and get
-// no more holds, so that their end goes unnoticed. They are extended again only once a new record of
+// workers that have not answered for extendWhileUnreachable, or not at all for firstContactWait, and
+// of those that are drained and get no more holds, so that their end goes unnoticed. They are
+// extended again only once a new record of
 // the worker is stored, which the next leader sees. While leadership isn't confirmed, the store may
 // be down and couldn't take that record, so no lease is given up.
 func (s *Scheduler) HandOverLeases(now time.Time) *LeaseHandover {
@@ -75,7 +101,8 @@
 		if w.registration != registrationStored || !w.contacted && !s.isUnaccounted(w.ID) {
 			continue // an order to its earlier incarnation may still reach it
 		}
-		if isConfirmed && (w.unreachableFor(now) > extendWhileUnreachable || w.isDrained()) {
+		hasNotAnswered := !w.contacted && now.Sub(s.startedAt) > firstContactWait
+		if isConfirmed && (hasNotAnswered || w.unreachableFor(now) > extendWhileUnreachable || w.isDrained()) {
 			w.leaseGivenUp = true
 		}
 		switch lapsesAt := s.lapsesAt(w); {
--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -352,3 +352,50 @@
 	s.ConfirmLeadership(now)
 	require.Empty(t, s.HandOverLeases(now).GivenUp, "run %d may begin there", o.Run)
 }
+
+// Once the previous leader is known to have ended, the leases that it extended end a lease later:
+// after a kill each takeover waited for the longest lease, 11 s (LOST). Without its word on the
+// leaders before it, their leases may last longer.
+func TestLeasesOfEndedLeader(t *testing.T) {
+	cfg := testConfig()
+	const askedAfter = 200 * time.Millisecond
+	longest, lease := testStart.Add(lapseTime(cfg.Grace+cfg.Lease)), testStart.Add(askedAfter+lapseTime(cfg.Lease))
+	earlier, given := testStart.Add(6*time.Second), testStart.Add(time.Second)
+	tests := map[string]struct {
+		handover *LeaseHandover
+		want     time.Time
+	}{
+		"no heartbeat passed on leases":   {nil, longest},
+		"no earlier leases":               {&LeaseHandover{}, lease},
+		"earlier leases last longer":      {&LeaseHandover{EarlierLapseAt: earlier}, earlier},
+		"earlier leases last the longest": {&LeaseHandover{EarlierLapseAt: longest.Add(time.Second)}, longest},
+		"given up before":                 {&LeaseHandover{GivenUp: []GivenUpLease{{Worker: "w1", Registration: 5, LapsesAt: given}}}, given},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			cfg := cfg
+			cfg.Previous = PreviousLeader{Handover: tt.handover}
+			s := New(testStart, cfg)
+			w := testWorker("w1")
+			w.Registration = 5
+			s.Restore(testStart, 0, Restored{Registry: []Entry{w}})
+			s.PreviousEnded(testStart.Add(askedAfter))
+			require.Equal(t, tt.want, s.lapsesAt(s.workers.get("w1")))
+		})
+	}
+}
+
+// A leader that was killed half a second after its takeover passed on nothing about the workers
+// that it hadn't reached, and the next one counted their leases anew (LOST).
+func TestLeaseOfSilentWorkerIsGivenUpSoonAfterTakeover(t *testing.T) {
+	s := New(testStart, testConfig())
+	w := testWorker("w1")
+	w.Registration = 5
+	s.Restore(testStart, 0, Restored{Registry: []Entry{w}})
+	require.Empty(t, s.HandOverLeases(testStart.Add(firstContactWait)).GivenUp)
+	now := testStart.Add(firstContactWait + time.Millisecond)
+	require.Equal(t, []GivenUpLease{{Worker: "w1", Registration: 5, LapsesAt: s.inheritedUntil}}, s.HandOverLeases(now).GivenUp)
+	s.Register(now, w)
+	s.Held(now, 0, w.Incarnation, 0, now, accepted, Report{StartedAt: 1, ClockMs: 5})
+	require.Equal(t, registrationOpen, s.workers.get("w1").registration, "a new record lets its lease be extended")
+}
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -180,6 +180,8 @@
 	given       map[job.ID]bool
 	forgotAt    time.Time
 	heartbeatAt time.Time
+	// hasPassedOn is set once a heartbeat has passed on leases.
+	hasPassedOn bool
 	// listedAt is when the leader last listed the hosts.
 	listedAt      time.Time
 	listRequested bool
@@ -761,6 +763,9 @@
 	w.released, w.handover = false, nil
 	l.s = New(w.now, cfg)
 	l.s.Configure(w.configuration)
+	if len(w.leaders) > 0 {
+		l.askPrevious(w.leaders[len(w.leaders)-1])
+	}
 	r := Restored{Progress: make(map[job.ID]job.Progress), Waves: make(map[int64]WaveProgress)}
 	r.Jobs, r.Cancelled = w.newestWork()
 	for _, j := range r.Jobs {
@@ -778,6 +783,19 @@
 	return l
 }
 
+// askPrevious asks the previous leader's host, again every askInterval, whether that leader has
+// ended. The host of one that was killed has started its next process by the time of the takeover.
+func (l *simLeader) askPrevious(previous *simLeader) {
+	const askInterval = 300 * time.Millisecond
+	l.w.after(2*simNetworkDelay, func() {
+		if !previous.isUp {
+			l.deliver(func() { l.s.PreviousEnded(l.w.now) })
+		} else if l.isUp {
+			l.w.after(askInterval, func() { l.askPrevious(previous) })
+		}
+	})
+}
+
 // newestWork returns the jobs and cancellations whose records are kept in the log.
 func (w *world) newestWork() (jobs []job.Job, cancelled []job.ID) {
 	accepted, isCancelled := newTable[job.ID, job.Job](), newTable[job.ID, bool]()
@@ -959,8 +977,8 @@
 		l.s.StepDown()
 		return
 	}
-	if l.w.now.Sub(l.heartbeatAt) >= 500*time.Millisecond {
-		l.heartbeatAt = l.w.now
+	if !l.hasPassedOn || l.w.now.Sub(l.heartbeatAt) >= 500*time.Millisecond {
+		l.hasPassedOn, l.heartbeatAt = true, l.w.now
 		l.w.handover = l.s.HandOverLeases(l.w.now)
 		l.s.ConfirmLeadership(l.w.now)
 	}
