fix(leader): send no order for a host that was decided before a pause

What callers saw: nothing yet; in the simulation, orders for hosts that a leader had decided before a pause of 6 s reached the platform after it, beside those of the next leader (ONE).

Cause: only starts were checked for the age of their decision when they are sent.

Change: a move or maintenance that was decided more than 0.4 s ago isn't sent and counts as Busy, so that it is decided anew. The simulated leaders check the same.

--- a/entry/leader/call_queues.go
+++ b/entry/leader/call_queues.go
@@ -15,10 +15,6 @@
 	// maxCallsPerWorker bounds the concurrent calls to one worker: starts are short, and
 	// each call keeps a connection open.
 	maxCallsPerWorker = 2
-	// maxStartAge is how old a decision to start may be when it is sent. It is well below
-	// the second within which ended runs, cancellations and departing workers must take
-	// effect.
-	maxStartAge = 400 * time.Millisecond
 	// queueWarnLength is the queue length, and each multiple of it, that logs a warning.
 	queueWarnLength = 500
 	// maxAdviserCalls bounds the concurrent calls to the adviser, which handles one call at
@@ -93,9 +89,11 @@
 		case scheduling.Advise:
 			l.callQueues.enqueue("adviser", maxAdviserCalls, func() { l.advise(ctx, a) })
 		case scheduling.Move:
-			go l.sendHostOrder(a.Host, a.Token, func() scheduling.Outcome { return l.cfg.Hosts.Move(ctx, a) })
+			decidedAt := l.cfg.Now()
+			go l.sendHostOrder(a.Host, a.Token, decidedAt, func() scheduling.Outcome { return l.cfg.Hosts.Move(ctx, a) })
 		case scheduling.Maintain:
-			go l.sendHostOrder(a.Host, a.Token, func() scheduling.Outcome { return l.cfg.Hosts.Maintain(ctx, a) })
+			decidedAt := l.cfg.Now()
+			go l.sendHostOrder(a.Host, a.Token, decidedAt, func() scheduling.Outcome { return l.cfg.Hosts.Maintain(ctx, a) })
 		case scheduling.Commit:
 			l.committing = true
 			l.commits <- a
@@ -130,7 +128,7 @@
 func (l *Leader) start(ctx context.Context, o scheduling.Start, decidedAt time.Time) {
 	sentAt := l.cfg.Now()
 	a := scheduling.Answer{Outcome: scheduling.Late}
-	if sentAt.Sub(decidedAt) <= maxStartAge {
+	if sentAt.Sub(decidedAt) <= scheduling.MaxOrderAge {
 		a = l.cfg.Workers.Start(ctx, o)
 	}
 	l.cfg.Metrics.Count("orders", 1, metricLabel("Kind", "start"), metricLabel("Outcome", a.Outcome.String()))
@@ -167,8 +165,14 @@
 	})
 }
 
-func (l *Leader) sendHostOrder(id scheduling.HostID, token int64, send func() scheduling.Outcome) {
-	o := send()
+// sendHostOrder sends an order for a host, unless this process was paused since the decision:
+// another leader may order the host meanwhile. The scheduler then gets the outcome Busy, although
+// nothing was sent.
+func (l *Leader) sendHostOrder(id scheduling.HostID, token int64, decidedAt time.Time, send func() scheduling.Outcome) {
+	o := scheduling.Busy
+	if l.cfg.Now().Sub(decidedAt) <= scheduling.MaxOrderAge {
+		o = send()
+	}
 	l.cfg.Metrics.Count("host_orders", 1, metricLabel("Outcome", o.String()))
 	l.enqueue(func(sch *scheduling.Scheduler, now time.Time, _ int64) { sch.Ordered(now, id, token, o) })
 }
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -772,12 +772,25 @@
 	w := &fakeWorkers{}
 	l := newLeader(newMemoryStore(), w, 5)
 	now := time.Now()
-	l.start(context.Background(), scheduling.Start{}, now.Add(-2*maxStartAge))
+	l.start(context.Background(), scheduling.Start{}, now.Add(-2*scheduling.MaxOrderAge))
 	require.Zero(t, w.startCount())
 	l.start(context.Background(), scheduling.Start{}, now)
 	require.Equal(t, 1, w.startCount())
 }
 
+// A leader that was paused between the decision to order a host and the call sends nothing: another
+// leader may order the host meanwhile (ONE).
+func TestOldHostOrderIsNotSent(t *testing.T) {
+	l := newLeader(newMemoryStore(), &fakeWorkers{}, 5)
+	now := time.Now()
+	sent := 0
+	send := func() scheduling.Outcome { sent++; return scheduling.Accepted }
+	l.sendHostOrder("m-1", 1, now.Add(-2*scheduling.MaxOrderAge), send)
+	require.Zero(t, sent)
+	l.sendHostOrder("m-1", 2, now, send)
+	require.Equal(t, 1, sent)
+}
+
 // A new leader restores state from each kind of progress record. A record that can't be
 // decoded is skipped and doesn't affect the others.
 func TestRestoredState(t *testing.T) {
--- a/fleet/scheduling/config.go
+++ b/fleet/scheduling/config.go
@@ -40,6 +40,11 @@
 	Retention time.Duration
 }
 
+// MaxOrderAge is how old the decision behind a start or an order for a host may be when it is sent:
+// the process may have been paused meanwhile. It is well below the second within which ended runs,
+// cancellations and departing workers must take effect.
+const MaxOrderAge = 400 * time.Millisecond
+
 // Constants of the scheduler that no setting changes.
 const (
 	// runsPerTerm is the distance between the run numbers of two terms. No task starts
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -1003,16 +1003,27 @@
 		l.committing = true
 		w.after(simStoreDelay, func() { l.store(a) })
 	case Move:
-		w.after(simStoreDelay, func() {
-			l.deliver(func() { l.s.Ordered(w.now, a.Host, a.Token, w.order(a.Host, a.Token, a.Pool, 0)) })
-		})
+		l.orderHost(a.Host, a.Token, a.Pool, 0)
 	case Maintain:
-		w.after(simStoreDelay, func() {
-			l.deliver(func() { l.s.Ordered(w.now, a.Host, a.Token, w.order(a.Host, a.Token, "", a.Wave)) })
-		})
+		l.orderHost(a.Host, a.Token, "", a.Wave)
 	}
 }
 
+// orderHost sends an order for a host unless the decision is too old by then.
+func (l *simLeader) orderHost(id HostID, token int64, pool string, wave int64) {
+	w := l.w
+	decidedAt := w.now
+	w.after(simStoreDelay, func() {
+		l.deliver(func() {
+			o := Busy
+			if w.now.Sub(decidedAt) <= MaxOrderAge {
+				o = w.order(id, token, pool, wave)
+			}
+			l.s.Ordered(w.now, id, token, o)
+		})
+	})
+}
+
 // store writes a leader's commit under its epoch.
 func (l *simLeader) store(c Commit) {
 	w := l.w
