--- a/fleet/job/stored_test.go
+++ b/fleet/job/stored_test.go
@@ -20,9 +20,13 @@
 		ID: "0123456789abcdef", Queue: "q", Pool: "p", Home: "dc", Version: 10, MaxAttempts: 20, Text: "t", Steps: []Step{step},
 		Times: 11, StartAt: 12, Interval: 13 * time.Nanosecond, AcceptedAt: 14,
 	}
+	unproven := UnprovenRun{Run: 21, Worker: "w", StartedAt: 22, Isolated: true, Begun: true}
 	p := Progress{
 		State: Running, EndedAt: 15, DataCentres: []string{"x", "y"},
-		Tasks: []TaskProgress{{Occurrence: 16, Step: 17, Index: 18, Done: true, Failed: []int64{19}, Crashed: []int64{20}, Checkpoint: "c"}},
+		Tasks: []TaskProgress{{
+			Occurrence: 16, Step: 17, Index: 18, Done: true, Failed: []int64{19}, Crashed: []int64{20},
+			Unproven: []UnprovenRun{unproven}, Checkpoint: "c",
+		}},
 	}
 	tests := map[string]struct {
 		encode func() ([]byte, error)
@@ -46,9 +50,10 @@
 		},
 		"progress": {
 			p.Encode,
-			[]any{p, p.Tasks[0]},
+			[]any{p, p.Tasks[0], unproven},
 			`{"State":"running","EndedAt":15,"Centres":["x","y"],` +
-				`"Tasks":[{"O":16,"S":17,"I":18,"D":true,"F":[19],"K":[20],"C":"c"}]}`,
+				`"Tasks":[{"O":16,"S":17,"I":18,"D":true,"F":[19],"K":[20],` +
+				`"R":[{"N":21,"W":"w","B":22,"I":true,"G":true}],"C":"c"}]}`,
 		},
 		"empty progress": {Progress{}.Encode, nil, `{"State":""}`},
 	}
