fix(store): let the leader combine the appends of all hosts as soon as the store is slow

Cause: a stream takes one append at a time, then 8 a second, and rejects what would wait for over 2 s. Each host sent its own appends, each of them again after 250 ms, and after a rejection through two more hosts, which sent it themselves. Each host had to find out by itself that the store is slow, and an append that was rejected told it nothing.

Change: a late append goes through the leader, which combines those of all hosts, instead of being sent again by its host. An append that the store rejects shows that the store is slow, and isn't tried through other hosts; the leader tries it again for 1.2 s. Heartbeats tell all hosts when the store answers slowly, the first one at once.

--- a/entry/election/heartbeater.go
+++ b/entry/election/heartbeater.go
@@ -37,6 +37,8 @@
 	// Leases returns what the next leader has to know about leases, or nil before the takeover
 	// is complete.
 	Leases func() *scheduling.LeaseHandover
+	// IsStoreSlow reports whether appends to the store take long; it may be nil.
+	IsStoreSlow func() bool
 	// Wake makes the next heartbeat due at once; it may be nil.
 	Wake <-chan struct{}
 	// Confirmed is called with the send time of each heartbeat that the store accepted.
@@ -99,9 +101,11 @@
 }
 
 func (h *Heartbeater) send(ctx context.Context, released, stopping bool) error {
-	b, err := json.Marshal(Heartbeat{
+	hb := Heartbeat{
 		Epoch: h.Epoch, Host: h.Self, Peers: h.Peers(), Released: released, Stopping: stopping, Leases: encodeLeases(h.Now(), h.Leases()),
-	})
+	}
+	hb.StoreSlow = h.IsStoreSlow != nil && h.IsStoreSlow()
+	b, err := json.Marshal(hb)
 	if err != nil {
 		return err
 	}
--- a/entry/election/record.go
+++ b/entry/election/record.go
@@ -42,6 +42,8 @@
 	Released bool
 	// Stopping is set when the leader steps down because its host stops.
 	Stopping bool
+	// StoreSlow is set while the leader finds that appends to the store take long.
+	StoreSlow bool `json:",omitempty"`
 	// Leases is what the next leader has to know about leases. It is nil until the leader has
 	// taken over.
 	Leases *Leases `json:",omitempty"`
@@ -106,6 +108,8 @@
 	Released bool
 	// Stopping is set if it stepped down because its host stops.
 	Stopping bool
+	// StoreSlow is that of the epoch's last heartbeat.
+	StoreSlow bool
 	// HeartbeatAt is when the last claim or heartbeat of the epoch was read. The candidate
 	// also sets it without a heartbeat to restart the election timeout: before the first
 	// claim, after a failed read, after a claim that failed without a conflict, and when its
@@ -136,6 +140,7 @@
 			s.UnendedAt = s.HeartbeatAt
 		}
 		s.Epoch, s.Claim, s.HeartbeatAt, s.Released, s.Stopping, s.Leases = r.Offset+1, c, now, false, false, nil
+		s.StoreSlow = false
 		return true, nil
 	case keyHeartbeat:
 		var hb Heartbeat
@@ -146,7 +151,7 @@
 			return false, nil
 		}
 		s.HeartbeatAt, s.Peers, s.Released, s.Stopping = now, hb.Peers, hb.Released, hb.Stopping
-		s.Leases = hb.Leases.decode(now)
+		s.StoreSlow, s.Leases = hb.StoreSlow, hb.Leases.decode(now)
 	}
 	return false, nil
 }
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -91,6 +91,8 @@
 	OnConfiguration func(c *queue.Configuration)
 	// Peers returns the hosts to list in each heartbeat.
 	Peers func() []relay.Peer
+	// IsStoreSlow reports whether appends to the store take long. It may be nil.
+	IsStoreSlow func() bool
 	// HasPreviousEnded asks whether the previous leader has certainly ended; false may mean that
 	// there was no answer. It may be nil.
 	HasPreviousEnded func(ctx context.Context) bool
@@ -132,6 +134,9 @@
 	leases atomic.Pointer[scheduling.LeaseHandover]
 	// wakeHeartbeater makes the next heartbeat due at once.
 	wakeHeartbeater chan struct{}
+	// wasStoreSlow is whether the store was slow at the last look; only the scheduler's goroutine
+	// uses it.
+	wasStoreSlow bool
 	// isSuperseded is set once a later leader's marker was read.
 	isSuperseded atomic.Bool
 }
@@ -152,7 +157,7 @@
 	l.catchUps = newSharedCall(l.catchUp)
 	l.heartbeater = &election.Heartbeater{
 		Epoch: epoch, Term: term, Self: cfg.Self, Store: cfg.Store, Log: l.log, Now: cfg.Now, Peers: cfg.Peers,
-		Leases: l.leases.Load, Wake: l.wakeHeartbeater,
+		Leases: l.leases.Load, IsStoreSlow: cfg.IsStoreSlow, Wake: l.wakeHeartbeater,
 		Confirmed: func(sentAt time.Time) {
 			l.confirmedAt.Store(&sentAt)
 			l.enqueue(func(sch *scheduling.Scheduler, _ time.Time, _ int64) { sch.ConfirmLeadership(sentAt) })
@@ -286,11 +291,18 @@
 }
 
 // passOnLeases updates what the next leader has to know about leases. The first time it is
-// passed on at once, as this leader may be killed before the next heartbeat is due.
+// passed on at once, as this leader may be killed before the next heartbeat is due. The hosts also
+// learn at once that the store is slow, as each append that they send themselves delays all others.
 func (l *Leader) passOnLeases(h *scheduling.LeaseHandover) {
-	if l.leases.Swap(h) == nil {
-		l.wakeHeartbeater <- struct{}{}
+	isFirst := l.leases.Swap(h) == nil
+	isSlow := l.cfg.IsStoreSlow != nil && l.cfg.IsStoreSlow()
+	if isFirst || isSlow && !l.wasStoreSlow {
+		select {
+		case l.wakeHeartbeater <- struct{}{}:
+		default:
+		}
 	}
+	l.wasStoreSlow = isSlow
 }
 
 // loop runs the scheduler. Its goroutine is the only one that uses it.
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -66,6 +66,7 @@
 type Node struct {
 	cfg       Config
 	store     *relay.Store
+	hedger    *store.Hedger
 	candidate *election.Candidate
 	follower  *publication.Follower
 	batcher   *intake.Batcher
@@ -90,11 +91,15 @@
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, peers: make(map[string]seenPeer), seedAddresses: cfg.Seeds}
 	hedger := store.NewHedger(cfg.Direct)
+	hedger.HedgesUnfenced = func() bool { _, ok := n.coalescingHost(); return !ok }
+	n.hedger = hedger
 	// From here on, Direct is coalesced and hedged for all components that get it.
 	cfg.Direct = store.NewCoalescer(hedger)
 	n.store = relay.NewStore(relay.StoreConfig{
 		Direct: cfg.Direct, Client: cfg.Relay, Peers: n.otherPeers, Log: cfg.Log,
-		Coalescing: &relay.Coalescing{Host: n.coalescingHost, IsSlow: hedger.IsSlow, ObserveLatency: hedger.ObserveLatency},
+		Coalescing: &relay.Coalescing{
+			Host: n.coalescingHost, IsSlow: n.isStoreSlow, HedgeDelay: hedger.HedgeDelay, ObserveLatency: hedger.ObserveLatency,
+		},
 	})
 	n.candidate = election.NewCandidate(election.Config{
 		Self: cfg.Self, Direct: cfg.Direct, Store: n.store, Log: cfg.Log, Now: cfg.Now, Lead: n.lead,
@@ -168,6 +173,7 @@
 		Self: n.cfg.Self, Store: n.store, Workers: n.cfg.Workers, Hosts: n.cfg.Hosts, Adviser: n.cfg.Adviser,
 		Decoder: n.cfg.Decoder, Log: n.cfg.Log, Metrics: n.cfg.Metrics, Now: n.cfg.Now, Wall: n.cfg.Wall,
 		Scheduling: cfg, Peers: n.knownPeers, OnConfiguration: n.follower.Adopt,
+		IsStoreSlow:      n.hedger.AnswersSlowly,
 		HasPreviousEnded: func(ctx context.Context) bool { return n.hasEnded(ctx, previous) },
 	}, epoch, claim.Term)
 	n.leader.Store(l)
@@ -234,6 +240,13 @@
 	return out
 }
 
+// isStoreSlow reports whether the store is slow, as this host or the leader has seen.
+func (n *Node) isStoreSlow() bool {
+	st := n.candidate.State()
+	isRecent := n.cfg.Now().Sub(st.HeartbeatAt) <= maxHeartbeatAge
+	return n.hedger.IsSlow() || st.StoreSlow && isRecent
+}
+
 // coalescingHost returns the leader if it is another host that can coalesce appends.
 func (n *Node) coalescingHost() (relay.Peer, bool) {
 	return n.remoteLeader(n.cfg.Now(), n.candidate.State())
--- a/entry/relay/message.go
+++ b/entry/relay/message.go
@@ -108,6 +108,7 @@
 // sentinels holds the errors that are sent between hosts, by the name that is sent.
 var sentinels = map[string]error{
 	"Unavailable": store.ErrUnavailable,
+	"Busy":        store.ErrBusy,
 	"Unknown":     store.ErrUnknown,
 	"Conflict":    store.ErrConflict,
 	"Fenced":      store.ErrFenced,
@@ -119,6 +120,9 @@
 
 // errorName returns the name that is sent for an error.
 func errorName(err error) string {
+	if errors.Is(err, store.ErrBusy) {
+		return "Busy" // it is an ErrUnavailable too
+	}
 	for name, sentinel := range sentinels {
 		if errors.Is(err, sentinel) {
 			return name
--- a/entry/relay/server.go
+++ b/entry/relay/server.go
@@ -3,13 +3,24 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/godwitcross/godwitcross/entry/clock"
 	"github.com/godwitcross/godwitcross/entry/store"
 )
 
+const (
+	// busyRetryDelay is the delay before a relayed append that the store has rejected is tried
+	// again, busyRetryTime for how long that is done. An append may then still take
+	// coalesceTimeout less busyRetryTime.
+	busyRetryDelay = 60 * time.Millisecond
+	busyRetryTime  = 1200 * time.Millisecond
+)
+
 // StateResolver answers lookups that only the leader can answer.
 type StateResolver interface {
 	State(ctx context.Context, r StateRequest) (StateAnswer, error)
@@ -68,7 +79,7 @@
 	case pathWaiting:
 		return decodeAndAnswer(body, func(r WaitingRequest) (WaitingAnswer, error) { return s.cfg.Resolver.Waiting(ctx, r) })
 	case pathAppend:
-		return decodeAndAnswer(body, func(r store.Append) (store.Appended, error) { return s.cfg.Store.Append(ctx, r) })
+		return decodeAndAnswer(body, func(r store.Append) (store.Appended, error) { return s.Append(ctx, r) })
 	case pathRead:
 		return decodeAndAnswer(body, func(r ReadRequest) (store.Page, error) { return s.cfg.Store.Read(ctx, r.Stream, r.From, r.Wait) })
 	case pathNewest:
@@ -81,6 +92,18 @@
 	return nil, store.ErrRefused
 }
 
+// Append appends for another host. While the stream's queue is full it tries again, since the other
+// host would only add to the queue.
+func (s *Server) Append(ctx context.Context, a store.Append) (store.Appended, error) {
+	until := time.Now().Add(busyRetryTime)
+	for {
+		out, err := s.cfg.Store.Append(ctx, a)
+		if !errors.Is(err, store.ErrBusy) || time.Now().After(until) || !clock.Sleep(ctx, busyRetryDelay) {
+			return out, err
+		}
+	}
+}
+
 // decodeAndAnswer decodes a request body of type In and answers it.
 func decodeAndAnswer[In, Out any](body []byte, answer func(In) (Out, error)) (any, error) {
 	var in In
--- a/entry/relay/store.go
+++ b/entry/relay/store.go
@@ -32,17 +32,27 @@
 type Coalescing struct {
 	// Host returns the remote host that coalesces appends, and false if there is none.
 	Host func() (Peer, bool)
-	// IsSlow reports whether the store is slow.
+	// IsSlow reports whether the store is slow, so that all appends are coalesced.
 	IsSlow func() bool
+	// HedgeDelay returns the delay after which an unanswered append is coalesced too.
+	HedgeDelay func() time.Duration
 	// ObserveLatency is called with the latency of each answered coalesced append.
 	ObserveLatency func(took time.Duration)
 }
 
+// Peers makes calls to the store through other hosts. Client implements it.
+type Peers interface {
+	Append(ctx context.Context, p Peer, a store.Append) (store.Appended, error)
+	AppendCoalesced(ctx context.Context, p Peer, a store.Append) (store.Appended, error)
+	Read(ctx context.Context, p Peer, r ReadRequest) (store.Page, error)
+	Newest(ctx context.Context, p Peer, r NewestRequest) (store.Page, error)
+}
+
 // StoreConfig configures a Store.
 type StoreConfig struct {
 	// Direct is this host's direct path to the store.
 	Direct store.Store
-	Client *Client
+	Client Peers
 	// Peers returns the hosts that can relay calls.
 	Peers func() []Peer
 	Log   logrus.FieldLogger
@@ -196,32 +206,129 @@
 
 // Append adds records to a stream.
 func (s *Store) Append(ctx context.Context, a store.Append) (store.Appended, error) {
-	mayBeDone := false
-	if p, ok := s.coalescingHost(a); ok {
+	p, ok := s.coalescingHost(a)
+	if !ok {
+		return withFailover(ctx, s, maxPeersTried,
+			func() (store.Appended, error) { return s.cfg.Direct.Append(ctx, a) },
+			func(p Peer) (store.Appended, error) { return s.cfg.Client.Append(ctx, p, a) })
+	}
+	out, err := s.appendHedged(ctx, p, a)
+	if isUnanswered(err) && !errors.Is(err, store.ErrBusy) && ctx.Err() == nil {
+		out, err = s.appendThroughPeers(ctx, a, err)
+	}
+	s.recordOutcome(err)
+	return out, err
+}
+
+// appendHedged appends through the coalescing host if the store is slow, and otherwise directly. It
+// goes the other way too if the first one fails, or, for a direct append, if its answer is late.
+// The coalescing host combines the late appends of all hosts, which would delay each other in the
+// stream's queue if each host sent its own again.
+func (s *Store) appendHedged(ctx context.Context, p Peer, a store.Append) (out store.Appended, err error) {
+	const ways = 2
+	results := make(chan appendResult, ways)
+	isTried := make(map[appendWay]bool, ways)
+	pending := 0
+	try := func(w appendWay) {
+		if isTried[w] || w == direct && !s.mayTryDirect(ctx, time.Now()) {
+			return
+		}
+		isTried[w] = true
+		pending++
+		go func() { results <- s.appendBy(ctx, w, p, a) }()
+	}
+	first, second := direct, coalesced
+	var late <-chan time.Time
+	if s.cfg.Coalescing.IsSlow() {
+		first, second = coalesced, direct
+	} else {
+		t := time.NewTimer(s.cfg.Coalescing.HedgeDelay())
+		defer t.Stop()
+		late = t.C
+	}
+	if try(first); pending == 0 {
+		try(second)
+	}
+	err = store.ErrUnavailable
+	for mayBeDone := false; pending > 0; {
+		select {
+		case r := <-results:
+			pending--
+			if !isUnanswered(r.err) {
+				return r.out, r.err
+			}
+			mayBeDone = mayBeDone || errors.Is(r.err, store.ErrUnknown)
+			if err = r.err; mayBeDone && !errors.Is(err, store.ErrUnknown) {
+				err = eris.Wrap(store.ErrUnknown, r.err.Error())
+			}
+			if ctx.Err() == nil {
+				try(second)
+			}
+		case <-late:
+			try(second)
+		}
+	}
+	return out, err
+}
+
+// appendWay is a way on which an append reaches the store.
+type appendWay int
+
+const (
+	direct appendWay = iota
+	coalesced
+)
+
+// appendResult is the outcome of an append on one way.
+type appendResult struct {
+	out store.Appended
+	err error
+}
+
+// appendBy appends on one way and records what its outcome tells about that way.
+func (s *Store) appendBy(ctx context.Context, w appendWay, p Peer, a store.Append) (r appendResult) {
+	if w == coalesced {
 		began := time.Now()
-		out, err := s.cfg.Client.AppendCoalesced(ctx, p, a)
-		if !isUnanswered(err) {
+		if r.out, r.err = s.cfg.Client.AppendCoalesced(ctx, p, a); !isUnanswered(r.err) {
 			s.cfg.Coalescing.ObserveLatency(time.Since(began))
-			s.recordOutcome(err)
-			return out, err
+		} else {
+			s.cfg.Log.WithFields(logrus.Fields{"Peer": p.Name, "Error": r.err.Error()}).Info("coalesced append failed")
 		}
-		s.cfg.Log.WithFields(logrus.Fields{"Peer": p.Name, "Error": err.Error()}).Info("coalesced append failed")
-		if mayBeDone = errors.Is(err, store.ErrUnknown); ctx.Err() != nil {
+		return r
+	}
+	r.out, r.err = s.cfg.Direct.Append(ctx, a)
+	switch now := time.Now(); {
+	case errors.Is(r.err, store.ErrBusy): // the path works
+	case isUnanswered(r.err) && hasEnded(ctx, now):
+		s.recordGivenUp(now)
+	default:
+		s.recordDirect(r.err)
+	}
+	return r
+}
+
+// appendThroughPeers appends through up to maxPeersTried peers. err is the outcome so far.
+func (s *Store) appendThroughPeers(ctx context.Context, a store.Append, err error) (store.Appended, error) {
+	mayBeDone := errors.Is(err, store.ErrUnknown)
+	for _, p := range s.pickPeers(maxPeersTried) {
+		if ctx.Err() != nil {
+			break
+		}
+		var out store.Appended
+		if out, err = s.cfg.Client.Append(ctx, p, a); !isUnanswered(err) {
 			return out, err
 		}
+		mayBeDone = mayBeDone || errors.Is(err, store.ErrUnknown)
 	}
-	out, err := withFailover(ctx, s, maxPeersTried,
-		func() (store.Appended, error) { return s.cfg.Direct.Append(ctx, a) },
-		func(p Peer) (store.Appended, error) { return s.cfg.Client.Append(ctx, p, a) })
-	if mayBeDone && errors.Is(err, store.ErrUnavailable) {
+	if mayBeDone && !errors.Is(err, store.ErrUnknown) {
 		err = eris.Wrap(store.ErrUnknown, err.Error())
 	}
-	return out, err
+	return store.Appended{}, err
 }
 
-// coalescingHost returns the host to send an append to, if it is to be coalesced there.
+// coalescingHost returns the host that may coalesce an append, if there is one.
 func (s *Store) coalescingHost(a store.Append) (Peer, bool) {
-	if s.cfg.Coalescing == nil || a.At != nil || a.Fence != nil || !s.cfg.Coalescing.IsSlow() {
+	if s.cfg.Coalescing == nil || a.At != nil || a.Fence != nil {
 		return Peer{}, false
 	}
 	return s.cfg.Coalescing.Host()
--- a/entry/relay/store_test.go
+++ b/entry/relay/store_test.go
@@ -190,6 +190,7 @@
 			s.cfg.Client = NewClient(backend.NewPool(backend.Dialer()))
 			observed := 0
 			s.cfg.Coalescing = &Coalescing{
+				HedgeDelay:     func() time.Duration { return time.Minute },
 				Host:           func() (Peer, bool) { return peer, tt.hasHost },
 				IsSlow:         func() bool { return tt.isSlow },
 				ObserveLatency: func(time.Duration) { observed++ },
--- a/entry/store/hedger.go
+++ b/entry/store/hedger.go
@@ -28,6 +28,9 @@
 	// slowAfter is how long all appends must be late, while reads are answered, until the
 	// store counts as slow.
 	slowAfter = 600 * time.Millisecond
+	// busyHold is how long the store counts as slow after it has rejected an append: as long as a
+	// stream queues appends.
+	busyHold = 2 * time.Second
 	// slowLatency is the average latency above which the store counts as slow and nothing
 	// is hedged. Answers usually take 4 to 9 ms; hedging would slow down a store further
 	// that takes several times as long.
@@ -43,13 +46,18 @@
 // Conditional appends are sent once, and nothing is hedged while the store is slow.
 type Hedger struct {
 	Store
+	// HedgesUnfenced reports whether appends without a fence are hedged here. It is false while
+	// another host hedges them, and nil if they always are.
+	HedgesUnfenced func() bool
 
 	mu sync.Mutex
 	// mu guards the fields below. latency is a moving average. lateSince is the time from
 	// which all appends have been late, zero after one was answered. readAt is the time of
-	// the last answer to a read.
+	// the last answer to a read. busyUntil is until when the store counts as slow because it has
+	// rejected an append.
 	latency           time.Duration
 	lateSince, readAt time.Time
+	busyUntil         time.Time
 }
 
 // NewHedger returns a store that hedges appends to s.
@@ -72,8 +80,11 @@
 	ctx, cancel := context.WithTimeout(ctx, slowTryTimeout)
 	defer cancel()
 	maxTries, minDelay := maxUnfencedTries, minUnfencedHedgeDelay
-	if a.Fence != nil {
+	switch {
+	case a.Fence != nil:
 		maxTries, minDelay = maxFencedTries, minFencedHedgeDelay
+	case h.HedgesUnfenced != nil && !h.HedgesUnfenced():
+		maxTries = 1
 	}
 	answers := make(chan attempt, maxTries)
 	began := time.Now()
@@ -111,8 +122,11 @@
 func (h *Hedger) try(ctx context.Context, a Append, answers chan<- attempt) {
 	began := time.Now()
 	out, err := h.Store.Append(ctx, a)
-	if isAnswer(err) {
+	switch {
+	case isAnswer(err):
 		h.ObserveLatency(time.Since(began))
+	case errors.Is(err, ErrBusy):
+		h.recordBusy(time.Now())
 	}
 	answers <- attempt{out, err}
 }
@@ -153,6 +167,18 @@
 	h.latency += time.Duration(latencyWeight * float64(sample-h.latency))
 }
 
+// recordBusy records that the store has rejected an append.
+func (h *Hedger) recordBusy(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.busyUntil = now.Add(busyHold)
+}
+
+// HedgeDelay returns the delay before an unanswered append without a fence is sent again.
+func (h *Hedger) HedgeDelay() time.Duration {
+	return h.hedgeDelay(minUnfencedHedgeDelay)
+}
+
 // hedgeDelay returns the delay before an unanswered append is sent again.
 func (h *Hedger) hedgeDelay(minDelay time.Duration) time.Duration {
 	h.mu.Lock()
@@ -170,13 +196,21 @@
 	return h.isSlow(now)
 }
 
-// isSlow reports whether the average latency is high, or all appends have been late for a
-// while although the store answers reads. The caller holds mu.
+// isSlow reports whether the average latency is high, the store has just rejected an append, or
+// all appends have been late for a while although the store answers reads. The caller holds mu.
 func (h *Hedger) isSlow(now time.Time) bool {
-	return h.latency > slowLatency ||
+	return h.latency > slowLatency || now.Before(h.busyUntil) ||
 		!h.lateSince.IsZero() && now.Sub(h.lateSince) >= slowAfter && h.readAt.After(h.lateSince)
 }
 
+// AnswersSlowly reports whether the store is slow by its answers alone. A host that it turns away
+// can't tell whether it is slow for the others.
+func (h *Hedger) AnswersSlowly() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.latency > slowLatency
+}
+
 // IsSlow reports whether the store is slow, so that a late answer is probably not lost.
 func (h *Hedger) IsSlow() bool {
 	h.mu.Lock()
--- a/entry/store/store.go
+++ b/entry/store/store.go
@@ -15,6 +15,9 @@
 var (
 	// ErrUnavailable means that the call had no effect and may be retried.
 	ErrUnavailable = eris.New("the store is not available")
+	// ErrBusy is an ErrUnavailable for an append that the store has rejected: the stream's queue is
+	// full, or the store turns this host away.
+	ErrBusy = eris.Wrap(ErrUnavailable, "the store is busy")
 	// ErrUnknown means that there was no answer: the append may take effect, even later.
 	ErrUnknown = eris.New("the store gave no answer")
 	// ErrConflict means that the stream does not end where the append expects.
