fix(election): let hosts claim one after the other while the store is slow

Cause: claims are visible to the other hosts only after an append and a read, 0.5 s then, but all hosts claimed within 0.15 s. 17 claims waited for each other in the leader stream, and the winner's fence behind them for 2 s.

Change: while heartbeats say that the store is slow, the known hosts claim 0.5 s apart, the strongest first.

TestHostsClaimOneAfterTheOtherWhileStoreIsSlow.

--- a/entry/election/candidate.go
+++ b/entry/election/candidate.go
@@ -29,6 +29,11 @@
 	readWait = time.Second
 	// retryDelay is the delay after a failed call to the store.
 	retryDelay = 150 * time.Millisecond
+	// slowClaimStep is the time between the claims of two hosts while the store is slow: an append
+	// and a read, so that one host sees the claim of the other. maxSlowClaimDelay bounds the sum of
+	// the steps before a host claims.
+	slowClaimStep     = 500 * time.Millisecond
+	maxSlowClaimDelay = 3 * time.Second
 	// stepDownBackoff is how long a host does not claim after its leadership has ended.
 	stepDownBackoff = 4 * time.Second
 	// firstElectionDelay is how much longer than a host with a whole core one without any
@@ -228,9 +233,7 @@
 
 // electionTimeout returns how long this host waits for a heartbeat before it claims.
 func (c *Candidate) electionTimeout(st State) time.Duration {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(c.cfg.Self.Name))
-	jitter := time.Duration(float64(h.Sum32()%100) / 100 * float64(maxJitter))
+	jitter := time.Duration(float64(hashName(c.cfg.Self.Name)%100) / 100 * float64(maxJitter))
 	switch {
 	case st.Epoch == 0:
 		// The peers' shares aren't known yet, so a host with a whole core claims first.
@@ -238,10 +241,38 @@
 	case c.isPreviousIncarnation(st):
 		return 0
 	case st.Released:
-		return jitter/2 + c.electionDelay(st)
+		return jitter/2 + c.electionDelay(st) + c.slowClaimDelay(st)
 	default:
-		return baseElectionTimeout + jitter + c.electionDelay(st)
+		return baseElectionTimeout + jitter + c.electionDelay(st) + c.slowClaimDelay(st)
+	}
+}
+
+func hashName(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum32()
+}
+
+// slowClaimDelay returns the extra election timeout of a host while the store is slow: the known
+// hosts claim one after the other, the strongest first. Claims that fail take as long as others in
+// the leader stream, and the winner can't fence the previous leader before they are done.
+func (c *Candidate) slowClaimDelay(st State) time.Duration {
+	if !st.StoreSlow {
+		return 0
+	}
+	isBefore := func(a, b relay.Peer) bool {
+		if a.Share != b.Share {
+			return a.Share > b.Share
+		}
+		return hashName(a.Name) < hashName(b.Name)
+	}
+	before := 0
+	for _, p := range st.Peers {
+		if p.Name != c.cfg.Self.Name && p.Name != st.Claim.Host.Name && isBefore(p, c.cfg.Self) {
+			before++
+		}
 	}
+	return min(time.Duration(before)*slowClaimStep, maxSlowClaimDelay)
 }
 
 // isPreviousIncarnation reports whether the leader was an earlier process on this host,
--- a/entry/election/handover_test.go
+++ b/entry/election/handover_test.go
@@ -1,7 +1,10 @@
 package election
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -66,3 +69,33 @@
 	require.Len(t, s.appends, 2)
 	require.Less(t, time.Since(startedAt), HeartbeatInterval)
 }
+
+// When a leader of 47 hosts ended while the store took 60 times as long, 17 hosts claimed at once, and
+// the new leader waited for 2 s behind their failed claims. Only one host claims within the time that
+// its claim takes to be seen, the strongest one.
+func TestHostsClaimOneAfterTheOtherWhileStoreIsSlow(t *testing.T) {
+	leader := relay.Peer{Name: "h0", Share: 0.8}
+	peers := []relay.Peer{leader}
+	for i := 1; i < 47; i++ {
+		peers = append(peers, relay.Peer{Name: fmt.Sprintf("h%d", i), Share: []float64{0.2, 0.4, 0.8}[i%3]})
+	}
+	for name, released := range map[string]bool{"released": true, "killed": false} {
+		t.Run(name, func(t *testing.T) {
+			type claimant struct {
+				relay.Peer
+				at time.Duration
+			}
+			var claims []claimant
+			for _, p := range peers[1:] {
+				c := NewCandidate(Config{Self: p})
+				st := State{Epoch: 5, Claim: Claim{Host: leader}, Peers: peers, Released: released, StoreSlow: true}
+				claims = append(claims, claimant{p, c.electionTimeout(st)})
+			}
+			slices.SortFunc(claims, func(a, b claimant) int { return cmp.Compare(a.at, b.at) })
+			const claimTime = 240 * time.Millisecond // an append to the slow store
+			require.Greater(t, claims[1].at-claims[0].at, claimTime-maxJitter/2)
+			require.Greater(t, claims[2].at-claims[0].at, 2*claimTime)
+			require.Equal(t, leader.Share, claims[0].Share)
+		})
+	}
+}
