fix(scheduling): let the first list of hosts end the workers that an earlier leader moved

Cause: the last leader's moves weren't recorded any more, so 54 workers on moved hosts were taken to run tasks, until calls to them had failed and the next list showed their hosts away.

Change: a list that was requested by this leader ends workers of earlier leaders that haven't answered yet, without a failed call to them.

Result: TestFirstHostListEndsWorkersOfMovedHosts, which fails without the change in its two cases of moved hosts.

--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -399,3 +399,36 @@
 	s.Held(now, 0, w.Incarnation, 0, now, accepted, Report{StartedAt: 1, ClockMs: 5})
 	require.Equal(t, registrationOpen, s.workers.get("w1").registration, "a new record lets its lease be extended")
 }
+
+// After a leader that moved many hosts in a queue's turn, the next one waited for 1.7 s until the calls
+// to the workers on these hosts had failed and another list showed the hosts away. Its first list
+// ends them at once, but none that may be younger than the list.
+func TestFirstHostListEndsWorkersOfMovedHosts(t *testing.T) {
+	tests := map[string]struct {
+		sentAfter time.Duration
+		host      Host
+		want      bool
+	}{
+		"moving":                           {time.Millisecond, Host{Pool: "p", State: HostMoving}, true},
+		"off":                              {time.Millisecond, Host{Pool: "spare", State: HostUp}, true},
+		"up":                               {time.Millisecond, Host{Pool: "p", State: HostUp, Worker: "w1"}, false},
+		"requested before the load":        {-time.Millisecond, Host{Pool: "p", State: HostMoving}, false},
+		"requested together with the load": {0, Host{Pool: "p", State: HostMoving}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New(testStart, testConfig())
+			s.Configure(testConfiguration())
+			w1, w2 := testWorker("w1"), testWorker("w2")
+			s.Restore(testStart, 0, Restored{Jobs: []job.Job{testJob(1)}, Registry: []Entry{w1, w2}})
+			s.Register(testStart, w1)
+			s.Register(testStart, w2)
+			s.Held(testStart, 0, w2.Incarnation, 0, testStart, accepted, Report{StartedAt: 1, ClockMs: 10})
+			tt.host.ID = w1.Host
+			now := testStart.Add(20 * time.Millisecond)
+			s.HostsListed(now, testStart.Add(tt.sentAfter), []Host{tt.host, {ID: w2.Host, Pool: "p", State: HostUp, Worker: "w2"}})
+			tickStored(s, now)
+			require.Equal(t, tt.want, len(starts(s.TakeActions())) == 1)
+		})
+	}
+}
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -149,13 +149,18 @@
 	}
 }
 
-// removeMoved removes unreachable workers whose host is being moved or maintained, or was moved
-// to a spare pool. That ends all runs on the host, and an earlier leader may have ordered it. A
-// list that was requested before the worker ceased to answer may be older than the worker.
+// removeMoved removes workers that don't answer and whose host is being moved or maintained, or was
+// moved to a spare pool. That ends all runs on the host, and an earlier leader may have ordered it. A
+// list that was requested before the worker ceased to answer may be older than the worker, but
+// those of an earlier leader that haven't answered yet are older than this leader.
 func (s *Scheduler) removeMoved(now, sentAt time.Time) {
 	for _, w := range s.workers.all() {
 		h := s.hosts.get(w.Host)
-		if h == nil || w.unreachableSince.IsZero() || !sentAt.After(w.unreachableSince) || h.order.kind != noOrder {
+		silentSince := w.unreachableSince
+		if s.isUnaccounted(w.ID) && !w.contacted {
+			silentSince = w.registeredAt
+		}
+		if h == nil || silentSince.IsZero() || !sentAt.After(silentSince) || h.order.kind != noOrder {
 			continue
 		}
 		isAway := h.State == HostMoving || h.State == HostMaintenance
