fix(store): take a store for slow for all hosts only above 100 ms

Cause: the leader's average latency of 30 ms also holds its own processor's delay. Found by reading; not seen in a log.

--- a/entry/store/hedger.go
+++ b/entry/store/hedger.go
@@ -35,6 +35,9 @@
 	// is hedged. Answers usually take 4 to 9 ms; hedging would slow down a store further
 	// that takes several times as long.
 	slowLatency = 30 * time.Millisecond
+	// slowForAllLatency is the average latency of a host above which the store counts as slow for
+	// all hosts. The latency that a host with a fully used processor observes stays below it.
+	slowForAllLatency = 100 * time.Millisecond
 	// initialLatency is the average latency assumed before the first answer.
 	initialLatency = 5 * time.Millisecond
 	// latencyWeight is the weight of a new answer in the moving average of the latency.
@@ -203,12 +206,12 @@
 		!h.lateSince.IsZero() && now.Sub(h.lateSince) >= slowAfter && h.readAt.After(h.lateSince)
 }
 
-// AnswersSlowly reports whether the store is slow by its answers alone. A host that it turns away
-// can't tell whether it is slow for the others.
+// AnswersSlowly reports whether the store is slow for all hosts, by its answers alone: a host that it
+// turns away can't tell whether it is slow for the others.
 func (h *Hedger) AnswersSlowly() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.latency > slowLatency
+	return h.latency > slowForAllLatency
 }
 
 // IsSlow reports whether the store is slow, so that a late answer is probably not lost.
