fix(scheduling): let isolated tasks run in another data centre

Cause: a task that finds no worker in its home data centre gets another one, except an isolated task, which kept waiting.

Change: isolated tasks get another data centre like the others.

Result: TestIsolatedTaskRunsInAnotherDataCentre, which fails without the change.

--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -169,6 +169,7 @@
 		}
 		w := s.chooseFor(now, v, st, t)
 		if w == nil && t.isIsolated() {
+			s.addDataCentre(now, v, st)
 			kept = append(kept, t)
 			continue
 		}
--- a/fleet/scheduling/unproven_test.go
+++ b/fleet/scheduling/unproven_test.go
@@ -160,3 +160,24 @@
 		})
 	}
 }
+
+// An isolated task whose home data centre has free workers, but none with the label that it requires,
+// never ran: only other tasks were allowed another data centre (LOST).
+func TestIsolatedTaskRunsInAnotherDataCentre(t *testing.T) {
+	j := homeJob(1, "a", 1)
+	j.Steps[0].Requires = "label"
+	near, far := workerIn("near", "a"), workerIn("far", "b")
+	far.Labels = append(far.Labels, "label")
+	s, now := successor(Restored{Jobs: []job.Job{j}, Registry: []Entry{near, far}, Progress: map[job.ID]job.Progress{
+		j.ID: {State: job.Running, Tasks: []job.TaskProgress{{Crashed: []int64{1}}}},
+	}})
+	for _, e := range []Entry{near, far} {
+		s.Register(now, e)
+		s.Held(now, 0, e.Incarnation, 0, now, accepted, Report{StartedAt: 1, ClockMs: 5})
+	}
+	tickStored(s, now)
+	tickStored(s, now.Add(placementInterval))
+	all := starts(s.TakeActions())
+	require.Len(t, all, 1)
+	require.EqualValues(t, "far", all[0].Worker.ID)
+}
