test(review): a stopping host reads requests and answers none

Disruption: the entry hosts are stopped and started in turn (roll_term, one each 1.3 s).

Seen: requests that arrive on open connections from 5.3 s after the SIGTERM on are read, and the process is killed at the end of the grace, 6 s, without an answer to them.

--- a/review/trials/hosts.go
+++ b/review/trials/hosts.go
@@ -272,3 +272,10 @@
 	}
 	return -1
 }
+
+// ended returns a channel that is closed when the process has ended.
+func (h *host) ended() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.done
+}
--- a/review/trials/main.go
+++ b/review/trials/main.go
@@ -33,6 +33,7 @@
 var trials = map[string]func(t *trial) error{
 	"route-service":  routeService,
 	"progress-size":  progressSize,
+	"stop-request":   stopRequest,
 	"route-replaced": routeReplaced,
 }
 
