test(review): lasting tasks stand still after a leader is lost for good

Disruption: minions are lost for good (srv_crash gone, share 0.14) and the leader's machine is replaced at another address (replace_core leader) 0.3 s later.

Seen: tasks that last have no run for 12.5 s beside minions with room: the new leader waits for the longest lease, as nobody can tell it that the previous leader has ended.

It takes the number of the case of the replaced route, which is kept in review/further.

--- a/review/4/run.sh
+++ b/review/further/route-replaced/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the
 # disruption out.
-cd "$(dirname "$0")/../.." || exit 2
+cd "$(dirname "$0")/../../.." || exit 2
 [ -x target/trials ] && [ -x target/godwitcross ] || exit 2
-exec target/trials route-replaced review/4
+exec target/trials route-replaced review/further/route-replaced
