--- a/review/trials/minion.go
+++ b/review/trials/minion.go
@@ -41,8 +41,6 @@
 	nextEnd    int64
 	changed    chan struct{}
 	isDead     bool
-	isDraining bool
-	isCut      bool
 	seq        int
 }
 
@@ -52,7 +50,6 @@
 	number     int64
 	began      time.Time
 	duration   time.Duration
-	lasts      bool
 	isStopping bool
 	checkpoint string
 	timer      *time.Timer
@@ -135,21 +132,7 @@
 	_ = w.server.Close()
 }
 
-func (w *minion) setCut(isCut bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.isCut = isCut
-}
-
 func (w *minion) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	w.mu.Lock()
-	isCut := w.isCut
-	w.mu.Unlock()
-	if isCut {
-		// A cut link delivers nothing and answers nothing.
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	time.Sleep(minAnswerTime + time.Duration(rand.Int63n(int64(maxAnswerTime-minAnswerTime))))
 	if e := r.Header.Get("X-Godwitcross-Expect-Instance"); e != "" && e != w.id {
 		rw.Header().Set("X-Godwitcross-Instance-Id", w.id)
@@ -198,8 +181,8 @@
 	w.deadlineMs = max(w.deadlineMs, min(deadlineMs, w.clockMs()+holdMax.Milliseconds()))
 }
 
-// start carries out a start. The Spec of the trials' jobs tells the size and the duration of a task:
-// "ms=2000 cpu=8000 text", or "lasts" in place of the duration.
+// start carries out a start. The Spec of the trials' jobs tells the duration and the size of a task:
+// "ms=2000 cpu=8000 text".
 func (w *minion) start(o order) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -224,7 +207,7 @@
 		return "room"
 	}
 	w.highest[o.Task] = o.Run
-	r := &run{number: o.Run, began: time.Now(), need: need, duration: duration, lasts: duration == 0, checkpoint: ""}
+	r := &run{number: o.Run, began: time.Now(), need: need, duration: duration}
 	w.runs[o.Task] = r
 	w.p.record.started(w, o.Task, o.Run, o.FencingToken)
 	if duration > 0 {
@@ -296,12 +279,7 @@
 	}
 	ended := append([][]any{}, w.ended[:min(len(w.ended), maxEndsAtOne)]...)
 	body := map[string]any{"ClockMs": w.clockMs(), "born": w.born.UnixMilli(), "Running": running, "Ended": ended}
-	isCut := w.isCut
 	w.mu.Unlock()
-	if isCut {
-		<-req.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	reply(rw, http.StatusOK, body)
 }
 
@@ -314,9 +292,6 @@
 		"Service": w.service, "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
 		"Seq": w.seq, "Capacity": w.capacity, "Labels": []string{"a", w.rack}, "Machine": w.machine, "ClockMs": w.clockMs(), "born": w.born.UnixMilli(),
 	}
-	if w.isDraining {
-		e["State"], e["RemainingMs"] = "draining", 8000
-	}
 	b, err := json.Marshal(e)
 	if err != nil {
 		panic(fmt.Sprint(err))
--- a/review/trials/platform.go
+++ b/review/trials/platform.go
@@ -17,21 +17,18 @@
 
 // plat is a stand-in for the platform: its store, machines and minions.
 type plat struct {
-	store            *logStore
-	record           *record
-	capacity         resources
-	spare            string
-	storeAddress     string
-	cloudAddress     string
-	mu               sync.Mutex
-	machines         map[string]*machine
-	order            []string
-	lastID           int
-	fencing          map[string]int64
-	version          int
-	isMoving         bool
-	moves            int
-	isMovingDisabled bool
+	store        *logStore
+	record       *record
+	capacity     resources
+	spare        string
+	storeAddress string
+	cloudAddress string
+	mu           sync.Mutex
+	machines     map[string]*machine
+	order        []string
+	lastID       int
+	fencing      map[string]int64
+	version      int
 }
 
 type machine struct {
@@ -121,7 +118,7 @@
 	for range time.Tick(heartbeat) {
 		p.mu.Lock()
 		for _, m := range p.machines {
-			if w := m.minion; w != nil && !w.isCut {
+			if w := m.minion; w != nil {
 				p.store.put("keyed.servers", w.id, w.registration())
 			}
 		}
@@ -168,7 +165,7 @@
 	return out
 }
 
-// reborn ends a minion and starts its next life under the same id and address-to-be.
+// cloud lists machines, or moves one or takes it down for its upkeep.
 func (p *plat) cloud(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(2 * time.Millisecond)
 	if r.URL.Path == "/v1/machines" {
@@ -200,7 +197,6 @@
 		return
 	}
 	p.fencing[m.id] = token
-	p.moves++
 	down := upkeepTime
 	m.state = "upkeep"
 	if body.Pool != "" {
--- a/review/trials/store.go
+++ b/review/trials/store.go
@@ -31,8 +31,6 @@
 	refused []string
 	// largest is the size of the largest record of each topic.
 	largest map[string]int
-	// claims lists the claims of leaders with their times.
-	onAppend func(topicName, key string, value []byte)
 }
 
 type topic struct {
@@ -95,9 +93,6 @@
 			} else {
 				t.newest[key] = newestRecord{value: value, offset: int64(len(t.records))}
 			}
-			if l.onAppend != nil {
-				l.onAppend(name, key, value)
-			}
 		}
 		t.records = append(t.records, c)
 	}
