fix(scheduling): count no crash against a run that may never have begun

Cause: a start without an answer counted as a crash of its worker if the task was isolated. A new leader did the same with isolated runs that an earlier leader had stored and perhaps never ordered.

Change: a run counts only if its worker accepted it, or if it is isolated and its start broke the connection to the worker (outcome Broken, told apart from silence by the adapter). An isolated run is ordered in response to an answer of its worker, so a broken connection isn't that of a worker which was cut off or gone before. That a run has begun is stored as soon as it is accepted, so a later leader counts those only.

The simulation breaks the connection of a call that crashes the worker.

--- a/entry/backend/conn.go
+++ b/entry/backend/conn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -21,6 +22,9 @@
 	ErrNotSent = eris.New("request was not sent")
 	// ErrNoAnswer means that bytes may have left this host and no complete answer came back.
 	ErrNoAnswer = eris.New("no whole answer")
+	// ErrClosed means, beside ErrNoAnswer, that the server's end of the connection was closed or
+	// reset after the request was sent.
+	ErrClosed = eris.New("connection closed by the server")
 )
 
 // maxInterimAnswers bounds the headers that are read for one answer, including those of
@@ -109,8 +113,12 @@
 	return eris.Wrap(ErrNoAnswer, "too many interim answers")
 }
 
-// wrapNoAnswer returns ErrNoAnswer joined with its cause.
+// wrapNoAnswer returns ErrNoAnswer joined with its cause, and with ErrClosed if the server has closed
+// the connection.
 func wrapNoAnswer(cause error, operation string) error {
+	if errors.Is(cause, io.EOF) || errors.Is(cause, io.ErrUnexpectedEOF) || errors.Is(cause, syscall.ECONNRESET) {
+		cause = errors.Join(ErrClosed, cause)
+	}
 	return eris.Wrap(errors.Join(ErrNoAnswer, cause), operation)
 }
 
--- a/fleet/job/progress.go
+++ b/fleet/job/progress.go
@@ -50,7 +50,8 @@
 	StartedAt int64 `json:"B,omitempty"`
 	// Isolated is set if no other run that may crash the worker began beside it.
 	Isolated bool `json:"I,omitempty"`
-	// Begun is set once the worker has accepted the run. Without it, the run may never have begun.
+	// Begun is set once the worker has accepted the run, or once an isolated run's start broke the
+	// connection to the worker. Without it, the run may never have begun.
 	Begun bool `json:"G,omitempty"`
 }
 
--- a/fleet/scheduling/crash.go
+++ b/fleet/scheduling/crash.go
@@ -54,9 +54,10 @@
 	}
 }
 
-// mayHaveCrashed reports whether a run may have crashed its worker.
+// mayHaveCrashed reports whether a run may have crashed its worker. A start without an answer isn't
+// enough: the worker may have been cut off before, and have crashed for another reason.
 func (r *run) mayHaveCrashed() bool {
-	return r.phase == running && !r.isProven
+	return !r.isProven && (r.phase == running || r.phase == uncertain && r.brokeConnection)
 }
 
 // replaceCrashed removes a worker in whose place another one runs. If no order explains that,
@@ -77,10 +78,8 @@
 		case r.mayHaveCrashed():
 			s.countCrash(now, r.task, r.number, r.isIsolated, w.Incarnation)
 		case !r.wasOrderedBefore(w.unreachableSince):
-		case r.isIsolated:
-			s.countCrash(now, r.task, r.number, true, w.Incarnation)
 		default:
-			// The start has no answer, so the run may have crashed the worker or never begun.
+			// The run may have crashed the worker or never begun.
 			r.task.suspected = true
 		}
 	}
@@ -122,7 +121,7 @@
 		}
 	}
 	s.inheritedUnproven(w, func(t *task, u job.UnprovenRun) {
-		if u.Begun || u.Isolated {
+		if u.Begun {
 			s.rememberLapsedRun(now, w, t, u.Run, u.Isolated)
 		}
 	})
--- a/fleet/scheduling/crash_test.go
+++ b/fleet/scheduling/crash_test.go
@@ -492,6 +492,41 @@
 	}
 }
 
+// Orders that never reached a worker count no crash against their task: the worker was cut off
+// before and crashed behind the cut. Jobs were reported as failed whose tasks had run on no worker.
+func TestOrdersLostBehindPartitionFailNoJob(t *testing.T) {
+	for mode, sameID := range returnModes {
+		for name, killsLeaders := range map[string]bool{"one leader": false, "killed leaders": true} {
+			t.Run(mode+" "+name, func(t *testing.T) {
+				const lostOrders = 5
+				w := newCrashWorld(sameID)
+				j := w.simpleJob(2)
+				lost := make(map[Incarnation]bool)
+				w.tamper = func(w *world, a Action) []Action {
+					o, ok := a.(Start)
+					if !ok || o.Task != (job.Task{Job: j.ID}) || len(lost) >= lostOrders || lost[o.Worker] {
+						return []Action{a}
+					}
+					sw := w.workers[o.Worker.ID]
+					lost[o.Worker] = true
+					w.cutOff(sw, 1500*time.Millisecond)
+					w.after(simCrashDelay, func() { w.crashAndReturn(sw, sameID) })
+					if killsLeaders {
+						w.after(simCrashDelay, func() { w.leaders[len(w.leaders)-1].isUp = false })
+					}
+					return []Action{a}
+				}
+				w.submit(j, time.Second, false)
+				w.run(120 * time.Second)
+				require.Len(t, lost, lostOrders)
+				require.Zero(t, w.jobs[j.ID].crashes[job.Task{Job: j.ID}], "the task ran on no worker that crashed")
+				require.Empty(t, w.violations)
+				require.Equal(t, job.Completed, w.state(j.ID))
+			})
+		}
+	}
+}
+
 // A single crash fails no job: the worker may have crashed for any reason.
 func TestSingleCrashFailsNoJob(t *testing.T) {
 	for name, change := range map[string]func(st *job.Step){
--- a/fleet/scheduling/harness_test.go
+++ b/fleet/scheduling/harness_test.go
@@ -77,6 +77,15 @@
 	s.Tick(now.Add(workerTickInterval), 0)
 }
 
+// tickAnswered is tickStored, after which workers that run nothing answer: isolated runs are
+// ordered only then.
+func tickAnswered(s *Scheduler, now time.Time, workers ...Entry) {
+	tickStored(s, now)
+	for _, e := range workers {
+		s.Held(now, 0, e.Incarnation, 0, now, accepted, Report{StartedAt: e.StartedAt, ClockMs: 10})
+	}
+}
+
 // end reports the end of a run.
 func (h *harness) end(st Start, how EndKind) {
 	h.ends[st.Worker.ID]++
--- a/fleet/scheduling/orders.go
+++ b/fleet/scheduling/orders.go
@@ -76,7 +76,7 @@
 	w := r.worker
 	switch r.phase {
 	case recording:
-		s.orderRecorded(now, r)
+		s.retryRecorded(now, r)
 	case stopping:
 		r.retryAt = time.Time{}
 		s.emit(Stop{Worker: w.Incarnation, Address: w.Address, Task: r.task.id(), Run: r.number, Token: s.cfg.Epoch, NewConnection: r.sendCount > 0})
@@ -115,7 +115,7 @@
 		return
 	}
 	w := r.worker
-	if a.Outcome != Unknown {
+	if !a.Outcome.isUnanswered() {
 		w.setClock(now, a.ClockMs)
 	}
 	if a.Outcome != Accepted {
@@ -124,10 +124,14 @@
 	switch a.Outcome {
 	case Accepted:
 		s.startAccepted(now, r)
-	case Unknown:
+	case Unknown, Broken:
 		if r.phase == starting {
 			r.phase = uncertain
 		}
+		if a.Outcome == Broken && r.isIsolated && now.Sub(r.orderedAt) < crashWindow {
+			r.brokeConnection = true
+			s.addUnproven(r, true)
+		}
 		w.unanswered = slices.DeleteFunc(w.unanswered, func(u unansweredStart) bool { return now.Sub(u.at) >= maxOrderDelay })
 		w.unanswered = append(w.unanswered, unansweredStart{task: id, number: number, at: now})
 		r.retryAt = now.Add(retryGap)
@@ -159,6 +163,9 @@
 		r.lastSeenAt = now
 		s.markListed(now, r)
 		r.retryAt = time.Time{}
+		if r.isIsolated && !r.isProven {
+			s.addUnproven(r, true) // this leader may end before it learns of a crash
+		}
 	}
 	if w := r.worker; !w.holdPending && w.nextHold.After(now) {
 		w.nextHold = now
@@ -192,7 +199,7 @@
 		return
 	}
 	switch a.Outcome {
-	case Unknown, Unhealthy:
+	case Unknown, Broken, Unhealthy:
 		r.retryAt = now.Add(retryGap)
 	case OtherIncarnation:
 		s.replaceCrashed(now, r.worker, "its address belongs to another worker")
--- a/fleet/scheduling/report.go
+++ b/fleet/scheduling/report.go
@@ -47,6 +47,7 @@
 		w.idleSince = now
 	}
 	s.adjustPaces(now, w)
+	s.orderIsolated(now, w)
 	w.nextHold = now.Add(holdGap)
 	if w.countedEnd > w.storedEnd {
 		// A worker answers a hold at once while it has ends that the hold doesn't acknowledge.
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -185,6 +185,9 @@
 	isProven bool
 	// isIsolated is set if the run was started as the only one that could crash its worker.
 	isIsolated bool
+	// brokeConnection is set if the run is isolated and its start broke the connection to a
+	// worker that had just answered.
+	brokeConnection bool
 	// relocating is set if the run was stopped to move a long-running task to another
 	// worker, as this one drains or its host has to leave.
 	relocating bool
--- a/fleet/scheduling/types.go
+++ b/fleet/scheduling/types.go
@@ -128,13 +128,16 @@
 	Busy
 	// Unknown orders got no answer. They may have been carried out or may still be.
 	Unknown
+	// Broken orders got no answer either: the worker's end of the connection was closed after
+	// they were sent. They reached a worker that can be reached, unlike those to one that is cut off.
+	Broken
 )
 
 // outcomeNames holds the outcomes as logs and metrics show them. "no room" is NoCapacity
 // and "other life" is OtherIncarnation; visible names stay as they are.
 var outcomeNames = [...]string{
 	"accepted", "fenced", "old", "late", "no room", "no ticket", "unhealthy",
-	"other life", "refused", "busy", "unknown",
+	"other life", "refused", "busy", "unknown", "connection broken",
 }
 
 // String returns the outcome's name as it is logged.
@@ -142,6 +145,11 @@
 	return outcomeNames[o]
 }
 
+// isUnanswered reports whether an order got no answer, so that it may have been carried out.
+func (o Outcome) isUnanswered() bool {
+	return o == Unknown || o == Broken
+}
+
 // Answer is a worker's answer to an order.
 type Answer struct {
 	Outcome Outcome
--- a/fleet/scheduling/unproven.go
+++ b/fleet/scheduling/unproven.go
@@ -45,6 +45,27 @@
 	}
 }
 
+// retryRecorded orders a recorded run that isn't isolated. An isolated one waits for its worker's
+// next answer.
+func (s *Scheduler) retryRecorded(now time.Time, r *run) {
+	switch {
+	case !r.isIsolated:
+		s.orderRecorded(now, r)
+	case !r.worker.isSchedulable(now):
+		s.dropRecorded(r)
+	}
+}
+
+// orderIsolated orders the recorded isolated runs of a worker that has just answered. If one of them
+// then breaks the connection, the worker was neither cut off nor gone before.
+func (s *Scheduler) orderIsolated(now time.Time, w *worker) {
+	for _, r := range w.runs.all() {
+		if r.phase == recording && r.isIsolated && !r.retryAt.IsZero() {
+			s.orderRecorded(now, r)
+		}
+	}
+}
+
 // orderRecorded orders a recorded run, unless its worker may get no runs any more.
 func (s *Scheduler) orderRecorded(now time.Time, r *run) {
 	deadline, ok := s.extendLease(now, r.worker)
@@ -77,8 +98,7 @@
 	}
 }
 
-// addUnproven adds a run to the unproven ones of its task. begun tells whether its worker has
-// accepted it.
+// addUnproven adds a run to the unproven ones of its task. begun tells whether it has begun.
 func (s *Scheduler) addUnproven(r *run, begun bool) {
 	t, w := r.task, r.worker.Incarnation
 	u := job.UnprovenRun{Run: r.number, Worker: string(w.ID), StartedAt: w.StartedAt, Isolated: r.isIsolated, Begun: begun}
@@ -182,7 +202,7 @@
 // leaders on it. A task that may never have been there is only isolated.
 func (s *Scheduler) countInheritedUnproven(now time.Time, w *worker) {
 	s.inheritedUnproven(w, func(t *task, u job.UnprovenRun) {
-		if u.Begun || u.Isolated {
+		if u.Begun {
 			s.countCrash(now, t, u.Run, u.Isolated, w.Incarnation)
 		} else {
 			t.suspected = true
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -424,6 +424,10 @@
 			return
 		}
 		a := do(sw)
+		if !sw.isUp {
+			answer(Answer{Outcome: Broken}, simNetworkDelay) // the call has crashed the worker
+			return
+		}
 		if w.rng.Float64() < w.faults.answerLost {
 			answer(Answer{Outcome: Unknown}, simTimeout)
 			return
