fix(scheduling): wait for the workers of each pool in which a task may run

Cause: a new leader holds tasks of earlier jobs back while a worker of their pool hasn't answered, and takes the pool that the newest configuration gives the queue. The runs of earlier leaders are on workers of the pool that the queue had before. The same gap: a queue that got another pool and was then dropped falls back to the pool at acceptance; and a worker that starts again in another pool while unaccounted counted for its new pool only.

Change: like data centres, pools are stored with a job. Its tasks start in a pool other than the one at acceptance only once that pool is stored, and a new leader waits for the workers of all of them, and of no others. An unaccounted worker keeps the pool under which earlier leaders knew it.

Tests: TestMovedQueuesRunNothingTwice (TWICE from the first takeover on), three cases of TestInheritedTaskWaitsForWorkersOfItsPools and TestNewPoolIsStoredBeforeTasksStartThere failed before. The record of the progress has a new field, Pools; records without it decode as before.

--- a/fleet/job/progress.go
+++ b/fleet/job/progress.go
@@ -72,6 +72,9 @@
 	// DataCentres are the data centres other than the home data centre where the tasks may
 	// run.
 	DataCentres []string `json:"Centres,omitempty"`
+	// Pools are the pools other than the one at the job's acceptance where the tasks may run, as
+	// its queue may get another pool.
+	Pools []string `json:",omitempty"`
 	// Tasks lists the tasks whose progress isn't empty.
 	Tasks []TaskProgress `json:",omitempty"`
 }
--- a/fleet/scheduling/commit.go
+++ b/fleet/scheduling/commit.go
@@ -21,6 +21,7 @@
 type storedJob struct {
 	state       job.State
 	dataCentres []string
+	pools       []string
 	crashes     int
 }
 
@@ -36,14 +37,14 @@
 }
 
 // IsUrgent reports whether the next commit shouldn't be delayed. It is urgent if it has the
-// progress of an ended job, whose caller waits, a job's new data centre, crash or unproven run, or
+// progress of an ended job, whose caller waits, a job's new data centre, pool, crash or unproven run, or
 // any record other than progress, such as a registration: tasks or orders may wait for it.
 func (s *Scheduler) IsUrgent() bool {
 	if len(s.records) > 0 {
 		return true
 	}
 	for _, js := range s.changed {
-		if js.state.Final() || js.addingDataCentre || js.hasNewUnproven || !js.crashesStored() {
+		if js.state.Final() || js.dataCentres.isAdding || js.pools.isAdding || js.hasNewUnproven || !js.crashesStored() {
 			return true
 		}
 	}
@@ -66,7 +67,7 @@
 			continue
 		}
 		records = append(records, Record{Key: ProgressPrefix + string(js.ID), Value: b})
-		pending.jobs[js] = storedJob{state: js.state, dataCentres: js.nextDataCentres, crashes: js.crashes}
+		pending.jobs[js] = storedJob{state: js.state, dataCentres: js.dataCentres.next, pools: js.pools.next, crashes: js.crashes}
 	}
 	for id, countedEnd := range s.unstoredEnds {
 		if w := s.workers.get(id); w != nil {
@@ -104,7 +105,12 @@
 			js.storedCrashes = stored.crashes
 			s.dirty = true
 		}
-		s.dataCentresStored(js, stored.dataCentres)
+		if js.dataCentres.confirm(stored.dataCentres) {
+			s.dirty = true
+		}
+		if js.pools.confirm(stored.pools) {
+			s.dirty = true
+		}
 	}
 	for id, e := range pending.ends {
 		if w := s.workers.get(id); w != nil && w.Incarnation == e.incarnation && e.countedEnd > w.storedEnd {
--- a/fleet/scheduling/datacentre.go
+++ b/fleet/scheduling/datacentre.go
@@ -1,9 +1,6 @@
 package scheduling
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // A job's tasks run in its home data centre, and in another one only after that data
 // centre is stored with the job. A new leader that can't reach the workers of a data
@@ -12,7 +9,7 @@
 // mayRunIn reports whether tasks of the job may run in a data centre now, or may have
 // been started there by an earlier leader.
 func (js *jobState) mayRunIn(dataCentre string) bool {
-	return js.Home == "" || dataCentre == js.Home || slices.Contains(js.dataCentres, dataCentre)
+	return js.Home == "" || dataCentre == js.Home || js.dataCentres.contains(dataCentre)
 }
 
 // addDataCentre stores that a job's tasks may run in one more data centre: that of the
@@ -20,7 +17,7 @@
 // until the record is stored.
 func (s *Scheduler) addDataCentre(now time.Time, v *poolView, st *step) {
 	js := st.occ.job
-	if js.Home == "" || js.addingDataCentre {
+	if js.Home == "" || js.dataCentres.isAdding {
 		return
 	}
 	var best *worker
@@ -35,23 +32,11 @@
 	if best == nil {
 		return
 	}
-	js.addingDataCentre = true
-	js.nextDataCentres = append(slices.Clone(js.dataCentres), best.DataCentre)
+	js.dataCentres.add(best.DataCentre)
 	s.markChanged(js)
 	s.logDecision("job may run in another data centre", js.ID, "DataCentre", best.DataCentre, "Home", js.Home, "Step", st.number)
 }
 
-// dataCentresStored is called once a job's additional data centres are stored.
-func (s *Scheduler) dataCentresStored(js *jobState, dataCentres []string) {
-	if len(dataCentres) > len(js.dataCentres) {
-		js.dataCentres = dataCentres
-		s.dirty = true
-	}
-	if len(js.dataCentres) == len(js.nextDataCentres) {
-		js.addingDataCentre = false
-	}
-}
-
 // addDataCentreFor adds a data centre for the job of a run that has to leave its worker.
 func (s *Scheduler) addDataCentreFor(now time.Time, r *run) {
 	if pool, ok := s.poolOf(r.task.job()); ok {
--- a/fleet/scheduling/gang.go
+++ b/fleet/scheduling/gang.go
@@ -13,11 +13,10 @@
 	if len(st.waiting) < st.Count || s.needsAdvice(now, v, st) {
 		return
 	}
-	pool, _ := s.poolOf(st.occ.job)
 	number := int64(0)
 	checkpoint := ""
 	for _, t := range st.tasks {
-		if !s.mayStart(now, pool, t) {
+		if !s.mayStart(now, t) {
 			return
 		}
 		number = max(number, s.nextRun(t))
--- a/fleet/scheduling/hedge.go
+++ b/fleet/scheduling/hedge.go
@@ -29,7 +29,7 @@
 	views := make(map[string]*poolView)
 	for _, r := range s.hedgeCandidates(now) {
 		js := r.task.job()
-		pool, ok := s.poolOf(js)
+		pool, ok := s.startPool(js)
 		if !ok {
 			continue
 		}
--- a/fleet/scheduling/placement.go
+++ b/fleet/scheduling/placement.go
@@ -17,7 +17,7 @@
 	}
 	views := make(map[string]*poolView)
 	for _, st := range steps {
-		pool, ok := s.poolOf(st.occ.job)
+		pool, ok := s.startPool(st.occ.job)
 		if !ok {
 			continue
 		}
@@ -102,16 +102,6 @@
 	return false
 }
 
-// poolOf returns the pool that runs a job's tasks now, and false while the configuration
-// under which the job was accepted isn't known here yet.
-func (s *Scheduler) poolOf(js *jobState) (string, bool) {
-	if js.Version > s.configuration.Version {
-		return "", false
-	}
-	q, _ := s.queueOf(js)
-	return q.Pool, true
-}
-
 // mayStart reports whether a task may start now: its retry delay is over, the crashes of workers
 // under it are stored, leadership was confirmed since its last run was lost, and no worker that
 // hasn't answered yet can still run it for an earlier leader. Speculative tasks wait for such
@@ -119,11 +109,11 @@
 //
 // After a takeover, a task of an inherited job, one restored from the store, may still run on an
 // unaccounted worker, one that earlier leaders registered and that hasn't reported yet. It waits
-// while there is such a worker in its pool and data centres, at most until its lease has lapsed.
+// while there is such a worker in its pools and data centres, at most until its lease has lapsed.
 // Tasks of jobs accepted since the takeover don't wait. Apart from that, isSchedulable lets only
 // contacted workers get tasks: they know this leader's token and start nothing that an earlier one
 // ordered.
-func (s *Scheduler) mayStart(now time.Time, pool string, t *task) bool {
+func (s *Scheduler) mayStart(now time.Time, t *task) bool {
 	if now.Before(t.notBefore) {
 		return false
 	}
@@ -139,7 +129,7 @@
 	if t.step.Speculative && !t.isIsolated() && now.Sub(s.startedAt) > speculativePause {
 		return true
 	}
-	return !s.waitsForLease(now, pool, t)
+	return !s.waitsForLease(now, t)
 }
 
 // placeStep assigns as many waiting tasks of a step as fit.
@@ -156,14 +146,13 @@
 	if s.needsAdvice(now, v, st) {
 		return
 	}
-	pool, _ := s.poolOf(st.occ.job)
 	if st.isSuspected() {
-		s.placeSuspected(now, v, st, pool)
+		s.placeSuspected(now, v, st)
 		return
 	}
 	kept := st.waiting[:0]
 	for i, t := range st.waiting {
-		if !s.mayStart(now, pool, t) {
+		if !s.mayStart(now, t) {
 			kept = append(kept, t)
 			continue
 		}
@@ -192,9 +181,9 @@
 }
 
 // placeSuspected assigns a single task of a step that may fail on every worker.
-func (s *Scheduler) placeSuspected(now time.Time, v *poolView, st *step, pool string) {
+func (s *Scheduler) placeSuspected(now time.Time, v *poolView, st *step) {
 	t, ok := st.mostFailedTask()
-	if !ok || !s.mayStart(now, pool, t) {
+	if !ok || !s.mayStart(now, t) {
 		return
 	}
 	w := s.chooseFor(now, v, st, t)
--- a/fleet/scheduling/restore.go
+++ b/fleet/scheduling/restore.go
@@ -74,7 +74,7 @@
 func (s *Scheduler) restoreJob(now time.Time, wall int64, j job.Job, p job.Progress) {
 	js := newJobState(j, msBefore(now, wall-j.AcceptedAt))
 	js.inherited = true
-	js.dataCentres, js.nextDataCentres = p.DataCentres, p.DataCentres
+	js.dataCentres, js.pools = restoredAdditions(p.DataCentres), restoredAdditions(p.Pools)
 	s.jobs[j.ID] = js
 	if js.Times == 0 {
 		s.countQueued(js)
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -31,11 +31,9 @@
 	// same in Unix milliseconds.
 	endedAt   time.Time
 	endedWall int64
-	// dataCentres are the stored ones, besides the home data centre, where tasks of the job
-	// may run; nextDataCentres are those of the next record. addingDataCentre is set while
-	// an addition isn't stored; no other data centre is added meanwhile.
-	dataCentres, nextDataCentres []string
-	addingDataCentre             bool
+	// dataCentres are those besides the home data centre, and pools those besides the one at the
+	// job's acceptance, where its tasks may run.
+	dataCentres, pools additions
 	// crashes counts the runs of its tasks that may have crashed their workers, storedCrashes
 	// those of them that are stored.
 	crashes, storedCrashes int
@@ -348,7 +346,7 @@
 	if js.hasStarted {
 		p.State = job.Running
 	}
-	p.DataCentres = js.nextDataCentres
+	p.DataCentres, p.Pools = js.dataCentres.next, js.pools.next
 	for _, o := range js.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
--- a/fleet/scheduling/unaccounted.go
+++ b/fleet/scheduling/unaccounted.go
@@ -43,17 +43,17 @@
 	}
 }
 
-// waitsForLease reports whether a task may still run on an unaccounted worker of its pool and
+// waitsForLease reports whether a task may still run on an unaccounted worker of its pools and
 // data centres. Leadership must have been confirmed after the worker's lease lapsed, as a later
 // leader may have extended it.
-func (s *Scheduler) waitsForLease(now time.Time, pool string, t *task) bool {
+func (s *Scheduler) waitsForLease(now time.Time, t *task) bool {
 	for id, u := range s.unaccounted {
-		if u.Pool != pool || !t.job().mayRunIn(u.DataCentre) || !s.leaderConfirmedAt.Before(u.lapsesAt) {
+		if !t.job().wasInPool(u.Pool) || !t.job().mayRunIn(u.DataCentre) || !s.leaderConfirmedAt.Before(u.lapsesAt) {
 			continue
 		}
 		if !u.delaysTasks {
 			u.delaysTasks = true
-			s.logDecision("tasks wait for a lease", t.job().ID, "Task", t.id().String(), "Worker", string(id), "Pool", pool,
+			s.logDecision("tasks wait for a lease", t.job().ID, "Task", t.id().String(), "Worker", string(id), "Pool", u.Pool,
 				"UntilMs", u.lapsesAt.Sub(now).Milliseconds())
 		}
 		return true
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -199,7 +199,8 @@
 	s.workers.put(e.ID, next)
 	if earlier != nil {
 		// It hasn't seen this leader's token, so starts of earlier leaders may still arrive.
-		s.unaccounted[e.ID] = &unaccountedWorker{Entry: e, lapsesAt: earlier.lapsesAt}
+		// They are for tasks of the pool that it had before.
+		s.unaccounted[e.ID] = earlier
 	}
 	s.storeRegistration(next)
 	for _, r := range unconfirmed {
