fix(leader): look nothing up before the state is loaded

What callers saw: jobs that had ended minutes ago ran again, whole and in great numbers (TWICE), also cancelled ones (UNASKED) and failed ones beyond their attempts (BUDGET).

Cause: a host counts as the leader from its claim on. A number of waiting jobs that was asked for before the state was loaded read the work stream from offset 0, as the view had not begun, so the leader was given all jobs that the log still kept. Those whose progress was dropped after the retention (120 s) were new to it.

Change: lookups wait until the state is loaded, as long as their caller waits, and read on from there.

Test: TestLookupDuringTakeoverReadsNoHistory failed before.

--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -122,9 +122,11 @@
 	// relist requests a listing of hosts before the next interval.
 	relist chan struct{}
 	// view is the part of the work stream that the scheduler has been given, and catchUps
-	// the reads that bring it up to date.
+	// the reads that bring it up to date. Both may be used once loaded is closed: before that the
+	// view begins at the stream's first record, and its history holds jobs that were forgotten.
 	view     streamView
 	catchUps *sharedCall
+	loaded   chan struct{}
 	// workersView and operatorView are the parts of the other streams that the scheduler has
 	// been given.
 	workersView, operatorView streamView
@@ -148,6 +150,7 @@
 		log:             cfg.Log.WithField("Epoch", epoch),
 		events:          make(chan event, maxQueuedEvents),
 		done:            make(chan struct{}),
+		loaded:          make(chan struct{}),
 		commits:         make(chan scheduling.Commit, 1),
 		relist:          make(chan struct{}, 1),
 		wakeHeartbeater: make(chan struct{}, 1),
@@ -212,6 +215,7 @@
 	l.view.observe(store.Page{Next: barrier + 1, End: barrier + 1}, loadedAt)
 	l.workersView.observe(store.Page{Next: from.workers, End: from.workers}, loadedAt)
 	l.operatorView.observe(store.Page{Next: from.operator, End: from.operator}, loadedAt)
+	close(l.loaded)
 	l.log.WithFields(logrus.Fields{"TookMs": l.cfg.Now().Sub(startedAt).Milliseconds(), "Barrier": barrier}).Info("takeover complete")
 	g.Go(func() error { return l.tailWork(ctx, barrier+1) })
 	g.Go(func() error { return l.tailWorkers(ctx, from.workers) })
@@ -491,7 +495,7 @@
 	if err != nil || a.Known {
 		return a, err
 	}
-	if err := l.catchUps.do(ctx); err != nil {
+	if err := l.readToEnd(ctx); err != nil {
 		return a, eris.Wrap(relay.ErrNoLeader, err.Error())
 	}
 	return l.lookUp(ctx, id)
--- a/entry/leader/load.go
+++ b/entry/leader/load.go
@@ -308,7 +308,19 @@
 	if l.view.age(l.cfg.Now()) <= maxAge {
 		return nil
 	}
-	return l.catchUps.do(ctx)
+	return l.readToEnd(ctx)
+}
+
+// readToEnd reads the work stream to its end, once the state is loaded.
+func (l *Leader) readToEnd(ctx context.Context) error {
+	select {
+	case <-l.loaded:
+		return l.catchUps.do(ctx)
+	case <-l.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // isLaterLeader reports whether a record is the marker of a later leader.
