test(soak): outlive the retention of jobs, and count waiting jobs all the while

The soak didn't show that jobs ran again after their retention: it was shorter than the retention, read the number of waiting jobs only until the hosts were ready, and its store answered at once or not at all. It now has a retention to set, repeats one in 8 submissions 1 to 6 s after it was accepted, reads the number of waiting jobs every 20 ms, has a slow store among its faults, and checks that no task starts after an acknowledged end as done or after its last failed attempt. A job may be unknown once its retention is over; before that the check holds as it did.

--- a/standin/estate/estate.go
+++ b/standin/estate/estate.go
@@ -12,6 +12,9 @@
 	"github.com/valyala/fasthttp"
 )
 
+// maxAttempts is MaxAttempts of each queue.
+const maxAttempts = 3
+
 // Config sets the size and the timing of an estate.
 type Config struct {
 	// Services maps each service to its number of machines.
@@ -48,12 +51,19 @@
 	running, done map[string]int
 	// duplicateRuns lists the tasks that had two runs at the same time.
 	duplicateRuns []string
+	// acknowledged counts the acknowledged ends of each task by outcome, and lateStarts lists the
+	// starts of tasks after an acknowledged end as done, or after maxAttempts as failed.
+	acknowledged map[acknowledgedEnd]int
+	lateStarts   []Start
 	// version is the version of the configuration published last.
 	version int
 	// fencingTokens holds the highest token seen for each machine.
 	fencingTokens map[string]int64
 }
 
+// acknowledgedEnd is an outcome of a task's runs whose end was acknowledged to the worker.
+type acknowledgedEnd struct{ task, outcome string }
+
 // listener is an HTTP server and its address.
 type listener struct {
 	address string
@@ -69,7 +79,7 @@
 // New starts an estate on loopback addresses, with a worker on each machine but the spare
 // ones.
 func New(cfg Config) (*Estate, error) {
-	e := &Estate{cfg: cfg, Log: NewLog(), machines: make(map[string]*machine), workers: make(map[string]*Worker), fencingTokens: make(map[string]int64), running: make(map[string]int), done: make(map[string]int)}
+	e := &Estate{cfg: cfg, Log: NewLog(), machines: make(map[string]*machine), workers: make(map[string]*Worker), fencingTokens: make(map[string]int64), running: make(map[string]int), done: make(map[string]int), acknowledged: make(map[acknowledgedEnd]int)}
 	var err error
 	if e.store, err = listen(e.Log.Handle); err != nil {
 		return nil, err
@@ -165,6 +175,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts = append(e.starts, s)
+	if e.acknowledged[acknowledgedEnd{s.Task, "done"}] > 0 || e.acknowledged[acknowledgedEnd{s.Task, "failed"}] >= maxAttempts {
+		e.lateStarts = append(e.lateStarts, s)
+	}
 	if e.running[s.Task]++; e.running[s.Task] > 1 {
 		e.duplicateRuns = append(e.duplicateRuns, s.Task)
 	}
@@ -187,6 +200,21 @@
 	}
 }
 
+// recordAcknowledged records that a run's end was acknowledged.
+func (e *Estate) recordAcknowledged(task, outcome string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.acknowledged[acknowledgedEnd{task, outcome}]++
+}
+
+// LateStarts returns the starts of tasks that had an acknowledged end as done, or as many as failed
+// as the queue allows.
+func (e *Estate) LateStarts() []Start {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Start(nil), e.lateStarts...)
+}
+
 // DuplicateRuns returns the tasks that had two runs at the same time.
 func (e *Estate) DuplicateRuns() []string {
 	e.mu.Lock()
@@ -231,7 +259,7 @@
 		}
 		r := map[string]any{
 			"Name": "r-" + service, "Host": "jobs.example", "PathPrefix": "/" + service + "/", "Kind": "unsafe", "TimeoutMs": 3000,
-			"TargetLatencyMs": 600, "Priority": 0, "Service": service, "MaxAttempts": 3, "Stretch": 1.6,
+			"TargetLatencyMs": 600, "Priority": 0, "Service": service, "MaxAttempts": maxAttempts, "Stretch": 1.6,
 		}
 		for _, a := range advised {
 			if a == service {
--- a/standin/estate/log.go
+++ b/standin/estate/log.go
@@ -28,6 +28,8 @@
 	answersKept = 5
 	// maxWait is the longest that a read waits for new records.
 	maxWait = 30 * time.Second
+	// slowDelay is the delay of each call in mode Slow.
+	slowDelay = 150 * time.Millisecond
 )
 
 // Mode is how the log handles calls.
@@ -43,6 +45,8 @@
 	Silent Mode = "silent"
 	// Lossy performs each append and closes the connection without an answer; reads work.
 	Lossy Mode = "lossy"
+	// Slow serves each call slowDelay later.
+	Slow Mode = "slow"
 )
 
 // Log is the store: a log of records for each topic, with the newest record of each key.
@@ -178,6 +182,8 @@
 	case Silent:
 		closeWithoutAnswer(rc)
 		return
+	case Slow:
+		time.Sleep(slowDelay)
 	}
 	switch string(rc.Path()) {
 	case "/v1/log-append":
--- a/standin/estate/worker.go
+++ b/standin/estate/worker.go
@@ -20,6 +20,7 @@
 	Run    int64
 	Spec   string
 	Ticket string
+	At     time.Time
 }
 
 // Worker is one incarnation of a minion.
@@ -214,7 +215,7 @@
 	w.leaseDeadline = max(w.leaseDeadline, req.DeadlineMs)
 	w.highestRun[req.Task] = req.Run
 	r := &run{number: req.Run, checkpoint: req.Checkpoint, percent: 100}
-	outcome := w.estate.recordStart(Start{Worker: w.id, Task: req.Task, Run: req.Run, Spec: req.Spec, Ticket: req.Ticket})
+	outcome := w.estate.recordStart(Start{Worker: w.id, Task: req.Task, Run: req.Run, Spec: req.Spec, Ticket: req.Ticket, At: time.Now()})
 	r.timer = time.AfterFunc(w.estate.cfg.TaskTime, func() { w.finish(req.Task, r, outcome) })
 	w.runs[req.Task] = r
 	return ""
@@ -280,6 +281,7 @@
 	}
 	w.leaseDeadline = max(w.leaseDeadline, req.DeadlineMs)
 	for len(w.ended) > 0 && w.ended[0][0].(int64) <= req.SeenUpto {
+		w.estate.recordAcknowledged(w.ended[0][1].(string), w.ended[0][3].(string))
 		w.ended = w.ended[1:]
 	}
 	changed, shouldWait := w.changed, len(w.ended) == 0 && req.WaitMs > 0
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -53,7 +53,7 @@
 		clock.Sleep(ctx, duration)
 		p.proxy.setMode(forward)
 	case 6:
-		m := []estate.Mode{estate.Busy, estate.Silent, estate.Lossy}[choice%3]
+		m := []estate.Mode{estate.Busy, estate.Silent, estate.Lossy, estate.Slow}[choice%4]
 		s.reportFault(nil, "store "+string(m), duration)
 		s.estate.Log.SetMode(m)
 		clock.Sleep(ctx, duration)
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -33,8 +33,15 @@
 	// maxFaultTime is the longest duration of a fault before the least one, 200 ms, is added.
 	maxFaultTime = 4 * time.Second
 	taskTime     = 200 * time.Millisecond
-	stepsPerJob  = 2
-	tasksPerStep = 3
+	// One in repeatShare submissions arrives again, minRepeatDelay to maxRepeatDelay after it was
+	// accepted.
+	repeatShare    = 8
+	minRepeatDelay = time.Second
+	// waitingInterval is the pause between two reads of the number of waiting jobs.
+	waitingInterval = 20 * time.Millisecond
+	maxRepeatDelay  = 6 * time.Second
+	stepsPerJob     = 2
+	tasksPerStep    = 3
 )
 
 // Config configures a soak.
@@ -45,6 +52,9 @@
 	Duration time.Duration
 	Hosts    int
 	Workers  int
+	// Retention is how long the state of an ended job can be read. It must be longer than submissions
+	// are repeated, maxRepeatDelay, and then stored, or a repeated job may run again.
+	Retention time.Duration
 	// Binary is the path of an entry host's program.
 	Binary string
 	// Dir holds settings and logs. It is removed if the soak found no violation.
@@ -58,12 +68,21 @@
 	id   string
 	// accepted, rejected and unknown count the answers to its submissions.
 	accepted, rejected, unknown int
+	// submittedAt is when it was first submitted.
+	submittedAt time.Time
 	// cancelled is set if a cancellation was answered with 200.
 	cancelled bool
+	// isForgotten is set if the job was unknown after the retention.
+	isForgotten bool
 	// lastState is the last final state that was read, or empty.
 	lastState string
 }
 
+// body returns the body of the job's submission.
+func (j *job) body() string {
+	return fmt.Sprintf(`{"Spec":"job %s","Steps":[{"Count":%d,"Cpu":1000,"EstimateMs":200},{"Count":%d,"Cpu":1000,"EstimateMs":200,"After":[0]}]}`, j.id, tasksPerStep, tasksPerStep)
+}
+
 // soak is one run of a soak test.
 type soak struct {
 	cfg       Config
@@ -91,6 +110,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { s.submitJobs(clientCtx, rand.New(rand.NewSource(cfg.Seed+1))) })
 	wg.Go(func() { s.readStates(clientCtx, rand.New(rand.NewSource(cfg.Seed+2))) })
+	wg.Go(func() { s.readWaiting(clientCtx, rand.New(rand.NewSource(cfg.Seed+3))) })
 	s.injectFaults(ctx)
 	stopClients()
 	wg.Wait()
@@ -126,6 +146,7 @@
 		if err != nil {
 			return err
 		}
+		settings.Bounds.StatusS = s.cfg.Retention.Seconds()
 		proc, err := newProcess(s.cfg.Binary, s.cfg.Dir, settings, p)
 		if err != nil {
 			return err
@@ -174,24 +195,42 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for n := 1; ctx.Err() == nil; n++ {
-		j := &job{id: fmt.Sprintf("%016x", n)}
+		j := &job{id: fmt.Sprintf("%016x", n), submittedAt: time.Now()}
 		j.path = "/desk/" + j.id
 		hosts := []*process{s.randomHost(rng), s.randomHost(rng), s.randomHost(rng)}
 		shouldCancel := rng.Intn(10) == 0
-		wg.Go(func() { s.submitJob(j, hosts, shouldCancel) })
+		repeatAfter := time.Duration(0)
+		if rng.Intn(repeatShare) == 0 {
+			repeatAfter = minRepeatDelay + time.Duration(rng.Int63n(int64(maxRepeatDelay-minRepeatDelay)))
+		}
+		wg.Go(func() {
+			s.submitJob(j, hosts, shouldCancel)
+			if repeatAfter > 0 && clock.Sleep(ctx, repeatAfter) {
+				s.submitAgain(j, hosts[1])
+			}
+		})
 		clock.Sleep(ctx, submitInterval)
 	}
 }
 
+// submitAgain repeats the submission of a job that was accepted, which remains one job.
+func (s *soak) submitAgain(j *job, p *process) {
+	s.mu.Lock()
+	wasAccepted := j.accepted > 0
+	s.mu.Unlock()
+	if wasAccepted {
+		p.ask(fasthttp.MethodPost, j.path, j.body())
+	}
+}
+
 // submitJob submits one job to the hosts in turn until one accepts it, and then cancels it if
 // shouldCancel is set.
 func (s *soak) submitJob(j *job, hosts []*process, shouldCancel bool) {
-	body := fmt.Sprintf(`{"Spec":"job %s","Steps":[{"Count":%d,"Cpu":1000,"EstimateMs":200},{"Count":%d,"Cpu":1000,"EstimateMs":200,"After":[0]}]}`, j.id, tasksPerStep, tasksPerStep)
 	s.mu.Lock()
 	s.jobs = append(s.jobs, j)
 	s.mu.Unlock()
 	for _, p := range hosts {
-		status, _ := p.ask(fasthttp.MethodPost, j.path, body)
+		status, _ := p.ask(fasthttp.MethodPost, j.path, j.body())
 		s.mu.Lock()
 		switch status {
 		case fasthttp.StatusOK:
@@ -233,6 +272,17 @@
 	}
 }
 
+// readWaiting reads the number of waiting jobs until the context ends, without waiting for the answers.
+func (s *soak) readWaiting(ctx context.Context, rng *rand.Rand) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for ctx.Err() == nil {
+		p := s.randomHost(rng)
+		wg.Go(func() { p.ask(fasthttp.MethodGet, "/desk/", "") })
+		clock.Sleep(ctx, waitingInterval)
+	}
+}
+
 // checkState reads a job's state once and checks it: a final state never changes, and an
 // accepted job is never unknown.
 func (s *soak) checkState(j *job, p *process) {
@@ -254,9 +304,10 @@
 			s.recordViolation("job %s was %s and is %s", j.id, previous, state)
 		}
 	case "410":
-		if wasAccepted {
+		if wasAccepted && time.Since(j.submittedAt) < s.cfg.Retention {
 			s.recordViolation("job %s was accepted and is unknown", j.id)
 		}
+		j.isForgotten = wasAccepted
 	}
 }
 
@@ -276,15 +327,20 @@
 		if j.accepted == 0 {
 			continue
 		}
-		for !isFinal(j.lastState) && time.Now().Before(deadline) && ctx.Err() == nil {
+		for !s.hasEnded(j) && time.Now().Before(deadline) && ctx.Err() == nil {
 			s.checkState(j, s.randomHost(s.rng))
-			if !isFinal(j.lastState) {
+			if !s.hasEnded(j) {
 				time.Sleep(50 * time.Millisecond)
 			}
 		}
 	}
 }
 
+// hasEnded reports whether a final state of the job was read, or the job is unknown after the retention.
+func (s *soak) hasEnded(j *job) bool {
+	return isFinal(j.lastState) || j.isForgotten
+}
+
 // evaluate checks the final state and the runs of each job, prints the result and returns an
 // error if there was a violation.
 func (s *soak) evaluate() error {
@@ -299,9 +355,9 @@
 		counts[j.lastState]++
 		spec, isStarted := started[j.id]
 		switch {
-		case j.accepted > 0 && !isFinal(j.lastState):
+		case j.accepted > 0 && !s.hasEnded(j):
 			s.recordViolation("job %s was accepted and is %q at the end", j.id, j.lastState)
-		case j.cancelled && j.lastState != "cancelled" && j.lastState != "completed" && j.accepted > 0:
+		case j.cancelled && j.lastState != "cancelled" && j.lastState != "completed" && j.accepted > 0 && !j.isForgotten:
 			s.recordViolation("job %s was cancelled and is %s", j.id, j.lastState)
 		case j.lastState == "failed":
 			s.recordViolation("job %s failed without a cause", j.id)
@@ -313,6 +369,9 @@
 			s.checkTasks(j)
 		}
 	}
+	for _, st := range s.estate.LateStarts() {
+		s.recordViolation("task %s run %d started on %s after its end was acknowledged", st.Task, st.Run, st.Worker)
+	}
 	for _, t := range s.estate.DuplicateRuns() {
 		s.recordViolation("task %s had two runs at the same time", t)
 	}
