fix(scheduling): end a lost worker once host lists in a row don't show it

Cause: a new leader waits Grace and Lease (11.1 s) for the workers that don't answer, unless the previous leader is known to have ended or has given up their leases. A machine that is gone can't tell, and the leader died before it had given up anything.

Change: a worker that doesn't answer is ended, and counted as crashed unless an order explains it, once three lists over 2 s, requested since it ceased to answer, show it on no host. That holds for the workers of earlier leaders and for the leader's own, whose tasks start elsewhere after 2 to 3 s in place of a lease.

Tests: TestHostListsEndLostWorkers (4 cases) and TestHostListsEndNoWorkerThatAnswers failed before. The simulation's lists no longer show workers that are down.

--- a/fleet/scheduling/crash.go
+++ b/fleet/scheduling/crash.go
@@ -60,8 +60,8 @@
 	return !r.isProven && (r.phase == running || r.phase == uncertain && r.brokeConnection)
 }
 
-// replaceCrashed removes a worker in whose place another one runs. If no order explains that,
-// the worker has crashed.
+// replaceCrashed removes a worker that has certainly ended, as another one runs in its place or its host
+// has none. If no order explains that, the worker has crashed.
 func (s *Scheduler) replaceCrashed(now time.Time, w *worker, reason string) {
 	s.countCrashes(now, w)
 	s.removeWorker(now, w, reason)
--- a/fleet/scheduling/handover_test.go
+++ b/fleet/scheduling/handover_test.go
@@ -432,3 +432,67 @@
 		})
 	}
 }
+
+// A worker that was lost for good together with the leader's host held up the tasks that may have run on it for
+// 11 s, long-running ones among them (LOST): nobody could tell that the previous leader extends no
+// leases. Host lists in a row that don't show the worker tell that it has ended, whoever extended its lease.
+func TestHostListsEndLostWorkers(t *testing.T) {
+	host := func(h Host) []Host { h.ID, h.Pool = "h-w2", "p"; return []Host{h} }
+	tests := map[string]struct {
+		lists [][]Host
+		// gap is the time between the requests of two lists.
+		gap  time.Duration
+		want bool
+	}{
+		"its host has left":                 {[][]Host{nil, nil, nil}, time.Second, true},
+		"its host is up without a worker":   {[][]Host{host(Host{State: HostUp}), host(Host{State: HostUp}), host(Host{State: HostUp})}, time.Second, true},
+		"its host is down":                  {[][]Host{host(Host{State: HostDown}), host(Host{State: HostDown}), host(Host{State: HostDown})}, time.Second, true},
+		"its host runs another":             {[][]Host{host(Host{State: HostUp, Worker: "w9"}), host(Host{State: HostUp, Worker: "w9"}), host(Host{State: HostUp, Worker: "w9"})}, time.Second, true},
+		"two lists only":                    {[][]Host{nil, nil}, 2 * time.Second, false},
+		"three lists within a second":       {[][]Host{nil, nil, nil}, 400 * time.Millisecond, false},
+		"a list between them shows it":      {[][]Host{nil, nil, host(Host{State: HostUp, Worker: "w2"}), nil}, time.Second, false},
+		"it is cut off, and the lists show": {[][]Host{host(Host{State: HostUp, Worker: "w2"}), host(Host{State: HostUp, Worker: "w2"}), host(Host{State: HostUp, Worker: "w2"})}, time.Second, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New(testStart, testConfig())
+			s.Configure(testConfiguration())
+			w1, w2 := testWorker("w1"), testWorker("w2")
+			s.Restore(testStart, 0, Restored{Jobs: []job.Job{testJob(1)}, Registry: []Entry{w1, w2}})
+			for _, e := range []Entry{w1, w2} {
+				s.Register(testStart, e)
+			}
+			s.Held(testStart, 0, w1.Incarnation, 0, testStart, accepted, Report{StartedAt: 1, ClockMs: 10})
+			now := testStart.Add(100 * time.Millisecond)
+			for _, list := range tt.lists {
+				s.Held(now, 0, w2.Incarnation, 0, now, Answer{Outcome: Unknown}, Report{})
+				now = now.Add(tt.gap)
+				s.ConfirmLeadership(now)
+				s.HostsListed(now, now, append(list, Host{ID: w1.Host, Pool: "p", State: HostUp, Worker: "w1"}))
+				tickStored(s, now.Add(placementInterval))
+			}
+			all := starts(s.TakeActions())
+			require.Equal(t, tt.want, len(all) == 1)
+			require.Equal(t, tt.want, s.workers.get("w2") == nil)
+		})
+	}
+}
+
+// A worker that answers is ended by no list, and one that is listed again counts from there on.
+func TestHostListsEndNoWorkerThatAnswers(t *testing.T) {
+	s, now := readyScheduler(t)
+	o := startOne(t, s, now, testJob(1))
+	for range 2 * minAbsentLists {
+		now = now.Add(time.Second)
+		s.HostsListed(now, now, nil)
+		s.Held(now, 0, o.Worker, 0, now, accepted, Report{StartedAt: 1, ClockMs: 10, Running: []RunRow{{Task: o.Task, Run: o.Run, Percent: 100}}})
+	}
+	require.NotNil(t, s.workers.get("w1"))
+	s.Held(now, 0, o.Worker, 0, now, Answer{Outcome: Unknown}, Report{})
+	for i := range minAbsentLists {
+		require.NotNil(t, s.workers.get("w1"), "list %d", i)
+		now = now.Add(time.Second)
+		s.HostsListed(now, now, nil)
+	}
+	require.Nil(t, s.workers.get("w1"))
+}
--- a/fleet/scheduling/host.go
+++ b/fleet/scheduling/host.go
@@ -6,23 +6,37 @@
 	// maxHostListAge is the maximum age of the host list on which host orders are based.
 	maxHostListAge = 3 * time.Second
 	// minAbsentLists lists in a row, requested over minAbsence, lack a host that has left the
-	// fleet. One list may lack a host that stays: its pages are no snapshot.
+	// fleet, or a worker that has ended. One list may lack a host that stays: its pages are no snapshot.
 	minAbsentLists = 3
 	minAbsence     = 2 * time.Second
 )
 
-// absence counts the lists in a row that lack a host. The first was requested at since, the
-// last at until.
+// absence counts the lists in a row that lack a host or a worker. The first was requested at since,
+// the last at until.
 type absence struct {
 	lists        int
 	since, until time.Time
 }
 
+// extended returns the absence with one more list.
+func (a absence) extended(sentAt time.Time) absence {
+	if a.lists == 0 {
+		a.since = sentAt
+	}
+	a.lists++
+	a.until = sentAt
+	return a
+}
+
+// isProven reports whether the lists suffice to tell that the host or worker is gone.
+func (a absence) isProven() bool {
+	return a.lists >= minAbsentLists && a.until.Sub(a.since) >= minAbsence
+}
+
 // hasLeft reports whether a host has left the fleet. A host that no list has had time to
 // contain hasn't.
 func (s *Scheduler) hasLeft(id HostID) bool {
-	a := s.absent[id]
-	return a.lists >= minAbsentLists && a.until.Sub(a.since) >= minAbsence
+	return s.absent[id].isProven()
 }
 
 // updateAbsent counts a list, in which the hosts in seen are, and drops the hosts that have
@@ -33,13 +47,7 @@
 		if seen[id] || absent[id].lists > 0 {
 			return
 		}
-		a, ok := s.absent[id]
-		if !ok {
-			a.since = sentAt
-		}
-		a.lists++
-		a.until = sentAt
-		absent[id] = a
+		absent[id] = s.absent[id].extended(sentAt)
 	}
 	for id := range s.hosts.all() {
 		count(id)
@@ -128,6 +136,7 @@
 	s.updateAbsent(sentAt, seen)
 	s.removeReplaced()
 	s.removeMoved(now, sentAt)
+	s.removeUnlisted(now, sentAt, hosts)
 	s.updateHostClasses()
 }
 
@@ -156,11 +165,7 @@
 func (s *Scheduler) removeMoved(now, sentAt time.Time) {
 	for _, w := range s.workers.all() {
 		h := s.hosts.get(w.Host)
-		silentSince := w.unreachableSince
-		if s.isUnaccounted(w.ID) && !w.contacted {
-			silentSince = w.registeredAt
-		}
-		if h == nil || silentSince.IsZero() || !sentAt.After(silentSince) || h.order.kind != noOrder {
+		if h == nil || !s.isSilentBefore(w, sentAt) || h.order.kind != noOrder {
 			continue
 		}
 		isAway := h.State == HostMoving || h.State == HostMaintenance
@@ -170,6 +175,33 @@
 	}
 }
 
+// isSilentBefore reports whether a worker has not answered since before a list was requested.
+func (s *Scheduler) isSilentBefore(w *worker, sentAt time.Time) bool {
+	silentSince := w.unreachableSince
+	if s.isUnaccounted(w.ID) && !w.contacted {
+		silentSince = w.registeredAt
+	}
+	return !silentSince.IsZero() && sentAt.After(silentSince)
+}
+
+// removeUnlisted removes workers that don't answer and that the lists don't show on any host. They
+// have ended, whichever leader has extended their leases. Lists do show a worker that is only cut off.
+func (s *Scheduler) removeUnlisted(now, sentAt time.Time, hosts []Host) {
+	listed := make(map[WorkerID]bool, len(hosts))
+	for _, h := range hosts {
+		listed[h.Worker] = true
+	}
+	for _, w := range s.workers.all() {
+		if w.Host == "" || listed[w.ID] || !s.isSilentBefore(w, sentAt) {
+			w.unlisted = absence{}
+			continue
+		}
+		if w.unlisted = w.unlisted.extended(sentAt); w.unlisted.isProven() {
+			s.replaceCrashed(now, w, "host lists no longer show it")
+		}
+	}
+}
+
 // tickHosts advances waves and balances pools.
 func (s *Scheduler) tickHosts(now time.Time) {
 	if now.Before(s.nextBalance) || s.hostsListedAt.IsZero() || now.Sub(s.hostsListedAt) > maxHostListAge {
--- a/fleet/scheduling/worker.go
+++ b/fleet/scheduling/worker.go
@@ -67,6 +67,8 @@
 	// idleSince is when a report first showed that the worker runs nothing, or when it was
 	// registered. It is zero from the start of a run until such a report.
 	idleSince time.Time
+	// unlisted counts the host lists that don't show the worker since it ceased to answer.
+	unlisted absence
 	// cordoned workers get no new tasks because their host is due for maintenance or a
 	// move.
 	cordoned bool
--- a/fleet/scheduling/world_test.go
+++ b/fleet/scheduling/world_test.go
@@ -965,7 +965,11 @@
 	var hosts []Host
 	for _, id := range sortedKeys(w.hosts) {
 		if w.faults.unlisted == 0 || l.lists%2 == 0 || w.rng.Float64() >= w.faults.unlisted {
-			hosts = append(hosts, w.hosts[id].Host)
+			h := w.hosts[id].Host
+			if sw := w.workers[h.Worker]; sw != nil && !sw.isUp {
+				h.Worker = ""
+			}
+			hosts = append(hosts, h)
 		}
 	}
 	l.s.HostsListed(w.now, w.now, hosts)
