fix(scheduling): keep the progress of all occurrences under a clock that is behind

What callers saw: nothing yet; found by a property test. A new leader whose wall clock is behind that of the earlier one dropped the progress of every occurrence after the first one that had begun without a task done, and would have run their tasks again once they were due there (TWICE).

Cause: the restored occurrences ended at the first one that was neither due by the new leader's clock nor had progress.

Change: all occurrences up to the last one with progress are restored. TestClockBehindKeepsProgressOfLaterOccurrences failed before.

--- a/fleet/scheduling/restore.go
+++ b/fleet/scheduling/restore.go
@@ -81,9 +81,9 @@
 	} else {
 		s.scheduledJobs.put(js.ID, js)
 	}
-	for k := 0; k < js.Occurrences(); k++ {
+	for k, begun := 0, begunOccurrences(p); k < js.Occurrences(); k++ {
 		due := js.DueAt(k)
-		if due > wall && !hasProgress(p, k) {
+		if due > wall && k >= begun {
 			break
 		}
 		dueAt := js.acceptedAt
@@ -145,12 +145,12 @@
 	}
 }
 
-// hasProgress reports whether progress is stored for an occurrence.
-func hasProgress(p job.Progress, occurrence int) bool {
+// begunOccurrences returns how many occurrences have begun by the stored progress, also if the clock of this
+// host is behind that of the earlier leader.
+func begunOccurrences(p job.Progress) int {
+	begun := 0
 	for _, t := range p.Tasks {
-		if t.Occurrence == occurrence {
-			return true
-		}
+		begun = max(begun, t.Occurrence+1)
 	}
-	return false
+	return begun
 }
