fix(scheduling): keep the progress of a long schedule within the store's limit of a record

Cause: the progress of a job is one record with a row for each done task of all occurrences. The store refuses it above RecordBytes (262144), the leader ends with the refused commit, and so does each next one.

Change: above 1,000 done tasks the record holds them as ranges of their numbers in the job, so that it grows with what is open and no longer with what is done. Smaller records stay as they were, so that versions of the program that don't know ranges can read them.

Left open: a record can still pass the limit with thousands of open tasks that failed or have checkpoints, and one refused record still ends the leader.

--- a/fleet/job/progress.go
+++ b/fleet/job/progress.go
@@ -75,8 +75,48 @@
 	// Pools are the pools other than the one at the job's acceptance where the tasks may run, as
 	// its queue may get another pool.
 	Pools []string `json:",omitempty"`
-	// Tasks lists the tasks whose progress isn't empty.
+	// Tasks lists the tasks whose progress isn't empty, except those in Done.
 	Tasks []TaskProgress `json:",omitempty"`
+	// Done holds the done tasks of a job with many of them. Their number grows with each occurrence,
+	// and a record has a limit.
+	Done []TaskRange `json:",omitempty"`
+}
+
+// TaskRange is a range of the tasks of a job, which are numbered from 0 in the order of occurrences,
+// steps and indexes.
+type TaskRange struct {
+	First int `json:"T"`
+	Count int `json:"N"`
+}
+
+// AppendTask returns the ranges with one more task, whose number is above all others.
+func AppendTask(ranges []TaskRange, number int) []TaskRange {
+	if n := len(ranges); n > 0 && ranges[n-1].First+ranges[n-1].Count == number {
+		ranges[n-1].Count++
+		return ranges
+	}
+	return append(ranges, TaskRange{First: number, Count: 1})
+}
+
+// DoneTasks returns the identities of the tasks in Done, which are tasks of j. Numbers beyond the
+// last occurrence are left out.
+func (p Progress) DoneTasks(j Job) []Task {
+	var out []Task
+	perOccurrence := 0
+	for _, s := range j.Steps {
+		perOccurrence += s.Count
+	}
+	for _, r := range p.Done {
+		for n := r.First; n < min(r.First+r.Count, j.Occurrences()*perOccurrence); n++ {
+			t := Task{Job: j.ID, Occurrence: n / perOccurrence, Index: n % perOccurrence}
+			for t.Index >= j.Steps[t.Step].Count {
+				t.Index -= j.Steps[t.Step].Count
+				t.Step++
+			}
+			out = append(out, t)
+		}
+	}
+	return out
 }
 
 // Encode returns the encoded record.
--- a/fleet/job/stored_test.go
+++ b/fleet/job/stored_test.go
@@ -27,6 +27,7 @@
 			Occurrence: 16, Step: 17, Index: 18, Done: true, Failed: []int64{19}, Crashed: []int64{20},
 			Unproven: []UnprovenRun{unproven}, Checkpoint: "c",
 		}},
+		Done: []TaskRange{{First: 23, Count: 24}},
 	}
 	tests := map[string]struct {
 		encode func() ([]byte, error)
@@ -50,10 +51,10 @@
 		},
 		"progress": {
 			p.Encode,
-			[]any{p, p.Tasks[0], unproven},
+			[]any{p, p.Tasks[0], p.Done[0], unproven},
 			`{"State":"running","EndedAt":15,"Centres":["x","y"],"Pools":["z"],` +
 				`"Tasks":[{"O":16,"S":17,"I":18,"D":true,"F":[19],"K":[20],` +
-				`"R":[{"N":21,"W":"w","B":22,"I":true,"G":true}],"C":"c"}]}`,
+				`"R":[{"N":21,"W":"w","B":22,"I":true,"G":true}],"C":"c"}],"Done":[{"T":23,"N":24}]}`,
 		},
 		"empty progress": {Progress{}.Encode, nil, `{"State":""}`},
 	}
--- a/fleet/scheduling/restore.go
+++ b/fleet/scheduling/restore.go
@@ -72,6 +72,9 @@
 
 // restoreJob adds an accepted job with its stored progress.
 func (s *Scheduler) restoreJob(now time.Time, wall int64, j job.Job, p job.Progress) {
+	for _, t := range p.DoneTasks(j) {
+		p.Tasks = append(p.Tasks, job.TaskProgress{Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Done: true})
+	}
 	js := newJobState(j, msBefore(now, wall-j.AcceptedAt))
 	js.inherited = true
 	js.dataCentres, js.pools = restoredAdditions(p.DataCentres), restoredAdditions(p.Pools)
--- a/fleet/scheduling/task.go
+++ b/fleet/scheduling/task.go
@@ -337,6 +337,21 @@
 	}
 }
 
+// maxListedDoneTasks is the number of done tasks above which a progress record holds them as ranges.
+// Below it, versions of the program that don't know ranges can read the record.
+const maxListedDoneTasks = 1000
+
+// doneTasks returns the number of done tasks of all occurrences.
+func (js *jobState) doneTasks() int {
+	n := 0
+	for _, o := range js.occurrences {
+		for _, st := range o.steps {
+			n += st.doneTasks
+		}
+	}
+	return n
+}
+
 // progress returns the job's progress record.
 func (js *jobState) progress() job.Progress {
 	p := job.Progress{State: js.state, EndedAt: js.endedWall}
@@ -347,9 +362,16 @@
 		p.State = job.Running
 	}
 	p.DataCentres, p.Pools = js.dataCentres.next, js.pools.next
+	isLarge := js.doneTasks() > maxListedDoneTasks
+	number := -1
 	for _, o := range js.occurrences {
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
+				number++
+				if isLarge && t.done {
+					p.Done = job.AppendTask(p.Done, number)
+					continue
+				}
 				if !t.done && len(t.failed) == 0 && len(t.crashed) == 0 && len(t.unproven) == 0 && t.checkpoint == "" {
 					continue
 				}
