fix(intake): find the jobs of a queue that another one has replaced

Cause: State compared the name of the job's queue with that of the queue that the path selects now, also if the first isn't configured any more. Jobs outlive their queue.

Change: a job is unknown at a path only if its queue still exists, at another one.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -173,7 +173,7 @@
 	a, err := askLeader(ctx, func() (relay.StateAnswer, error) {
 		return in.cfg.Resolver.State(ctx, relay.StateRequest{Job: id, Hops: relay.MaxHops})
 	})
-	if err == nil && (!a.Known || (a.Queue != "" && a.Queue != q.Name)) {
+	if err == nil && (!a.Known || in.isElsewhere(a.Queue, q)) {
 		err = ErrNoJob
 	}
 	in.cfg.Metrics.Observe("request_time", time.Since(began), metric.Label{Name: "Kind", Value: "state"}, metric.Label{Name: "Queue", Value: q.Name})
@@ -183,6 +183,20 @@
 	return a.State, err
 }
 
+// isElsewhere reports whether the jobs of a queue are found at another host or path than those of q. The jobs of a
+// queue that was dropped are found wherever the path leads now: another queue may have replaced it.
+func (in *Intake) isElsewhere(name string, q queue.Queue) bool {
+	if name == q.Name {
+		return false
+	}
+	c := in.cfg.Follower.Current()
+	if c == nil {
+		return false
+	}
+	_, exists := c.Queue(name)
+	return exists
+}
+
 // Waiting returns the number of jobs of a queue of which no task has started.
 func (in *Intake) Waiting(ctx context.Context, q queue.Queue) (int, error) {
 	began := time.Now()
