fix(scheduling): forget no ended job early under a clock that is ahead

What callers saw: nothing yet; found by reading after ended jobs had run again. A new leader computes how long ago a job ended by its own wall clock. If that is ahead by more than the retention, it forgets all ended jobs at once: their callers get 410 (LOST), and a submission that is repeated runs again (TWICE).

Change: the age of ended jobs counts until the newest time in the stored records at most. It is short by the time without any job, so they are kept longer then, never shorter.

TestClockAheadForgetsNoEndedJob failed before.

--- a/fleet/scheduling/restore.go
+++ b/fleet/scheduling/restore.go
@@ -19,6 +19,20 @@
 	Reserved []HostID
 }
 
+// newest returns the latest wall clock that a record holds, in Unix milliseconds. The age of ended jobs counts
+// until then at most: a host whose clock is ahead would forget them before their retention is over, and
+// take a submission that is repeated for a new job.
+func (r Restored) newest() int64 {
+	var at int64
+	for _, p := range r.Progress {
+		at = max(at, p.EndedAt)
+	}
+	for _, j := range r.Jobs {
+		at = max(at, j.AcceptedAt)
+	}
+	return at
+}
+
 // DecodeEntry decodes a worker's stored record.
 func DecodeEntry(b []byte) (Entry, error) {
 	var e Entry
@@ -36,13 +50,14 @@
 		s.workers.put(e.ID, w)
 		s.addUnaccounted(w)
 	}
+	agesUntil := min(wall, r.newest())
 	for id, p := range r.Progress {
 		if !p.State.Final() {
 			continue
 		}
 		s.jobs[id] = &jobState{
 			Job: job.Job{ID: id}, state: p.State, storedState: p.State, hasStarted: true, inherited: true, workRecords: recordsDropped,
-			endedAt: msBefore(now, wall-p.EndedAt), endedWall: p.EndedAt,
+			endedAt: msBefore(now, agesUntil-p.EndedAt), endedWall: p.EndedAt,
 		}
 	}
 	for _, j := range r.Jobs {
