fix(check): close the connection of each publication

Cause: Publish opens a client of its own, whose idle connection stays open for 10 s; a test that publishes every 20 ms until the log is available again used up the 64 connections that an entry host allows one address. The command line's client can now close its idle connections, and Publish does.

TestPublishingLeavesNoConnections was refused in the same way before.

--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -70,6 +70,11 @@
 	return c.cfg.Address
 }
 
+// Close closes the idle connections, which count against the host's limit for one address.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
 // Get requests a path and decodes the answer into the value that into points to.
 func (c *Client) Get(path string, into any) error {
 	return c.call(fasthttp.MethodGet, path, nil, into)
--- a/standin/check/check.go
+++ b/standin/check/check.go
@@ -69,8 +69,9 @@
 // accepted.
 func Publish(d *deployment.Deployment, id journal.RecordID, c configuration.Change, by inventory.OperatorID) error {
 	var v journal.Result
-	err := client.New(d.Entries[0].Settings.OperatorAddress, by).Post("/changes", operation.Publication{ID: id, Change: c}, &v)
-	if err != nil {
+	cl := client.New(d.Entries[0].Settings.OperatorAddress, by)
+	defer cl.Close()
+	if err := cl.Post("/changes", operation.Publication{ID: id, Change: c}, &v); err != nil {
 		return err
 	}
 	if v.Outcome != journal.Accepted {
--- a/standin/check/cutoff_test.go
+++ b/standin/check/cutoff_test.go
@@ -68,6 +68,19 @@
 	return errors.Is(err, client.ErrRefused) && strings.Contains(err.Error(), "the log is away")
 }
 
+// A test that publishes again and again until the log is available used up the connections that an entry host
+// allows one address (64), and was refused with 429.
+func TestPublishingLeavesNoConnections(t *testing.T) {
+	t.Parallel()
+	d := startDeployment(t)
+	d.Platform.Faults.Set(fault.Fault{Kind: fault.Down, Target: "log", Count: fault.Forever})
+	for n := range 100 {
+		err := Publish(d, journal.RecordID(fmt.Sprintf("refused-%d", n)), configuration.Change{}, "corchos-operator")
+		require.ErrorIs(t, err, client.ErrRefused)
+		require.NotContains(t, err.Error(), "429")
+	}
+}
+
 // publishWeight publishes the n-th weight change through the first entry host and returns
 // the resulting version. It retries while the log is unavailable.
 func publishWeight(t *testing.T, d *deployment.Deployment, n int) configuration.Version {
