--- a/review/trials-2/minion.go
+++ b/review/trials-2/minion.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"io"
+	"log"
 	"math"
+	"math/rand"
 	"net"
 	"net/http"
 	"slices"
@@ -255,6 +257,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if m.w.isLate() && r.URL.Path != "/v1/hold" {
+		time.AfterFunc(2*time.Second+time.Duration(rand.Int63n(int64(10*time.Second))), func() { m.carryOut(r.URL.Path, o) })
+		panic(http.ErrAbortHandler)
+	}
 	switch r.URL.Path {
 	case "/v1/run-start":
 		m.answer(w, m.start(o))
@@ -269,6 +275,21 @@
 	}
 }
 
+// carryOut carries out a late order, if the minion's life goes on.
+func (m *minion) carryOut(path string, o order) {
+	m.mu.Lock()
+	isDown := m.isDown
+	m.mu.Unlock()
+	switch {
+	case isDown:
+	case path == "/v1/run-start":
+		defer func() { _ = recover() }() // its life may end meanwhile
+		m.start(o)
+	case path == "/v1/run-stop":
+		m.stop(o)
+	}
+}
+
 func (m *minion) answer(w http.ResponseWriter, reason string) {
 	if reason == "" {
 		reply(w, http.StatusOK, map[string]any{"ClockMs": m.clock(), "born": m.born.UnixMilli()})
@@ -302,6 +323,9 @@
 func (m *minion) start(o order) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.isDown {
+		panic(http.ErrAbortHandler)
+	}
 	if m.isFenced(o) {
 		return "fence"
 	}
@@ -333,7 +357,7 @@
 		r.timer = time.AfterFunc(work, func() { m.end(r, "failed") })
 	case m.w.gangs.join(m, r):
 		// The run works once all members are present.
-	case work > 0:
+	case work > 0 && m.runs != nil:
 		r.timer = time.AfterFunc(work, func() { m.end(r, "done") })
 	}
 	return ""
@@ -486,7 +510,7 @@
 	}
 	g.mu.Lock()
 	g.listener, g.address = l, l.Addr().String()
-	g.server = &http.Server{Handler: http.HandlerFunc(g.serve), ConnState: g.observe}
+	g.server = &http.Server{Handler: http.HandlerFunc(g.serve), ConnState: g.observe, ErrorLog: log.New(io.Discard, "", 0)}
 	s := g.server
 	g.mu.Unlock()
 	go func() { _ = s.Serve(l) }()
