test(review): a task waits for tickets of workers that can't run it

Rule LOST; disruption: two of 13 workers crash (srv_crash). Their lasting tasks have no run until the tickets of all other workers expire, 27 s later: the adviser isn't asked about the new workers while a worker with a ticket has capacity, although AntiAffinity keeps the task off it.

--- a/review/trials-2/cases.go
+++ b/review/trials-2/cases.go
@@ -258,3 +258,48 @@
 	}
 	return nil
 }
+
+// advised: two of the tasks of a job that lasts, of a queue with an adviser, lose their minions. Others start on the machines.
+func advised(w *world, trouble bool) []string {
+	const tasks, crashes = 13, 2
+	w.rec.isFull = true
+	w.addMachines("desk", tasks, minionConfig{})
+	w.publish([]route{{name: "r-desk", prefix: "/desk/", service: "desk", isAdvised: true}}, "desk")
+	w.addHosts(zones...)
+	w.awaitReady()
+	time.Sleep(3 * time.Second)
+	j := newJob("/desk/", stepDef{Count: tasks, Cpu: 3500, MemMb: 4096, EstimateMs: 500, AntiAffinity: 1, LongRunning: true, MayMiss: 2})
+	w.submit(j)
+	time.Sleep(3 * time.Second)
+	if rs := w.runsOf(j.id); trouble && len(rs) == tasks {
+		for _, r := range rs[:crashes] {
+			w.current(r.minion).crashForGood(4 * time.Second)
+		}
+	}
+	// The rule holds from 6 s after the last run of a task, for any 3 s that are calm, as the 4 s before them.
+	time.Sleep(8500 * time.Millisecond)
+	idleSince := make(map[string]time.Time)
+	broken := make(map[string]bool)
+	for until := time.Now().Add(24 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		isRunning := make(map[string]bool)
+		for _, r := range w.runsOf(j.id) {
+			isRunning[r.task] = isRunning[r.task] || r.to.IsZero()
+		}
+		for task, ok := range isRunning {
+			switch since, isIdle := idleSince[task]; {
+			case ok:
+				delete(idleSince, task)
+			case !isIdle:
+				idleSince[task] = time.Now()
+			case time.Since(since) >= 3*time.Second && !broken[task]:
+				broken[task] = true
+				w.rec.log("%s has had no run for 3 s", task)
+			}
+		}
+	}
+	var out []string
+	for task := range broken {
+		out = append(out, task+" is to last and had no run for 3 calm seconds, beside two free minions")
+	}
+	return out
+}
--- a/review/trials-2/main.go
+++ b/review/trials-2/main.go
@@ -17,7 +17,7 @@
 const longest = 116 * time.Second
 
 var trials = map[string]trial{
-	"large": large, "drift": drift, "repool": repool, "blamed": blamed, "soak": soak,
+	"large": large, "drift": drift, "repool": repool, "blamed": blamed, "advised": advised, "soak": soak,
 }
 
 func main() {
--- a/review/trials-2/minion.go
+++ b/review/trials-2/minion.go
@@ -202,6 +202,20 @@
 	time.AfterFunc(restartAfter, func() { m.w.restart(m) })
 }
 
+// crashForGood ends the minion's life without notice. Another minion starts on its machine after a time.
+func (m *minion) crashForGood(after time.Duration) {
+	m.crash(0)
+	time.AfterFunc(after, func() {
+		c := m.w.cloud
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if mc := c.machines[m.cfg.machine]; mc.m == m {
+			mc.m = m.w.addMinion(mc.cfg)
+			m.w.rec.detail("minion %s starts on the machine of %s", mc.m.id, m.id)
+		}
+	})
+}
+
 // finish lists the end of a run; mu is held.
 func (m *minion) finish(r *run, how string) {
 	if m.isDown || m.runs[r.task] != r {
@@ -234,7 +248,7 @@
 type order struct {
 	Task                                                     string
 	Run, DeadlineMs, FencingToken, SeenUpto, WaitMs, Percent int64
-	Spec                                                     string
+	Spec, Ticket                                             string
 }
 
 func (m *minion) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -340,6 +354,9 @@
 	if o.DeadlineMs <= m.clock() {
 		return "late"
 	}
+	if !m.w.adviser.isValid(m, o.Task, o.Ticket) {
+		return "ticket"
+	}
 	need := m.w.roomOf(o.Task)
 	u := m.used()
 	if m.runs[o.Task] != nil || u.cpu+need.cpu > minionRoom.cpu || u.mem+need.mem > minionRoom.mem {
--- a/review/trials-2/soak.go
+++ b/review/trials-2/soak.go
@@ -47,7 +47,7 @@
 	for time.Now().Before(end) {
 		j := randomJob(jrng)
 		jobs = append(jobs, j)
-		cancel := jrng.Intn(12) == 0
+		cancel := jrng.Intn(12) == 0 || j.steps[0].LongRunning && jrng.Intn(3) > 0
 		repeat := jrng.Intn(6) == 0
 		go func() {
 			if !w.submit(j) {
@@ -89,6 +89,7 @@
 	for _, j := range jobs {
 		out = append(out, w.checkJob(j)...)
 	}
+	out = append(out, w.checkLasting(jobs)...)
 	fmt.Println(len(jobs), "jobs,", len(w.runs), "runs")
 	return out
 }
@@ -97,7 +98,14 @@
 	prefix := []string{"/desk/", "/shops/"}[rng.Intn(2)]
 	work := time.Duration(200+rng.Intn(1500)) * time.Millisecond
 	st := stepDef{Count: 1 + rng.Intn(6), Cpu: int64(1000 + rng.Intn(9000)), MemMb: 2048, EstimateMs: work.Milliseconds(), work: work}
-	switch rng.Intn(6) {
+	switch rng.Intn(9) {
+	case 6:
+		st.Speculative = true
+	case 7:
+		// It lasts until it is cancelled, or to the end.
+		return &jobDef{id: fmt.Sprintf("%016x", rng.Uint64()), prefix: prefix, steps: []stepDef{{
+			Count: 1 + rng.Intn(3), Cpu: 1500, MemMb: 1024, EstimateMs: 500, AntiAffinity: 1, LongRunning: true,
+		}}}
 	case 0:
 		st.Gang = true
 	case 1:
@@ -185,6 +193,26 @@
 	}
 }
 
+// checkLasting checks at the end of a calm time that each task that lasts has a run, and that no task of a cancelled job has.
+func (w *world) checkLasting(jobs []*jobDef) []string {
+	var out []string
+	for _, j := range jobs {
+		running := make(map[string]int)
+		for _, r := range w.runsOf(j.id) {
+			if r.to.IsZero() {
+				running[r.task]++
+			}
+		}
+		if j.cancelled && len(running) > 0 {
+			out = append(out, fmt.Sprintf("job %s was cancelled and has %d tasks running", j.id, len(running)))
+		}
+		if st := j.steps[0]; st.LongRunning && !j.cancelled && j.final == "" && !j.acceptedAt.IsZero() && len(running) < st.Count {
+			out = append(out, fmt.Sprintf("job %s lasts and has %d of %d tasks running", j.id, len(running), st.Count))
+		}
+	}
+	return out
+}
+
 // checkJob checks the runs and the final state of a job.
 func (w *world) checkJob(j *jobDef) []string {
 	var out []string
--- a/review/trials-2/world.go
+++ b/review/trials-2/world.go
@@ -67,6 +67,7 @@
 	Gang         bool   `json:",omitempty"`
 	AntiAffinity int    `json:",omitempty"`
 	LongRunning  bool   `json:",omitempty"`
+	MayMiss      int    `json:",omitempty"`
 	Affinity     string `json:",omitempty"`
 	Requires     string `json:",omitempty"`
 	Speculative  bool   `json:",omitempty"`
@@ -116,6 +117,8 @@
 	cloud *cloud
 	hosts []*host
 	gangs *gangs
+	// adviser is the service that decides which minions may run a step.
+	adviser *adviser
 
 	cloudAddress, adviceAddress string
 
@@ -147,7 +150,8 @@
 	w.cloud = &cloud{w: w, machines: make(map[string]*machine), tokens: make(map[string]int64)}
 	w.gangs = &gangs{w: w, present: make(map[string]map[string]member)}
 	w.cloudAddress = w.serve(w.cloud)
-	w.adviceAddress = w.serve(http.HandlerFunc(advise))
+	w.adviser = &adviser{w: w, tickets: make(map[string]ticket)}
+	w.adviceAddress = w.serve(w.adviser)
 	return w
 }
 
@@ -161,16 +165,6 @@
 	return l.Addr().String()
 }
 
-func advise(rw http.ResponseWriter, r *http.Request) {
-	var b struct{ Workers []string }
-	_ = json.NewDecoder(r.Body).Decode(&b)
-	good := [][2]string{}
-	for _, id := range b.Workers {
-		good = append(good, [2]string{id, "t"})
-	}
-	reply(rw, http.StatusOK, map[string]any{"Good": good, "ValidMs": 3000})
-}
-
 // addMinion starts a minion on a machine.
 func (w *world) addMinion(cfg minionConfig) *minion {
 	w.mu.Lock()
@@ -226,6 +220,14 @@
 	return &j.steps[n]
 }
 
+// isSpeculative reports whether a task may run more than once; mu is held.
+func (w *world) isSpeculative(task string) bool {
+	p := strings.Split(task, ".")
+	n, _ := strconv.Atoi(p[2])
+	j := w.jobs[p[0]]
+	return j != nil && j.steps[n].Speculative
+}
+
 func (w *world) roomOf(task string) room {
 	if st := w.stepOf(task); st != nil {
 		return room{st.Cpu, st.MemMb}
@@ -302,6 +304,9 @@
 	defer w.mu.Unlock()
 	byTask := make(map[string][]*taskRun)
 	for _, r := range w.runs {
+		if w.isSpeculative(r.task) {
+			continue
+		}
 		byTask[r.task] = append(byTask[r.task], r)
 	}
 	var out []string
@@ -441,6 +446,8 @@
 type route struct {
 	name, prefix, service string
 	maxAttempts           int
+	// isAdvised routes have an adviser.
+	isAdvised bool
 }
 
 // publish publishes a configuration.
@@ -455,10 +462,14 @@
 		if attempts == 0 {
 			attempts = 4
 		}
-		rs = append(rs, map[string]any{
+		row := map[string]any{
 			"Name": r.name, "Host": "jobs.example", "PathPrefix": r.prefix, "Kind": "unsafe", "TimeoutMs": 3000, "TargetLatencyMs": 600,
 			"Priority": 0, "Service": r.service, "MaxAttempts": attempts, "Stretch": 1.6,
-		})
+		}
+		if r.isAdvised {
+			row["Advice"] = map[string]any{"DecideMs": decideTime.Milliseconds(), "EachMs": 1, "ValidMs": ticketTime.Milliseconds()}
+		}
+		rs = append(rs, row)
 	}
 	for _, s := range services {
 		ss = append(ss, map[string]any{"Name": s, "HealthPath": "/health", "MaxConns": 64, "Protocol": "h1", "Tls": false, "AdmissionControl": true, "Spare": s == w.cloud.spare})
