test(review): show that a registry entry of an unknown service makes tasks run twice

Disruption: an entry from another writer, with a service that no configuration names, and the machine of a worker. The leader takes it for a newer worker on that host, removes the real one, and starts its tasks elsewhere while they still run.

--- a/review/trials-3/ends.go
+++ b/review/trials-3/ends.go
@@ -62,16 +62,25 @@
 		_, state = b.ask(b.hosts[1], fasthttp.MethodGet, path, "")
 	}
 	time.Sleep(2 * time.Second) // ends of runs that started again
+	return b.judgeRuns(tasks), nil
+}
+
+// judgeRuns notes the starts that break TWICE, and returns broken if there are any.
+func (b *bed) judgeRuns(tasks int) int {
 	again, overlaps := b.estate.RunsAgain(), b.estate.Overlaps()
 	for _, r := range again {
 		b.note("TWICE: %s run %d started on %s at %s, after run %d had ended as done on %s at %s; that end was acknowledged at %s", r.Start.Task, r.Start.Run,
 			r.Start.Worker, r.Start.At.Format(timeFormat), r.End.Run, r.End.Worker, r.End.At.Format(timeFormat), r.End.AcknowledgedAt.Format(timeFormat))
 	}
+	for _, o := range overlaps {
+		b.note("TWICE: %s run %d on %s since %s, and run %d on %s since %s", o.First.Task, o.First.Run, o.First.Worker, o.First.At.Format(timeFormat),
+			o.Second.Run, o.Second.Worker, o.Second.At.Format(timeFormat))
+	}
 	b.note("%d starts of %d tasks, %d after an end as done, %d beside another run", len(b.estate.Starts()), tasks, len(again), len(overlaps))
 	if len(again)+len(overlaps) > 0 {
-		return broken, nil
+		return broken
 	}
-	return held, nil
+	return held
 }
 
 // timeFormat is the format of times in the record.
